--- /dev/null
+++ b/include/ibishinge/base/civetweb_library.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace ibishinge {
+
+/// Initializes CivetWeb once for the process. Thread-safe; later calls do nothing.
+void initializeCivetweb();
+
+} // namespace ibishinge
--- /dev/null
+++ b/include/ibishinge/service/request_parser.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <ibishinge/base/error.h>
+#include <ibishinge/base/time.h>
+#include <ibishinge/outside/http_message.h>
+
+#include <chrono>
+#include <string>
+
+namespace ibishinge {
+
+enum class work_class : std::uint8_t { normal, urgent };
+
+/// What a caller asks of a service, checked but not yet authorized.
+struct service_request
+{
+    std::string service;
+    std::string requestId;
+    std::string team;
+    std::string key; ///< secret; never logged
+    std::chrono::milliseconds deadline {0}; ///< relative to the arrival
+    work_class workClass = work_class::normal;
+    bool idempotent = false;
+    std::string body;
+};
+
+/// Bounds of what callers may ask for.
+inline constexpr std::size_t maxRequestIdLength = 64;
+inline constexpr std::chrono::milliseconds minDeadline {1};
+/// Shorter than the retention time of ledger records, so that a record outlives all attempts.
+inline constexpr std::chrono::milliseconds maxDeadline {600000};
+
+/// Parses `POST /v1/services/<service>/requests`.
+///
+/// Errors: `invalid_request` with the header and what is allowed; `unknown_entity` for another
+/// path. Thread-safe.
+[[nodiscard]] result<service_request> parseServiceRequest(const http_request &request);
+
+/// Returns true for 1 to `maxRequestIdLength` characters of [A-Za-z0-9_-]. Thread-safe.
+[[nodiscard]] bool isValidName(std::string_view text) noexcept;
+
+} // namespace ibishinge
--- /dev/null
+++ b/src/outside/http_server.cpp
@@ -0,0 +1,207 @@
+#include <ibishinge/outside/http_server.h>
+
+#include <ibishinge/base/civetweb_library.h>
+
+#include <civetweb.h>
+
+#include <array>
+#include <charconv>
+#include <utility>
+#include <vector>
+
+namespace ibishinge {
+
+struct http_server::impl
+{
+    http_server_options options;
+    http_handler handler;
+    mg_context *context = nullptr;
+    std::uint16_t port = 0;
+};
+
+namespace {
+
+constexpr std::size_t readChunkBytes = 16384;
+
+enum class body_status { complete, cut, too_large, malformed };
+
+body_status readBody(mg_connection *connection, long long contentLength, std::size_t limit,
+                     std::string &body)
+{
+    if (contentLength >= 0 && static_cast<unsigned long long>(contentLength) > limit) {
+        return body_status::too_large;
+    }
+    std::array<char, readChunkBytes> chunk;
+    while (contentLength < 0 || body.size() < static_cast<std::size_t>(contentLength)) {
+        const int count = mg_read(connection, chunk.data(), chunk.size());
+        if (count < 0) {
+            return body_status::cut;
+        }
+        if (count == 0) {
+            break;
+        }
+        body.append(chunk.data(), static_cast<std::size_t>(count));
+        if (body.size() > limit) {
+            return body_status::too_large;
+        }
+    }
+    const bool complete =
+        contentLength < 0 || body.size() == static_cast<std::size_t>(contentLength);
+    return complete ? body_status::complete : body_status::cut;
+}
+
+http_response errorResponse(error_kind kind, std::string_view message)
+{
+    const auto &answer = answerFor(kind);
+    std::string body = R"({"error":")";
+    body += answer.name;
+    body += R"(","run":"attempt_not_run","message":")";
+    body += message;
+    body += "\"}\n";
+    auto response = jsonResponse(answer.httpStatus, std::move(body));
+    // The rest of the request was not read, so the connection cannot be used again.
+    response.headers.push_back({"Connection", "close"});
+    return response;
+}
+
+void send(mg_connection *connection, const http_response &response)
+{
+    std::string head = "HTTP/1.1 " + std::to_string(response.status) + " "
+                       + mg_get_response_code_text(connection, response.status) + "\r\n";
+    for (const auto &header : response.headers) {
+        head += header.name + ": " + header.value + "\r\n";
+    }
+    head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n";
+    head += response.body;
+    mg_write(connection, head.data(), head.size());
+}
+
+http_request toRequest(const mg_request_info &info)
+{
+    http_request request;
+    request.method = info.request_method != nullptr ? info.request_method : "";
+    request.path = info.local_uri != nullptr ? info.local_uri : "/";
+    request.query = info.query_string != nullptr ? info.query_string : "";
+    request.remoteAddress = info.remote_addr; // NOLINT(bugprone-*)
+    for (int i = 0; i < info.num_headers; ++i) {
+        request.headers.push_back({info.http_headers[i].name, info.http_headers[i].value});
+    }
+    return request;
+}
+
+/// A request with both framings, or with an unreadable length, is how one request is passed off as
+/// two; it is rejected (RFC 9112, section 6.1).
+bool hasAmbiguousLength(const http_request &request)
+{
+    const auto length = findHeader(request.headers, "Content-Length");
+    if (!length) {
+        return false;
+    }
+    if (findHeader(request.headers, "Transfer-Encoding")) {
+        return true;
+    }
+    std::uint64_t value = 0;
+    const char *end = length->data() + length->size();
+    const auto parsed = std::from_chars(length->data(), end, value);
+    return parsed.ec != std::errc {} || parsed.ptr != end;
+}
+
+long long bodyLength(const http_request &request, const mg_request_info &info)
+{
+    const bool chunked = findHeader(request.headers, "Transfer-Encoding").has_value();
+    if (!chunked && info.content_length < 0) {
+        return 0; // A request without a length has no body.
+    }
+    return info.content_length;
+}
+
+template <class Impl>
+int handleRequest(mg_connection *connection, void *data)
+{
+    auto &state = *static_cast<Impl *>(data);
+    const mg_request_info &info = *mg_get_request_info(connection);
+    http_request request = toRequest(info);
+    auto status = body_status::malformed;
+    if (!hasAmbiguousLength(request)) {
+        status = readBody(connection, bodyLength(request, info), state.options.maxBodyBytes,
+                          request.body);
+    }
+    switch (status) {
+    case body_status::cut:
+        mg_close_connection(connection);
+        return 499; // Only for the access log: the caller is gone.
+    case body_status::too_large:
+        send(connection, errorResponse(error_kind::too_large, "body above the bound"));
+        return 413;
+    case body_status::malformed:
+        send(connection, errorResponse(error_kind::invalid_request, "ambiguous body length"));
+        return 400;
+    case body_status::complete:
+        break;
+    }
+    const http_response response = state.handler(request);
+    send(connection, response);
+    return response.status;
+}
+
+} // namespace
+
+result<std::unique_ptr<http_server>> http_server::start(const http_server_options &options,
+                                                        http_handler handler)
+{
+    initializeCivetweb();
+    auto state = std::make_unique<impl>();
+    state->options = options;
+    state->handler = std::move(handler);
+
+    const std::string listen = options.address + ":" + std::to_string(options.port);
+    const std::string threads = std::to_string(options.threads);
+    const std::string headerBytes = std::to_string(options.maxHeaderBytes);
+    const std::string receiveTimeout = std::to_string(options.receiveTimeout.count());
+    const std::string keepAlive = std::to_string(options.keepAliveTimeout.count());
+    const std::array<const char *, 17> settings {"listening_ports",
+                                                 listen.c_str(),
+                                                 "num_threads",
+                                                 threads.c_str(),
+                                                 "max_request_size",
+                                                 headerBytes.c_str(),
+                                                 "request_timeout_ms",
+                                                 receiveTimeout.c_str(),
+                                                 "enable_keep_alive",
+                                                 "yes",
+                                                 "keep_alive_timeout_ms",
+                                                 keepAlive.c_str(),
+                                                 "tcp_nodelay",
+                                                 "1",
+                                                 "decode_url",
+                                                 "no",
+                                                 nullptr};
+    mg_callbacks callbacks {};
+    state->context = mg_start(&callbacks, state.get(),
+                              const_cast<const char **>(settings.data())); // NOLINT
+    if (state->context == nullptr) {
+        return makeError(error_kind::unavailable, listen, "cannot listen");
+    }
+    mg_server_port port {};
+    mg_get_server_ports(state->context, 1, &port);
+    state->port = static_cast<std::uint16_t>(port.port);
+    mg_set_request_handler(state->context, "/", handleRequest<impl>, state.get());
+    return std::unique_ptr<http_server>(new http_server(std::move(state)));
+}
+
+http_server::http_server(std::unique_ptr<impl> state) noexcept
+    : m_impl(std::move(state))
+{
+}
+
+http_server::~http_server()
+{
+    mg_stop(m_impl->context);
+}
+
+std::uint16_t http_server::port() const noexcept
+{
+    return m_impl->port;
+}
+
+} // namespace ibishinge
