--- /dev/null
+++ b/tests/metrics_test.cpp
@@ -0,0 +1,46 @@
+#include <ibishinge/base/metrics.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace ibishinge;
+using namespace std::chrono_literals;
+
+/// Guards against metrics that scrapers cannot parse and against quantiles below the true value.
+class metrics_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(metrics_test);
+    CPPUNIT_TEST(textHoldsEverySeries);
+    CPPUNIT_TEST(quantileIsAnUpperBound);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void textHoldsEverySeries()
+    {
+        metrics_registry metrics;
+        metrics.add("requests_total", {{"team", "a\"b"}}, 2);
+        metrics.set("queue_length", {}, 3);
+        metrics.observe("request_seconds", {}, 7ms);
+        const std::string text = metrics.text();
+        CPPUNIT_ASSERT(text.find("requests_total{team=\"a\\\"b\"} 2\n") != std::string::npos);
+        CPPUNIT_ASSERT(text.find("queue_length 3\n") != std::string::npos);
+        CPPUNIT_ASSERT(text.find("request_seconds_count 1\n") != std::string::npos);
+        CPPUNIT_ASSERT(text.find("request_seconds_bucket{le=\"+Inf\"} 1\n") != std::string::npos);
+    }
+
+    void quantileIsAnUpperBound()
+    {
+        metrics_registry metrics;
+        for (int i = 1; i <= 100; ++i) {
+            metrics.observe("s", {}, std::chrono::milliseconds(i));
+        }
+        const auto summary = metrics.durations("s", {});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(100), summary.total());
+        CPPUNIT_ASSERT(summary.quantileSeconds(0.5) >= 0.050);
+        CPPUNIT_ASSERT(summary.quantileSeconds(0.5) < 0.050 * 1.6);
+        CPPUNIT_ASSERT(summary.quantileSeconds(0.99) >= 0.099);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(metrics_test);
