--- /dev/null
+++ b/include/ibishinge/decision/routing.h
@@ -0,0 +1,204 @@
+#pragma once
+
+#include <ibishinge/base/endpoint.h>
+#include <ibishinge/base/error.h>
+#include <ibishinge/base/listed_host.h>
+#include <ibishinge/base/time.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ibishinge {
+
+/// Source of the random choices of decision code; seeded by the caller.
+using random_engine = std::mt19937_64;
+
+using target_id = std::uint64_t;
+using attempt_number = std::uint64_t;
+
+enum class target_state : std::uint8_t {
+    active,
+    leaving, ///< receives nothing new
+    ejected, ///< receives only probes
+};
+
+enum class ejection_cause : std::uint8_t {
+    none,
+    refused, ///< refused a connection
+    outlier, ///< fails far more often than the rest of its service
+    left, ///< said that it was leaving, but the host list keeps showing it as live
+};
+
+/// Outcomes of attempts at one target, with exponential decay by time and by attempts.
+struct failure_statistics
+{
+    double attempts = 0;
+    double failures = 0;
+    double recentFailures = 0; ///< decays faster; counts like requests in flight when choosing
+};
+
+/// One front process of a service.
+struct target
+{
+    target_id id = 0;
+    std::string service;
+    endpoint where;
+    std::string hostId;
+    std::string dataCentre;
+    int slots = 8;
+    int connections = 64;
+
+    int inFlight = 0; ///< of this process, including timed-out ones that may still be running
+    double othersLoad = 0; ///< in progress from other processes, as of `reportedAt`
+    monotonic_time reportedAt;
+    milliseconds reportAge {0}; ///< as of the last tick
+
+    target_state state = target_state::active;
+    bool listed = true; ///< false: gone from the host list, removed when nothing is in flight
+    bool listedLeaving = false;
+    bool saidLeaving = false; ///< said so itself, which the host list may show later
+    monotonic_time leavingSince;
+
+    failure_statistics statistics;
+    ejection_cause cause = ejection_cause::none;
+    monotonic_time avoidUntil; ///< used only if no other target has a free slot
+    monotonic_time probeAt;
+    milliseconds probeBackOff {0};
+    monotonic_time activeSince;
+    bool probing = false; ///< a probe is in flight
+    int probesPassed = 0;
+};
+
+/// A reserved slot.
+struct open_attempt
+{
+    target_id target = 0;
+    bool probe = false;
+    bool timedOut = false;
+    monotonic_time runsUntil; ///< the target has certainly ended the run by then
+};
+
+struct routing_options
+{
+    /// Number of random candidates of a data centre.
+    int candidates = 2;
+    /// Half of a target's slots: below this a remote target is not worth the longer way.
+    double remoteAdvantage = 4;
+    /// What other processes had in flight is forgotten at the rate at which requests end.
+    milliseconds loadHalfLife {200};
+    /// Bounds the memory of outcomes at a low rate of requests.
+    milliseconds statisticsHalfLife {30000};
+    /// Bounds it at a high rate: a target that begins to fail is an outlier after about 9 failures,
+    /// however long it has worked before.
+    double statisticsWindow = 20;
+    milliseconds recentFailuresHalfLife {1000};
+    /// Fewer failures than this may be chance.
+    double outlierFailures = 3;
+    double outlierAttempts = 4;
+    /// Smallest difference between a target's failure rate and that of the rest.
+    double outlierRate = 0.3;
+    /// Smallest distance from the rest, in standard deviations.
+    double outlierDeviations = 3;
+    int ejectedPercent = 30; ///< of a service's targets, at most
+    milliseconds firstProbe {1000};
+    milliseconds longestProbe {30000};
+    int probesToReturn = 3; ///< for an outlier; one is enough for a refused connection
+    /// A target that said that it was leaving is probed after this time, if the host list has shown
+    /// it as live all along. Longer than the lag of the host list.
+    milliseconds leavingMemory {60000};
+};
+
+/// The targets of all services as one process sees them. Not thread-safe.
+struct target_table
+{
+    routing_options options;
+    std::map<target_id, target> targets;
+    std::map<std::string, std::vector<target_id>, std::less<>> services;
+    std::map<attempt_number, open_attempt> attempts;
+    std::uint64_t listVersion = 0;
+    bool listSeen = false;
+    target_id nextTarget = 1;
+    attempt_number nextAttempt = 1;
+};
+
+/// Takes over a version of the host list. Returns false, without a change, if the version is lower
+/// than one seen before.
+bool updateTargets(target_table &table, const host_list_snapshot &list, monotonic_time now);
+
+/// Takes over that the target at `where` is leaving, for example from a peer.
+void markLeaving(target_table &table, const endpoint &where, monotonic_time now);
+
+/// What a request asks of its target.
+struct target_request
+{
+    std::string_view service;
+    std::string_view ownDataCentre;
+    milliseconds maxRun {60000}; ///< the service's longest run
+    /// Requests that cannot be retried probe an outlier only if its probe is long overdue.
+    bool idempotent = false;
+    std::optional<target_id> exclude; ///< target of the attempt before this one
+};
+
+/// A slot reserved at a target. Each one must be given to `completeAttempt`.
+struct target_reservation
+{
+    attempt_number attempt = 0;
+    target_id target = 0;
+    endpoint where;
+    bool probe = false;
+};
+
+/// Chooses a target and reserves one of its slots.
+///
+/// Errors: `unknown_entity` if the service has no target in the host list; `overloaded` if all
+/// slots of this process are in use; `not_ready` if all targets are leaving or ejected.
+///
+/// \code
+/// auto slot = selectTarget(table, {"search", "dc1", maxRun, idempotent, {}}, now, engine);
+/// if (slot) {
+///     ... // send to slot->where
+///     completeAttempt(table, slot->attempt, {.outcome = attempt_outcome::complete}, now);
+/// }
+/// \endcode
+[[nodiscard]] result<target_reservation> selectTarget(target_table &table,
+                                                      const target_request &request,
+                                                      monotonic_time now, random_engine &engine);
+
+enum class attempt_outcome : std::uint8_t {
+    complete, ///< complete response
+    error_response, ///< complete response whose status is 500 or above
+    rejected, ///< the target states that it did not run the request
+    unavailable, ///< the connection was refused, nothing was sent
+    failed, ///< connection cut or malformed response
+    timeout, ///< no complete response in time; the target may still be running the request
+};
+
+struct attempt_report
+{
+    attempt_outcome outcome = attempt_outcome::complete;
+    std::optional<int> load; ///< requests in progress at the target, without this one
+    bool leaving = false;
+};
+
+/// Records the outcome of an attempt and frees its slot.
+///
+/// After `timeout` the slot stays in use until the request's longest run has passed, or until a
+/// second call for the same attempt reports the late response. Returns false if the attempt is not
+/// open.
+bool completeAttempt(target_table &table, attempt_number attempt, const attempt_report &report,
+                     monotonic_time now);
+
+/// Frees the slots of timed-out attempts whose longest run has passed, ages reports and statistics,
+/// ejects outliers, and removes targets that are gone. Call about ten times a second.
+void updateTargetHealth(target_table &table, monotonic_time now, milliseconds sinceLast);
+
+/// Returns the load by which targets are compared: own requests in flight, those of other processes
+/// by the last report, and recent failures.
+[[nodiscard]] double estimatedLoad(const target_table &table, const target &t, monotonic_time now);
+
+} // namespace ibishinge
--- /dev/null
+++ b/include/ibishinge/outside/http_host_list.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <ibishinge/outside/host_list.h>
+#include <ibishinge/outside/http_client.h>
+
+#include <memory>
+#include <string>
+
+namespace ibishinge {
+
+/// Reads the host list as `GET /hosts`.
+///
+/// The response is `{"version": V, "hosts": [{"id", "address", "data_centre", "rack", "state":
+/// "live"|"leaving", "services": [{"name", "endpoint": "ADDRESS:PORT", "slots",
+/// "connections"}]}]}`.
+///
+/// Precondition: `client` outlives the returned object.
+[[nodiscard]] std::unique_ptr<host_list> makeHttpHostList(http_client &client, endpoint server);
+
+/// Parses the body of such a response. A list with one invalid host is rejected as a whole, because
+/// an absent host counts as gone. Errors: `invalid_request`, with the JSON pointer. Thread-safe.
+[[nodiscard]] result<host_list_snapshot> parseHostList(const std::string &body);
+
+/// Returns the body that `parseHostList` reads. Thread-safe.
+[[nodiscard]] std::string formatHostList(const host_list_snapshot &list);
+
+} // namespace ibishinge
--- /dev/null
+++ b/src/decision/routing.cpp
@@ -0,0 +1,534 @@
+#include <ibishinge/decision/routing.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace ibishinge {
+
+namespace {
+
+double remaining(milliseconds elapsed, milliseconds halfLife)
+{
+    return std::exp2(-static_cast<double>(elapsed.count()) / static_cast<double>(halfLife.count()));
+}
+
+/// Drops what is left of an old value. While nothing else is in flight, the smallest remainder
+/// would otherwise keep a target from ever being chosen again.
+double withoutRemainder(double load)
+{
+    return load < 0.25 ? 0 : load;
+}
+
+milliseconds between(monotonic_time from, monotonic_time to)
+{
+    return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(to - from));
+}
+
+int ownCapacity(const target &t)
+{
+    return std::min(t.slots, t.connections);
+}
+
+bool hasFreeSlot(const target &t)
+{
+    return t.listed && t.inFlight < ownCapacity(t);
+}
+
+void forgetFailures(target &t)
+{
+    t.statistics = {};
+    t.cause = ejection_cause::none;
+    t.avoidUntil = {};
+    t.probesPassed = 0;
+}
+
+void activate(target &t, monotonic_time now)
+{
+    forgetFailures(t);
+    t.state = target_state::active;
+    t.activeSince = now;
+}
+
+bool isEjectedForFailures(const target &t)
+{
+    return t.state == target_state::ejected && t.cause != ejection_cause::left;
+}
+
+/// Returns how many more targets of a service may be ejected; negative if too many are.
+int ejectionsLeft(const target_table &table, const std::vector<target_id> &ids)
+{
+    int listed = 0;
+    int ejected = 0;
+    for (const target_id id : ids) {
+        const target &t = table.targets.at(id);
+        listed += t.listed ? 1 : 0;
+        ejected += isEjectedForFailures(t) ? 1 : 0;
+    }
+    return table.options.ejectedPercent * listed / 100 - ejected;
+}
+
+void scheduleProbe(const routing_options &options, target &t, monotonic_time now)
+{
+    t.probeBackOff = t.probeBackOff.count() == 0
+                         ? options.firstProbe
+                         : std::min(options.longestProbe, t.probeBackOff * 2);
+    t.probeAt = now + t.probeBackOff;
+    t.probesPassed = 0;
+}
+
+/// Ejects the target or, where the cap forbids that, keeps it as the last choice.
+void eject(target_table &table, target &t, ejection_cause cause, monotonic_time now)
+{
+    if (t.state != target_state::active) {
+        return;
+    }
+    // A target that has worked for long is not held to the back-off of an earlier failure.
+    if (between(t.activeSince, now) > 2 * t.probeBackOff) {
+        t.probeBackOff = milliseconds(0);
+    }
+    if (ejectionsLeft(table, table.services.find(t.service)->second) <= 0) {
+        t.avoidUntil = now + table.options.firstProbe;
+        return;
+    }
+    t.state = target_state::ejected;
+    t.cause = cause;
+    scheduleProbe(table.options, t, now);
+}
+
+/// Applies the cap again after the service has shrunk: the targets whose probes are due first
+/// return, as the last choice.
+void returnExcessEjections(target_table &table, const std::vector<target_id> &ids,
+                           monotonic_time now)
+{
+    for (int excess = -ejectionsLeft(table, ids); excess > 0; --excess) {
+        target *first = nullptr;
+        for (const target_id id : ids) {
+            target &t = table.targets.at(id);
+            if (isEjectedForFailures(t) && (first == nullptr || t.probeAt < first->probeAt)) {
+                first = &t;
+            }
+        }
+        activate(*first, now);
+        first->avoidUntil = std::max(first->probeAt, now + table.options.firstProbe);
+    }
+}
+
+void startLeaving(target &t, monotonic_time now)
+{
+    if (t.state != target_state::leaving) {
+        t.state = target_state::leaving;
+        t.leavingSince = now;
+        forgetFailures(t);
+    }
+}
+
+target_id findTarget(const target_table &table, const std::string &service, const endpoint &where)
+{
+    const auto found = table.services.find(service);
+    if (found != table.services.end()) {
+        for (const target_id id : found->second) {
+            if (table.targets.at(id).where == where) {
+                return id;
+            }
+        }
+    }
+    return 0;
+}
+
+target &findOrAddTarget(target_table &table, const std::string &service, const endpoint &where,
+                        const std::string &hostId, monotonic_time now)
+{
+    const target_id known = findTarget(table, service, where);
+    if (known != 0) {
+        return table.targets.at(known);
+    }
+    const target_id id = table.nextTarget++;
+    target &t = table.targets[id];
+    t.id = id;
+    t.service = service;
+    t.where = where;
+    t.hostId = hostId;
+    t.activeSince = now;
+    t.listed = false;
+    table.services[service].push_back(id);
+    return t;
+}
+
+void updateListing(target &t, const listed_host &host, const listed_service &service,
+                   monotonic_time now)
+{
+    const bool leaving = host.state == listed_host_state::leaving;
+    const bool replaced = t.hostId != host.id;
+    // The list showed the target as leaving or gone, or shows another host: it has been restarted.
+    const bool returned = !leaving && (t.listedLeaving || replaced);
+    t.hostId = host.id;
+    t.dataCentre = host.dataCentre;
+    t.slots = service.slots;
+    t.connections = service.connections;
+    t.listed = true;
+    t.listedLeaving = leaving;
+    if (leaving) {
+        startLeaving(t, now);
+    } else if (returned) {
+        t.saidLeaving = false;
+        t.othersLoad = 0;
+        t.probeBackOff = milliseconds(0);
+        activate(t, now);
+    }
+}
+
+const target *bestOf(const target_table &table, std::vector<const target *> &pool,
+                     monotonic_time now, random_engine &engine)
+{
+    const target *best = nullptr;
+    double bestLoad = 0;
+    const auto draws = std::min(pool.size(), static_cast<std::size_t>(table.options.candidates));
+    for (std::size_t i = 0; i < draws; ++i) {
+        std::uniform_int_distribution<std::size_t> index(i, pool.size() - 1);
+        std::swap(pool[i], pool[index(engine)]);
+        const double load = estimatedLoad(table, *pool[i], now);
+        if (best == nullptr || load < bestLoad) {
+            best = pool[i];
+            bestLoad = load;
+        }
+    }
+    return best;
+}
+
+const target *chooseNearest(const target_table &table, std::vector<const target *> &near,
+                            std::vector<const target *> &far, monotonic_time now,
+                            random_engine &engine)
+{
+    const target *nearest = bestOf(table, near, now, engine);
+    if (nearest == nullptr) {
+        return bestOf(table, far, now, engine);
+    }
+    const double nearLoad = estimatedLoad(table, *nearest, now);
+    if (nearLoad < table.options.remoteAdvantage) {
+        return nearest;
+    }
+    const target *remote = bestOf(table, far, now, engine);
+    if (remote == nullptr) {
+        return nearest;
+    }
+    const double farLoad = estimatedLoad(table, *remote, now);
+    const bool nearIsFull = nearLoad >= nearest->slots && farLoad < remote->slots;
+    const bool nearIsMoreLoaded = nearLoad - farLoad >= table.options.remoteAdvantage;
+    return nearIsFull || nearIsMoreLoaded ? remote : nearest;
+}
+
+bool isProbeDue(const routing_options &options, const target &t, const target_request &request,
+                monotonic_time now)
+{
+    if (t.state != target_state::ejected || t.probing || t.probeAt > now) {
+        return false;
+    }
+    // Without the last condition an outlier of a service that only gets requests that are not
+    // idempotent would never return.
+    return request.idempotent || t.cause != ejection_cause::outlier
+           || t.probeAt + options.longestProbe <= now;
+}
+
+target_reservation reserve(target_table &table, const target &chosen, const target_request &request,
+                           bool probe, monotonic_time now)
+{
+    target &t = table.targets.at(chosen.id);
+    ++t.inFlight;
+    t.probing = t.probing || probe;
+    const attempt_number number = table.nextAttempt++;
+    table.attempts[number] = {t.id, probe, false, now + request.maxRun};
+    return {number, t.id, t.where, probe};
+}
+
+void recordOutcome(const routing_options &options, target &t, attempt_outcome outcome)
+{
+    const double kept = 1 - 1 / options.statisticsWindow;
+    t.statistics.attempts *= kept;
+    t.statistics.failures *= kept;
+    ++t.statistics.attempts;
+    if (outcome != attempt_outcome::complete) {
+        ++t.statistics.failures;
+        ++t.statistics.recentFailures;
+    }
+}
+
+void recordLoad(target &t, const attempt_report &report, monotonic_time now)
+{
+    if (report.load) {
+        t.othersLoad = std::max(0, *report.load - t.inFlight);
+        t.reportedAt = now;
+        t.reportAge = milliseconds(0);
+    }
+    // A target that rejects is full, whatever load it reports.
+    if (report.outcome == attempt_outcome::rejected) {
+        t.othersLoad = std::max(t.othersLoad, static_cast<double>(t.slots));
+        t.reportedAt = now;
+        t.reportAge = milliseconds(0);
+    }
+}
+
+void recordProbe(const routing_options &options, target &t, attempt_outcome outcome,
+                 monotonic_time now)
+{
+    t.probing = false;
+    if (t.state != target_state::ejected) {
+        return;
+    }
+    if (outcome != attempt_outcome::complete) {
+        scheduleProbe(options, t, now);
+        return;
+    }
+    ++t.probesPassed;
+    const int needed = t.cause == ejection_cause::outlier ? options.probesToReturn : 1;
+    if (t.probesPassed >= needed) {
+        activate(t, now);
+    } else {
+        t.probeAt = now;
+    }
+}
+
+void freeSlot(target_table &table, attempt_number number)
+{
+    const auto found = table.attempts.find(number);
+    --table.targets.at(found->second.target).inFlight;
+    table.attempts.erase(found);
+}
+
+void freeEndedAttempts(target_table &table, monotonic_time now)
+{
+    for (auto it = table.attempts.begin(); it != table.attempts.end();) {
+        const auto next = std::next(it);
+        if (it->second.timedOut && it->second.runsUntil <= now) {
+            freeSlot(table, it->first);
+        }
+        it = next;
+    }
+}
+
+void removeGoneTargets(target_table &table)
+{
+    std::erase_if(table.targets, [&table](const auto &entry) {
+        const target &t = entry.second;
+        if (t.listed || t.inFlight > 0) {
+            return false;
+        }
+        std::erase(table.services.find(t.service)->second, t.id);
+        return true;
+    });
+    std::erase_if(table.services, [](const auto &entry) { return entry.second.empty(); });
+}
+
+/// Compares the target with all others of its service, so that requests that fail everywhere eject
+/// nobody.
+bool isOutlier(const routing_options &options, const failure_statistics &own,
+               const failure_statistics &all)
+{
+    const double restAttempts = all.attempts - own.attempts;
+    if (own.failures < options.outlierFailures || own.attempts < options.outlierAttempts
+        || restAttempts < options.outlierAttempts) {
+        return false;
+    }
+    // The lower bound keeps the deviation from becoming 0 when the rest has no failures.
+    const double expected = std::clamp((all.failures - own.failures) / restAttempts, 0.05, 0.95);
+    const double deviation = std::sqrt(own.attempts * expected * (1 - expected));
+    return own.failures / own.attempts >= expected + options.outlierRate
+           && own.failures - own.attempts * expected >= options.outlierDeviations * deviation;
+}
+
+void ejectOutliers(target_table &table, const std::vector<target_id> &ids, monotonic_time now)
+{
+    failure_statistics all;
+    for (const target_id id : ids) {
+        const auto &s = table.targets.at(id).statistics;
+        all.attempts += s.attempts;
+        all.failures += s.failures;
+    }
+    std::vector<target *> outliers;
+    for (const target_id id : ids) {
+        target &t = table.targets.at(id);
+        if (t.state == target_state::active && isOutlier(table.options, t.statistics, all)) {
+            outliers.push_back(&t);
+        }
+    }
+    // The worst go first, since the cap may not leave room for all.
+    std::stable_sort(outliers.begin(), outliers.end(), [](const target *a, const target *b) {
+        return a->statistics.failures * b->statistics.attempts
+               > b->statistics.failures * a->statistics.attempts;
+    });
+    for (target *t : outliers) {
+        eject(table, *t, ejection_cause::outlier, now);
+    }
+}
+
+void age(const routing_options &options, target &t, monotonic_time now, milliseconds elapsed)
+{
+    const double kept = remaining(elapsed, options.statisticsHalfLife);
+    t.statistics.attempts *= kept;
+    t.statistics.failures *= kept;
+    t.statistics.recentFailures *= remaining(elapsed, options.recentFailuresHalfLife);
+    t.reportAge = between(t.reportedAt, now);
+    const bool maybeRestarted = t.state == target_state::leaving && t.listed && t.saidLeaving
+                                && !t.listedLeaving
+                                && between(t.leavingSince, now) >= options.leavingMemory;
+    if (maybeRestarted) {
+        t.saidLeaving = false;
+        t.state = target_state::ejected;
+        t.cause = ejection_cause::left;
+        t.probeBackOff = milliseconds(0);
+        scheduleProbe(options, t, now);
+        t.probeAt = now;
+    }
+}
+
+} // namespace
+
+bool updateTargets(target_table &table, const host_list_snapshot &list, monotonic_time now)
+{
+    if (table.listSeen && list.version < table.listVersion) {
+        return false;
+    }
+    table.listSeen = true;
+    table.listVersion = list.version;
+    std::map<target_id, std::pair<const listed_host *, const listed_service *>> present;
+    for (const auto &host : list.hosts) {
+        for (const auto &service : host.services) {
+            const target &t = findOrAddTarget(table, service.name, service.where, host.id, now);
+            auto &entry = present[t.id];
+            // While a host is being replaced, the old and the new one can share an address.
+            if (entry.first == nullptr || host.state == listed_host_state::live) {
+                entry = {&host, &service};
+            }
+        }
+    }
+    for (auto &[id, t] : table.targets) {
+        const auto found = present.find(id);
+        if (found != present.end()) {
+            updateListing(t, *found->second.first, *found->second.second, now);
+        } else {
+            t.listed = false;
+            t.listedLeaving = true;
+            startLeaving(t, now);
+        }
+    }
+    removeGoneTargets(table);
+    for (const auto &[service, ids] : table.services) {
+        returnExcessEjections(table, ids, now);
+    }
+    return true;
+}
+
+void markLeaving(target_table &table, const endpoint &where, monotonic_time now)
+{
+    for (auto &[id, t] : table.targets) {
+        if (t.where == where) {
+            t.saidLeaving = true;
+            startLeaving(t, now);
+        }
+    }
+}
+
+double estimatedLoad(const target_table &table, const target &t, monotonic_time now)
+{
+    const double others =
+        t.othersLoad * remaining(between(t.reportedAt, now), table.options.loadHalfLife);
+    // Failures count as if they had kept their slots for a while: a target that fails at once has
+    // nothing in flight and would draw most of the work.
+    const double failures = std::min(t.statistics.recentFailures, static_cast<double>(t.slots));
+    return t.inFlight + withoutRemainder(others) + withoutRemainder(failures);
+}
+
+result<target_reservation> selectTarget(target_table &table, const target_request &request,
+                                        monotonic_time now, random_engine &engine)
+{
+    const std::string place = "service " + std::string(request.service);
+    const auto found = table.services.find(request.service);
+    if (found == table.services.end()) {
+        return makeError(error_kind::unknown_entity, place, "no target in the host list");
+    }
+    std::vector<const target *> near;
+    std::vector<const target *> far;
+    std::vector<const target *> avoided;
+    bool anyActive = false;
+    for (const target_id id : found->second) {
+        const target &t = table.targets.at(id);
+        anyActive = anyActive || t.state == target_state::active;
+        if (request.exclude == id || !hasFreeSlot(t)) {
+            continue;
+        }
+        if (isProbeDue(table.options, t, request, now)) {
+            return reserve(table, t, request, true, now);
+        }
+        if (t.state != target_state::active) {
+            continue;
+        }
+        if (t.avoidUntil > now) {
+            avoided.push_back(&t);
+        } else {
+            (t.dataCentre == request.ownDataCentre ? near : far).push_back(&t);
+        }
+    }
+    const target *chosen = chooseNearest(table, near, far, now, engine);
+    if (chosen == nullptr) {
+        chosen = bestOf(table, avoided, now, engine);
+    }
+    if (chosen != nullptr) {
+        return reserve(table, *chosen, request, false, now);
+    }
+    if (anyActive) {
+        return makeError(error_kind::overloaded, place, "all slots in use");
+    }
+    return makeError(error_kind::not_ready, place, "all targets are leaving or ejected");
+}
+
+bool completeAttempt(target_table &table, attempt_number attempt, const attempt_report &report,
+                     monotonic_time now)
+{
+    const auto found = table.attempts.find(attempt);
+    if (found == table.attempts.end()) {
+        return false;
+    }
+    open_attempt &open = found->second;
+    target &t = table.targets.at(open.target);
+    const bool probe = open.probe;
+    const bool firstReport = !open.timedOut;
+    if (report.outcome == attempt_outcome::timeout) {
+        open.timedOut = true;
+    } else {
+        freeSlot(table, attempt);
+    }
+    recordLoad(t, report, now);
+    if (report.leaving) {
+        t.saidLeaving = true;
+        startLeaving(t, now);
+    }
+    // The timeout was counted already; a late response frees the slot and changes nothing else.
+    if (firstReport) {
+        if (t.state == target_state::active) {
+            recordOutcome(table.options, t, report.outcome);
+        }
+        if (probe) {
+            recordProbe(table.options, t, report.outcome, now);
+        } else if (report.outcome == attempt_outcome::unavailable) {
+            eject(table, t, ejection_cause::refused, now);
+        }
+    }
+    if (!t.listed) {
+        removeGoneTargets(table);
+    }
+    return true;
+}
+
+void updateTargetHealth(target_table &table, monotonic_time now, milliseconds sinceLast)
+{
+    freeEndedAttempts(table, now);
+    for (auto &[id, t] : table.targets) {
+        age(table.options, t, now, sinceLast);
+    }
+    for (const auto &[service, ids] : table.services) {
+        ejectOutliers(table, ids, now);
+    }
+    removeGoneTargets(table);
+}
+
+} // namespace ibishinge
