Add the request ledger and group commit of its writes

The state machine decides by the entry found which conditional write follows and what may be told to a caller. A release replaces an existing release: otherwise an attempt that arrived between an old release and a "not run" based on it could still be dispatched.

--- /dev/null
+++ b/src/state/request_ledger.cpp
@@ -0,0 +1,154 @@
+#include <ibishinge/state/request_ledger.h>
+
+#include <ibishinge/base/logging.h>
+#include <ibishinge/state/ledger_record.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ibishinge {
+
+std::unique_ptr<request_ledger> request_ledger::create(group_committer &committer, kv_store &store,
+                                                       const clock_source &clock,
+                                                       const ledger_options &options)
+{
+    return std::unique_ptr<request_ledger>(new request_ledger(committer, store, clock, options));
+}
+
+request_ledger::request_ledger(group_committer &committer, kv_store &store,
+                               const clock_source &clock, const ledger_options &options)
+    : m_committer(committer)
+    , m_store(store)
+    , m_clock(clock)
+    , m_options(options)
+{
+}
+
+ledger_outcome request_ledger::claim(request_attempt &attempt, monotonic_time deadline)
+{
+    auto outcome = run(ledger_intent::claim, attempt, {}, deadline);
+    // After a pause of the process the response may be old: the retention time of the claim is only
+    // certain to cover dispatches before the deadline.
+    if (outcome.result == ledger_result::claimed && m_clock.now() >= deadline) {
+        outcome.result = ledger_result::outcome_unknown;
+    }
+    return outcome;
+}
+
+ledger_outcome request_ledger::finish(request_attempt &attempt,
+                                      const std::optional<kept_answer> &answer,
+                                      monotonic_time deadline)
+{
+    return run(ledger_intent::finish, attempt, answer, deadline);
+}
+
+ledger_outcome request_ledger::release(request_attempt &attempt, monotonic_time deadline)
+{
+    return run(ledger_intent::release, attempt, {}, deadline);
+}
+
+void request_ledger::noteRevision(store_revision revision) noexcept
+{
+    store_revision seen = m_notedRevision;
+    while (seen < revision && !m_notedRevision.compare_exchange_weak(seen, revision)) { }
+}
+
+store_revision request_ledger::seenRevision() const noexcept
+{
+    return std::max(m_notedRevision.load(), m_committer.seenRevision());
+}
+
+ledger_outcome request_ledger::run(ledger_intent intent, request_attempt &attempt,
+                                   const std::optional<kept_answer> &answer,
+                                   monotonic_time deadline)
+{
+    const std::string key = ledgerKey(attempt.team, attempt.requestId);
+    ledger_step step = stepFor(intent, attempt.attempt, attempt.known, answer);
+    bool maybeSent = false;
+    while (const auto *write = std::get_if<ledger_write>(&step)) {
+        const auto lease = leaseUntil(deadline);
+        if (!lease || m_clock.now() >= deadline) {
+            return abandonedOutcome(maybeSent);
+        }
+        const auto outcome = m_committer.submit(
+            {key, write->expectedRevision, {}, encodeLedgerRecord(write->record), *lease},
+            deadline);
+        if (!outcome) {
+            // The committer has repeated the write until the deadline.
+            maybeSent = maybeSent || outcome.error().kind == error_kind::outcome_unknown;
+            return abandonedOutcome(maybeSent);
+        }
+        if (outcome->applied) {
+            attempt.known = found_record {outcome->modRevision, write->record};
+            step = stepAfter(intent, attempt.attempt, *write, ledger_reply::applied,
+                             outcome->modRevision, {});
+            continue;
+        }
+        const store_revision present = outcome->current ? outcome->current->modRevision : 0;
+        if (present == write->expectedRevision) {
+            // The condition held, so the store has lost the lease.
+            dropLease(*lease);
+            continue;
+        }
+        std::optional<found_record> current;
+        if (outcome->current) {
+            auto record = decodeLedgerRecord(key, outcome->current->value);
+            if (!record) {
+                logEvent(log_level::error, "ledger_record_unreadable",
+                         {{"error", describe(record.error())}});
+                return {ledger_result::outcome_unknown, {}};
+            }
+            current = found_record {present, std::move(*record)};
+        }
+        attempt.known = current;
+        // An earlier send that is still under way cannot be applied any more: its revision is gone.
+        maybeSent = false;
+        step = stepAfter(intent, attempt.attempt, *write, ledger_reply::rejected, 0, current);
+    }
+    return std::get<ledger_outcome>(step);
+}
+
+bool request_ledger::leaseIsCurrent() const
+{
+    return m_lease.id != 0 && m_clock.now() - m_lease.grantedAt < m_options.leasePeriod;
+}
+
+std::optional<lease_id> request_ledger::leaseUntil(monotonic_time deadline)
+{
+    std::unique_lock lock(m_mutex);
+    while (!leaseIsCurrent()) {
+        const auto now = m_clock.now();
+        if (now >= deadline) {
+            return std::nullopt;
+        }
+        if (m_granting || now < m_nextGrant) {
+            const auto until = m_granting ? deadline : std::min(deadline, m_nextGrant);
+            m_leaseChanged.wait_for(lock, until - now);
+            continue;
+        }
+        m_granting = true;
+        lock.unlock();
+        // Measured from before the call, so that the lease never ends earlier than assumed.
+        const auto granted = m_store.grantLease(m_options.retention + m_options.leasePeriod);
+        lock.lock();
+        m_granting = false;
+        if (granted) {
+            m_lease = {*granted, now};
+        } else {
+            m_nextGrant = m_clock.now() + m_options.grantPause;
+        }
+        m_leaseChanged.notify_all();
+    }
+    return m_lease.id;
+}
+
+void request_ledger::dropLease(lease_id lease)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_lease.id == lease) {
+        m_lease.id = 0;
+        m_nextGrant = m_clock.now() + m_options.grantPause;
+    }
+}
+
+} // namespace ibishinge
--- /dev/null
+++ b/tests/ledger_test.cpp
@@ -0,0 +1,468 @@
+#include <ibishinge/base/logging.h>
+#include <ibishinge/state/ledger_record.h>
+#include <ibishinge/state/request_ledger.h>
+
+#include "standins/memory_kv_store.h"
+#include "tests/support/ledger_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <atomic>
+#include <iostream>
+#include <limits>
+#include <string>
+#include <vector>
+
+using namespace ibishinge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t fixedSeed = 20261204;
+constexpr int sequences = 4000;
+constexpr int sequenceSize = 120;
+
+rc::Gen<world_step> stepGenerator()
+{
+    // Attempts must get far enough for the later steps to matter, so most steps advance one.
+    const auto action = rc::gen::weightedElement<world_action>({{4, world_action::arrive},
+                                                                {24, world_action::advance},
+                                                                {3, world_action::refuse},
+                                                                {2, world_action::giveUp},
+                                                                {1, world_action::crash},
+                                                                {3, world_action::poll},
+                                                                {2, world_action::deliver}});
+    return rc::gen::build<world_step>(
+        rc::gen::set(&world_step::action, action),
+        rc::gen::set(&world_step::pick, rc::gen::resize(100, rc::gen::arbitrary<std::uint8_t>())),
+        rc::gen::set(&world_step::variant,
+                     rc::gen::resize(100, rc::gen::arbitrary<std::uint8_t>())));
+}
+
+rc::Gen<std::vector<world_step>> sequenceGenerator()
+{
+    return rc::gen::resize(sequenceSize,
+                           rc::gen::container<std::vector<world_step>>(stepGenerator()));
+}
+
+/// Returns the first violation among the sequences of the fixed seed; "" if there is none.
+std::string searchViolation(const protocol_policy &policy, caller_style style)
+{
+    const auto generator = sequenceGenerator();
+    const rc::Random seed(fixedSeed);
+    rc::Random random = seed;
+    for (int i = 0; i < sequences; ++i) {
+        ledger_world world(policy, style);
+        world.run(generator(random.split(), sequenceSize).value());
+        if (const auto found = world.violation(); !found.empty()) {
+            return found;
+        }
+    }
+    return {};
+}
+
+bool violationFound(const protocol_policy &policy)
+{
+    return !searchViolation(policy, caller_style::sequential).empty()
+        && !searchViolation(policy, caller_style::concurrent).empty();
+}
+
+found_record foundRecord(std::int64_t revision, ledger_state state, const std::string &attempt)
+{
+    return {revision, {state, attempt, "hash", {}}};
+}
+
+ledger_result resultOf(const ledger_step &step)
+{
+    CPPUNIT_ASSERT(std::holds_alternative<ledger_outcome>(step));
+    return std::get<ledger_outcome>(step).result;
+}
+
+} // namespace
+
+/// Guards against a request that runs twice and against a "not run" that is false.
+class ledger_protocol_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ledger_protocol_test);
+    CPPUNIT_TEST(holdsForSequentialCallers);
+    CPPUNIT_TEST(holdsForConcurrentCallers);
+    CPPUNIT_TEST(sequencesReachTheFaults);
+    CPPUNIT_TEST(failsWithoutClaimBeforeDispatch);
+    CPPUNIT_TEST(failsWithoutReleaseBeforeNotRun);
+    CPPUNIT_TEST(failsWithoutReleaseRevisionRule);
+    CPPUNIT_TEST(failsWithoutRepetition);
+    CPPUNIT_TEST(failsIfReleasesAreNotReplaced);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void holdsForSequentialCallers()
+    {
+        holdsFor(caller_style::sequential);
+    }
+    void holdsForConcurrentCallers()
+    {
+        holdsFor(caller_style::concurrent);
+    }
+
+    /// A property that holds because nothing happens would prove nothing.
+    void sequencesReachTheFaults()
+    {
+        const auto generator = sequenceGenerator();
+        rc::Random random(fixedSeed);
+        std::size_t dispatches = 0;
+        std::size_t refusals = 0;
+        std::size_t repeated = 0;
+        std::size_t superseded = 0;
+        for (int i = 0; i < sequences; ++i) {
+            ledger_world world({}, caller_style::sequential);
+            world.run(generator(random.split(), sequenceSize).value());
+            dispatches += world.dispatches();
+            refusals += world.refusals();
+            repeated += world.repeatedWrites();
+            superseded += world.supersededAttempts();
+        }
+        std::cerr << " [" << sequences << " sequences: " << dispatches << " dispatches, " << refusals
+                  << " refusals, " << repeated << " repeated writes, " << superseded
+                  << " superseded attempts]";
+        CPPUNIT_ASSERT(dispatches > sequences / 4);
+        CPPUNIT_ASSERT(refusals > sequences / 4);
+        CPPUNIT_ASSERT(repeated > sequences / 4);
+        CPPUNIT_ASSERT(superseded > sequences / 20);
+    }
+
+    void failsWithoutClaimBeforeDispatch()
+    {
+        protocol_policy policy;
+        policy.claimBeforeDispatch = false;
+        CPPUNIT_ASSERT(violationFound(policy));
+    }
+    void failsWithoutReleaseBeforeNotRun()
+    {
+        protocol_policy policy;
+        policy.releaseBeforeNotRun = false;
+        CPPUNIT_ASSERT(violationFound(policy));
+    }
+    void failsWithoutReleaseRevisionRule()
+    {
+        protocol_policy policy;
+        policy.releaseRevisionRule = false;
+        CPPUNIT_ASSERT(violationFound(policy));
+    }
+    void failsWithoutRepetition()
+    {
+        protocol_policy policy;
+        policy.repeatUntilCertain = false;
+        CPPUNIT_ASSERT(violationFound(policy));
+    }
+    /// An attempt that arrives between an old release and the "not run" that relies on it may run.
+    void failsIfReleasesAreNotReplaced()
+    {
+        protocol_policy policy;
+        policy.replaceReleases = false;
+        CPPUNIT_ASSERT(!searchViolation(policy, caller_style::sequential).empty());
+    }
+
+private:
+    static void holdsFor(caller_style style)
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(), searchViolation({}, style));
+        // The second search shrinks what it finds and takes its seed from RC_PARAMS.
+        CPPUNIT_ASSERT(rc::check([style] {
+            const auto steps = *sequenceGenerator();
+            ledger_world world({}, style);
+            world.run(steps);
+            RC_ASSERT(world.violation() == "");
+        }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ledger_protocol_test);
+
+/// Guards each row of the state machine's table.
+class ledger_step_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ledger_step_test);
+    CPPUNIT_TEST(claimDecidesByEntry);
+    CPPUNIT_TEST(releaseDecidesByEntry);
+    CPPUNIT_TEST(finishNeedsItsOwnClaim);
+    CPPUNIT_TEST(sameWriteIsRepeatedUntilCertain);
+    CPPUNIT_TEST(ownAttemptInEntryMeansApplied);
+    CPPUNIT_TEST(largeAnswerIsNotKept);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void claimDecidesByEntry()
+    {
+        const auto claim = ledger_intent::claim;
+        CPPUNIT_ASSERT(std::holds_alternative<ledger_write>(stepFor(claim, m_own, {})));
+        CPPUNIT_ASSERT(resultOf(stepFor(claim, m_own, foundRecord(5, ledger_state::claimed, "b")))
+                       == ledger_result::claimed_by_other);
+        CPPUNIT_ASSERT(resultOf(stepFor(claim, m_own, foundRecord(5, ledger_state::finished, "b")))
+                       == ledger_result::already_finished);
+        const auto older = stepFor(claim, m_own, foundRecord(10, ledger_state::released, "b"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(10), std::get<ledger_write>(older).expectedRevision);
+        CPPUNIT_ASSERT(resultOf(stepFor(claim, m_own, foundRecord(11, ledger_state::released, "b")))
+                       == ledger_result::superseded);
+        const found_record otherBody {5, {ledger_state::released, "b", "other", {}}};
+        CPPUNIT_ASSERT(resultOf(stepFor(claim, m_own, otherBody)) == ledger_result::duplicate_id);
+    }
+
+    void releaseDecidesByEntry()
+    {
+        const auto release = ledger_intent::release;
+        CPPUNIT_ASSERT(std::holds_alternative<ledger_write>(stepFor(release, m_own, {})));
+        CPPUNIT_ASSERT(resultOf(stepFor(release, m_own, foundRecord(5, ledger_state::claimed, "b")))
+                       == ledger_result::claimed_by_other);
+        CPPUNIT_ASSERT(std::holds_alternative<ledger_write>(
+            stepFor(release, m_own, foundRecord(5, ledger_state::claimed, "a"))));
+        CPPUNIT_ASSERT(
+            resultOf(stepFor(release, m_own, foundRecord(5, ledger_state::finished, "b")))
+            == ledger_result::already_finished);
+        const auto newer = stepFor(release, m_own, foundRecord(11, ledger_state::released, "b"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(11), std::get<ledger_write>(newer).expectedRevision);
+        CPPUNIT_ASSERT(
+            resultOf(stepFor(release, m_own, foundRecord(11, ledger_state::released, "a")))
+            == ledger_result::released);
+    }
+
+    void finishNeedsItsOwnClaim()
+    {
+        const auto finish = ledger_intent::finish;
+        CPPUNIT_ASSERT(resultOf(stepFor(finish, m_own, {})) == ledger_result::not_claimed);
+        for (const auto state : {ledger_state::claimed, ledger_state::finished}) {
+            CPPUNIT_ASSERT(resultOf(stepFor(finish, m_own, foundRecord(5, state, "b")))
+                           == ledger_result::not_claimed);
+        }
+        const auto step = stepFor(finish, m_own, foundRecord(5, ledger_state::claimed, "a"));
+        CPPUNIT_ASSERT(std::get<ledger_write>(step).record.state == ledger_state::finished);
+    }
+
+    void sameWriteIsRepeatedUntilCertain()
+    {
+        const ledger_write sent {3, {ledger_state::claimed, "a", "hash", {}}};
+        for (const auto reply : {ledger_reply::uncertain, ledger_reply::unavailable}) {
+            const auto step = stepAfter(ledger_intent::claim, m_own, sent, reply, 0, {});
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(3), std::get<ledger_write>(step).expectedRevision);
+            CPPUNIT_ASSERT(std::get<ledger_write>(step).record == sent.record);
+        }
+    }
+
+    void ownAttemptInEntryMeansApplied()
+    {
+        const ledger_write sent {0, {ledger_state::claimed, "a", "hash", {}}};
+        CPPUNIT_ASSERT(
+            resultOf(stepAfter(ledger_intent::claim, m_own, sent, ledger_reply::rejected, 0,
+                               foundRecord(12, ledger_state::claimed, "a")))
+            == ledger_result::claimed);
+    }
+
+    void largeAnswerIsNotKept()
+    {
+        const kept_answer large {200, "text/plain", std::string(maxKeptAnswerBytes + 1, 'x')};
+        const auto step =
+            stepFor(ledger_intent::finish, m_own, foundRecord(5, ledger_state::claimed, "a"), large);
+        CPPUNIT_ASSERT(!std::get<ledger_write>(step).record.answer);
+    }
+
+private:
+    const ledger_attempt m_own {"a", "hash", 10};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ledger_step_test);
+
+/// Guards against records that are read differently from how they were written.
+class ledger_record_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ledger_record_test);
+    CPPUNIT_TEST(recordsSurviveARoundTrip);
+    CPPUNIT_TEST(malformedRecordsAreErrors);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void recordsSurviveARoundTrip()
+    {
+        CPPUNIT_ASSERT(rc::check([](const std::string &body) {
+            const ledger_record record {ledger_state::finished, "a-1", "00ff",
+                                        kept_answer {200, "text/plain", body}};
+            RC_ASSERT(*decodeLedgerRecord("key", encodeLedgerRecord(record)) == record);
+        }));
+        for (const auto state : {ledger_state::claimed, ledger_state::released}) {
+            const ledger_record record {state, "a-1", "00ff", {}};
+            CPPUNIT_ASSERT(*decodeLedgerRecord("key", encodeLedgerRecord(record)) == record);
+        }
+    }
+
+    void malformedRecordsAreErrors()
+    {
+        const std::vector<std::string> texts {
+            "",
+            "[]",
+            "{}",
+            R"({"state":"released","attempt":"a"})",
+            R"({"state":"unknown","attempt":"a","body_hash":"h"})",
+            R"({"state":1,"attempt":"a","body_hash":"h"})",
+            R"({"state":"released","attempt":"a","body_hash":"h","more":1})",
+            R"({"state":"released","attempt":"a","body_hash":"h"}x)",
+            R"({"state":"claimed","attempt":"a","body_hash":"h",
+                "answer":{"status":200,"content_type":"","body":""}})",
+            R"({"state":"finished","attempt":"a","body_hash":"h",
+                "answer":{"status":20000000000,"content_type":"","body":""}})",
+            R"({"state":"finished","attempt":"a","body_hash":"h",
+                "answer":{"status":200,"content_type":"","body":"!"}})",
+            R"({"state":"finished","attempt":"a","body_hash":"h",
+                "answer":{"status":200,"content_type":"","body":"===="}})",
+            R"({"state":"finished","attempt":"a","body_hash":"h","answer":null})",
+        };
+        for (const auto &text : texts) {
+            const auto decoded = decodeLedgerRecord("key", text);
+            CPPUNIT_ASSERT_MESSAGE(text, !decoded);
+            CPPUNIT_ASSERT(decoded.error().kind == error_kind::internal);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ledger_record_test);
+
+/// Guards the blocking interface: retention leases, deadlines and lost responses.
+class request_ledger_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(request_ledger_test);
+    CPPUNIT_TEST(secondAttemptGetsTheKeptAnswer);
+    CPPUNIT_TEST(releasedIdRunsOnlyForLaterAttempts);
+    CPPUNIT_TEST(lostResponseDoesNotLoseTheClaim);
+    CPPUNIT_TEST(claimWithoutStoreEndsAtItsDeadline);
+    CPPUNIT_TEST(claimAfterDeadlineIsNotReported);
+    CPPUNIT_TEST(recordsOfOnePeriodShareALease);
+    CPPUNIT_TEST(lostLeaseIsReplaced);
+    CPPUNIT_TEST(unreadableRecordIsNeverClaimed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void secondAttemptGetsTheKeptAnswer()
+    {
+        auto first = attempt("a1");
+        CPPUNIT_ASSERT(m_ledger->claim(first, later()).result == ledger_result::claimed);
+        auto second = attempt("a2");
+        CPPUNIT_ASSERT(m_ledger->claim(second, later()).result == ledger_result::claimed_by_other);
+        const kept_answer answer {200, "text/plain", "done"};
+        CPPUNIT_ASSERT(m_ledger->finish(first, answer, later()).result == ledger_result::finished);
+        auto third = attempt("a3");
+        const auto outcome = m_ledger->claim(third, later());
+        CPPUNIT_ASSERT(outcome.result == ledger_result::already_finished);
+        CPPUNIT_ASSERT(outcome.found->record.answer == answer);
+    }
+
+    void releasedIdRunsOnlyForLaterAttempts()
+    {
+        auto frozen = attempt("a1");
+        auto refused = attempt("a2");
+        CPPUNIT_ASSERT(m_ledger->release(refused, later()).result == ledger_result::released);
+        CPPUNIT_ASSERT(m_ledger->claim(frozen, later()).result == ledger_result::superseded);
+        auto retry = attempt("a3");
+        CPPUNIT_ASSERT(m_ledger->claim(retry, later()).result == ledger_result::claimed);
+        CPPUNIT_ASSERT(m_ledger->release(frozen, later()).result
+                       == ledger_result::claimed_by_other);
+    }
+
+    void lostResponseDoesNotLoseTheClaim()
+    {
+        m_store.setFaultHook([this](std::string_view operation) {
+            return operation == "applyBatch" && ++m_calls == 1 ? store_fault::lost_response
+                                                               : store_fault::none;
+        });
+        auto first = attempt("a1");
+        CPPUNIT_ASSERT(m_ledger->claim(first, later()).result == ledger_result::claimed);
+        CPPUNIT_ASSERT(m_calls >= 2);
+        CPPUNIT_ASSERT(m_ledger->release(first, later()).result == ledger_result::released);
+    }
+
+    void claimWithoutStoreEndsAtItsDeadline()
+    {
+        auto first = attempt("a1");
+        CPPUNIT_ASSERT(m_ledger->claim(first, later()).result == ledger_result::claimed);
+        m_store.setFaultHook([](std::string_view) { return store_fault::unavailable; });
+        auto second = attempt("a2");
+        CPPUNIT_ASSERT(m_ledger->claim(second, soon()).result == ledger_result::unavailable);
+        m_store.setFaultHook([](std::string_view) { return store_fault::lost_call; });
+        CPPUNIT_ASSERT(m_ledger->claim(second, soon()).result == ledger_result::outcome_unknown);
+    }
+
+    void claimAfterDeadlineIsNotReported()
+    {
+        auto first = attempt("a1");
+        CPPUNIT_ASSERT(m_ledger->claim(first, m_clock.now()).result == ledger_result::unavailable);
+    }
+
+    void recordsOfOnePeriodShareALease()
+    {
+        std::atomic<int> grants {0};
+        m_store.setFaultHook([&grants](std::string_view operation) {
+            grants += operation == "grantLease" ? 1 : 0;
+            return store_fault::none;
+        });
+        for (int i = 0; i < 5; ++i) {
+            auto a = attempt("a" + std::to_string(i));
+            a.requestId = a.attempt.id;
+            CPPUNIT_ASSERT(m_ledger->claim(a, later()).result == ledger_result::claimed);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, grants.load());
+        const auto found = m_store.range({"request/", true});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), found->entries.size());
+        for (const auto &entry : found->entries) {
+            CPPUNIT_ASSERT(entry.lease != 0);
+        }
+        m_store.setFaultHook({});
+    }
+
+    void lostLeaseIsReplaced()
+    {
+        auto first = attempt("a1");
+        CPPUNIT_ASSERT(m_ledger->claim(first, later()).result == ledger_result::claimed);
+        const auto lease = m_store.range({"request/", true})->entries.front().lease;
+        CPPUNIT_ASSERT(m_store.revokeLease(lease).has_value());
+        auto second = attempt("a2");
+        CPPUNIT_ASSERT(m_ledger->claim(second, later()).result == ledger_result::claimed);
+        CPPUNIT_ASSERT(m_store.range({"request/", true})->entries.front().lease != lease);
+    }
+
+    void unreadableRecordIsNeverClaimed()
+    {
+        const conditional_write foreign {"request/team/id", 0, {}, "{}", 0};
+        CPPUNIT_ASSERT(m_store.applyBatch({&foreign, 1})->outcomes[0].applied);
+        auto first = attempt("a1");
+        CPPUNIT_ASSERT(m_ledger->claim(first, later()).result == ledger_result::outcome_unknown);
+        CPPUNIT_ASSERT(m_ledger->release(first, later()).result == ledger_result::outcome_unknown);
+    }
+
+private:
+    [[nodiscard]] request_attempt attempt(const std::string &id) const
+    {
+        return {"team", "id", {id, "hash", m_ledger->seenRevision()}, {}};
+    }
+    [[nodiscard]] monotonic_time later() const
+    {
+        return m_clock.now() + 60s;
+    }
+    [[nodiscard]] monotonic_time soon() const
+    {
+        return m_clock.now() + 50ms;
+    }
+    static commit_options fastCommits()
+    {
+        commit_options options;
+        options.minInterval = 1ms;
+        options.callsPerSecond = 1000;
+        return options;
+    }
+
+    system_clock_source m_clock;
+    memory_kv_store m_store {m_clock};
+    std::atomic<int> m_calls {0};
+    std::unique_ptr<group_committer> m_committer =
+        group_committer::create(m_store, m_clock, fastCommits());
+    std::unique_ptr<request_ledger> m_ledger =
+        request_ledger::create(*m_committer, m_store, m_clock);
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(request_ledger_test);
