--- /dev/null
+++ b/include/ibishinge/decision/allowance.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <ibishinge/base/time.h>
+
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace ibishinge {
+
+/// The part of a team's limit that is reserved for one holder.
+struct holder_grant
+{
+    int grant = 0; ///< the holder never has more running than this
+    int use = 0; ///< running when the holder last wrote
+    int need = 0; ///< running and queued when the holder last wrote
+    std::optional<wall_time> freeAt; ///< set after proof of death: the grant is free from here on
+
+    bool operator==(const holder_grant &) const = default;
+};
+
+/// Value of `allowance/<team>`. Each holder changes only its own grant; a holder that raises its
+/// grant keeps the sum of grants at or below the limit.
+struct allowance_record
+{
+    int limit = 0;
+    std::int64_t limitVersion = 0; ///< configuration revision that `limit` comes from
+    std::map<std::string, holder_grant> holders;
+
+    bool operator==(const allowance_record &) const = default;
+};
+
+/// The rules that keep the limit and lose no allowance. Only tests turn one off, to show that it
+/// is needed.
+struct allowance_safeguards
+{
+    bool conditionalWrites = true; ///< writes require the revision that was read
+    bool lowerWhilePending = true; ///< an uncertain write counts with the lower grant
+    bool keepSumRule = true; ///< a grant is raised only within the limit
+    bool grantCoversRunning = true; ///< a grant is never lowered below what is running
+    bool capByOthers = true; ///< starts respect a lowered limit before grants have been cut
+    bool waitForRunTime = true; ///< a dead holder's grant waits for its running work
+    bool reclaimDead = true; ///< dead holders' grants are freed in the end
+    bool returnIdle = true; ///< surplus grants are given up
+};
+
+struct allowance_settings
+{
+    milliseconds maxRun {600000}; ///< longest `max_run_ms` of all services
+    /// Largest difference between the wall clocks of two entry hosts. Added to `maxRun`, since
+    /// the process that frees a grant may not be the one that recorded the death.
+    milliseconds clockSkew {2000};
+    int minHeadroom = 2; ///< grant above the need, while nobody else needs it
+    allowance_safeguards safeguards;
+};
+
+/// A write whose effect is not yet certain.
+struct pending_allowance
+{
+    allowance_record record;
+    std::int64_t expectedRevision = 0;
+};
+
+/// One holder's view of one team's allowance.
+struct allowance_holder
+{
+    std::string id;
+    allowance_record known; ///< last record certainly read
+    std::int64_t knownRevision = 0; ///< 0: no record exists
+    std::optional<pending_allowance> pending;
+    int limit = 0; ///< from the configuration
+    std::int64_t limitVersion = 0; ///< 0: no configuration yet
+    int running = 0;
+    int queued = 0;
+    int ceiling = std::numeric_limits<int>::max(); ///< set by `updateCeiling`
+    bool stopping = false; ///< starts nothing more and gives its grant back
+};
+
+/// Returns how many requests the holder may have running at present.
+///
+/// The result is the lowest of: the recorded grant, the grant of a pending write, what the other
+/// holders' grants leave of the newest known limit, and the ceiling. Thread-safe for distinct
+/// holders.
+[[nodiscard]] int runningCap(const allowance_holder &holder,
+                             const allowance_settings &settings) noexcept;
+
+/// Returns the grant that `id` should have: weighted equally, first the needs of all live holders
+/// are met as far as the limit allows, then their headroom. `rotation` decides who gets the
+/// remainder of a division, so that with fewer units than holders each has its turn.
+[[nodiscard]] int fairGrant(const allowance_record &record, const std::string &id,
+                            std::int64_t rotation, const allowance_settings &settings);
+
+/// Sets the ceiling of what the holder starts: its fair grant while another holder lacks some, no
+/// bound otherwise. Without it a holder with a long queue would always have its whole grant running
+/// and could never give any of it up.
+void updateCeiling(allowance_holder &holder, wall_time now, const allowance_settings &settings);
+
+/// Returns the sum of the last known use of all holders but `id`; it lags by a second or more.
+[[nodiscard]] int useOfOthers(const allowance_record &record, std::string_view id) noexcept;
+
+/// Holders that are proved dead, with the time of the proof. See design.md, section 6.
+using death_proofs = std::map<std::string, wall_time>;
+
+/// Returns the record that the holder should write next, or none if nothing needs a write.
+///
+/// While a write is pending the same record is returned again: once it is decided, no other
+/// version of it can take effect later. The caller stores the result with `beginWrite`.
+[[nodiscard]] std::optional<allowance_record> planWrite(const allowance_holder &holder,
+                                                        const death_proofs &proofs, wall_time now,
+                                                        const allowance_settings &settings);
+
+/// Notes that `record` is about to be written; from here on the lower grant counts.
+void beginWrite(allowance_holder &holder, allowance_record record);
+
+/// Notes that the pending write was applied at `revision`.
+void writeApplied(allowance_holder &holder, std::int64_t revision);
+
+/// Notes that `record` was read at `revision` (0: no record exists). Lower revisions than the known
+/// one are ignored. A pending write is decided as soon as the revision it expects has passed.
+void recordSeen(allowance_holder &holder, allowance_record record, std::int64_t revision);
+
+} // namespace ibishinge
--- /dev/null
+++ b/include/ibishinge/state/allowance_manager.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <ibishinge/base/error.h>
+#include <ibishinge/decision/allowance.h>
+#include <ibishinge/outside/kv_store.h>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace ibishinge {
+
+/// What one process knows of a team's use.
+struct team_allowance
+{
+    int running = 0; ///< of this process
+    int cap = 0; ///< how many this process may have running
+    int limit = 0; ///< of the team, over the fleet
+    int useOfOthers = 0; ///< last known use of the other holders; lags
+};
+
+/// Keeps one process's grants of all teams and counts what it has running.
+///
+/// \code
+/// manager->setLimits({{"search", 40}}, config.modRevision);
+/// manager->adjust(clock.wallNow()); // once a second
+/// if (manager->tryStart("search")) {
+///     dispatch();
+///     manager->finished("search");
+/// }
+/// \endcode
+///
+/// Thread-safe; only `adjust` and `release` call the store, and they hold no lock meanwhile. They
+/// must not run at the same time as each other.
+class allowance_manager
+{
+public:
+    /// Precondition: `store` outlives the manager; `holder` differs for each run of a process.
+    [[nodiscard]] static std::unique_ptr<allowance_manager>
+    create(std::string holder, kv_store &store, allowance_settings settings = {});
+
+    /// Sets the limits of all teams from the configuration at revision `version` (above 0). Lower
+    /// versions are ignored; a team that is missing gets the limit 0.
+    void setLimits(const std::map<std::string, int> &limits, std::int64_t version);
+
+    /// Reserves one unit of the team's allowance. Returns false if none is left.
+    [[nodiscard]] bool tryStart(const std::string &team);
+
+    /// Returns the unit of a successful `tryStart`.
+    void finished(const std::string &team);
+
+    /// Sets how many requests of the team wait in this process.
+    void setQueued(const std::string &team, int queued);
+
+    /// Notes a proof of death of `holder` (design.md, section 6); `now` is the time of the proof.
+    void provedDead(const std::string &holder, wall_time now);
+
+    [[nodiscard]] team_allowance stateOf(const std::string &team) const;
+
+    /// Reads all allowance records and writes those that should change: one read, and one batch for
+    /// each 128 changed records; records that another holder changed in between are tried once
+    /// more. Errors: those of the store, and `invalid_request` for a record that cannot be read;
+    /// grants then stay as they are.
+    [[nodiscard]] result<void> adjust(wall_time now);
+
+    /// Stops all starts and gives the grants back. What still runs stays reserved for the run time.
+    /// May be repeated after an error.
+    [[nodiscard]] result<void> release(wall_time now);
+
+private:
+    allowance_manager(std::string holder, kv_store &store, allowance_settings settings);
+
+    allowance_holder &holderOf(const std::string &team);
+    [[nodiscard]] result<void> readAll();
+    [[nodiscard]] std::vector<std::string>
+    planAll(wall_time now, std::vector<conditional_write> &writes, bool &resends);
+    [[nodiscard]] result<bool> writeSome(std::span<const std::string> teams,
+                                         std::span<const conditional_write> writes);
+
+    const std::string m_id;
+    kv_store &m_store;
+    const allowance_settings m_settings;
+    mutable std::mutex m_mutex;
+    std::map<std::string, allowance_holder> m_teams;
+    death_proofs m_proofs;
+    std::int64_t m_limitVersion = 0;
+    bool m_stopping = false;
+};
+
+} // namespace ibishinge
--- /dev/null
+++ b/src/decision/admission.cpp
@@ -0,0 +1,439 @@
+#include <ibishinge/decision/admission.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace ibishinge {
+
+namespace {
+
+using duration_ms = std::chrono::duration<double, std::milli>;
+
+double elapsedMs(monotonic_time from, monotonic_time to) noexcept
+{
+    return std::max(0.0, duration_ms(to - from).count());
+}
+
+milliseconds wholeMs(double ms) noexcept
+{
+    return milliseconds(std::llround(std::clamp(ms, 0.0, 1e9)));
+}
+
+void addSample(run_time_estimate &estimate, double ms, monotonic_time now) noexcept
+{
+    if (estimate.samples == 0) {
+        estimate.meanMs = ms;
+        estimate.deviationMs = ms / 2;
+    } else {
+        // Gains of RFC 6298.
+        estimate.deviationMs += (std::abs(ms - estimate.meanMs) - estimate.deviationMs) / 4;
+        estimate.meanMs += (ms - estimate.meanMs) / 8;
+    }
+    ++estimate.samples;
+    estimate.lastSample = now;
+}
+
+double expectedRunMs(const admission_table &table, const run_time_estimate &estimate,
+                     monotonic_time now) noexcept
+{
+    const double halfLife = static_cast<double>(table.settings.estimateHalfLife.count());
+    return estimate.meanMs * std::exp2(-elapsedMs(estimate.lastSample, now) / halfLife);
+}
+
+double runMsOf(const admission_table &table, const team_queue &queue,
+               const admission_service &service, monotonic_time now) noexcept
+{
+    // Fewer samples than this say more about single requests than about the team.
+    constexpr int enoughSamples = 8;
+    if (table.settings.policy.learnRunTimes && queue.runTime.samples >= enoughSamples) {
+        return expectedRunMs(table, queue.runTime, now);
+    }
+    if (table.settings.policy.learnRunTimes && service.runTime.samples > 0) {
+        return expectedRunMs(table, service.runTime, now);
+    }
+    return static_cast<double>(table.settings.defaultRun.count());
+}
+
+int useOf(const admission_table &table, const admission_team &team) noexcept
+{
+    return team.running + (table.settings.policy.countOthers ? team.useOfOthers : 0);
+}
+
+/// Brings the average of the team's use up to `now`; call it before the use changes.
+void updateRecent(const admission_table &table, admission_team &team, monotonic_time now) noexcept
+{
+    const double constant = static_cast<double>(table.settings.recentUse.count());
+    const double gain = 1 - std::exp(-elapsedMs(team.recentAt, now) / constant);
+    team.recent += gain * (useOf(table, team) - team.recent);
+    team.recentAt = std::max(team.recentAt, now);
+}
+
+double scoreOf(const admission_table &table, const admission_team &team) noexcept
+{
+    return (useOf(table, team) + table.settings.recentWeight * team.recent) / team.weight;
+}
+
+bool isWaiting(const team_queue &queue) noexcept
+{
+    return !queue.urgent.empty() || !queue.normal.empty();
+}
+
+/// Slots of the service that this process uses or could use.
+int slotsOf(const admission_service &service) noexcept
+{
+    return std::max(1, service.running + service.freeSlots);
+}
+
+/// The team's part of the service's slots among the teams that wait or run there.
+double shareOfSlots(const admission_table &table, const std::string &name,
+                    const admission_team &team, int slots) noexcept
+{
+    double weights = 0;
+    for (const auto &[other, entry] : table.teams) {
+        const auto queue = entry.queues.find(name);
+        if (queue != entry.queues.end()
+            && (isWaiting(queue->second) || queue->second.running > 0)) {
+            weights += entry.weight;
+        }
+    }
+    return weights <= 0 ? slots : slots * std::min(1.0, team.weight / weights);
+}
+
+double waitMs(const admission_table &table, const waiting_request &request,
+              const admission_team &team, const team_queue &queue, double runMs)
+{
+    const auto found = table.services.find(request.service);
+    const admission_service none;
+    const auto &service = found == table.services.end() ? none : found->second;
+    const std::size_t ahead = queue.urgent.size() + (request.urgent ? 0 : queue.normal.size());
+    if (ahead == 0 && service.freeSlots > 0) {
+        return 0;
+    }
+    double slots = shareOfSlots(table, request.service, team, slotsOf(service));
+    // A team is served faster than its share where others leave slots idle.
+    slots = std::max({1.0, slots, static_cast<double>(queue.running)});
+    slots = std::min(slots, std::max(1.0, static_cast<double>(team.cap)));
+    return (static_cast<double>(ahead) + 1) * runMs / slots;
+}
+
+error makeRefusal(const admission_table &table, error_kind kind, const waiting_request &request,
+                  std::string message, double untilMs)
+{
+    error refusal {
+        kind, "team " + request.team + ", service " + request.service, std::move(message), {}};
+    // Spreads the retries of callers that were refused together over half the time again.
+    const double spread = static_cast<double>((request.id * 0x9E3779B97F4A7C15ULL) >> 40U)
+                          / static_cast<double>(1U << 25U);
+    refusal.retryAfter = std::clamp(wholeMs(untilMs * (1 + spread)), table.settings.minRetryAfter,
+                                    table.settings.maxRetryAfter);
+    return refusal;
+}
+
+/// Tells a team that uses up its limit apart from a fleet that is full.
+error_kind kindOfRefusal(const admission_team &team) noexcept
+{
+    return team.running + team.useOfOthers >= team.limit ? error_kind::over_limit
+                                                         : error_kind::overloaded;
+}
+
+error refusalOfQueued(const admission_table &table, const waiting_request &request,
+                      const admission_team &team, const team_queue &queue, double runMs,
+                      monotonic_time now)
+{
+    const double wait = waitMs(table, request, team, queue, runMs);
+    const bool passed = request.deadline <= now;
+    return makeRefusal(
+        table, kindOfRefusal(team), request,
+        passed ? "deadline passed in the queue" : "deadline cannot be met any longer", wait);
+}
+
+std::deque<team_queue::entry>::iterator findEntry(std::deque<team_queue::entry> &entries,
+                                                  std::uint64_t id)
+{
+    return std::find_if(entries.begin(), entries.end(),
+                        [id](const team_queue::entry &entry) { return entry.id == id; });
+}
+
+bool canMeet(const admission_table &table, const team_queue::entry &entry, double runMs,
+             monotonic_time now) noexcept
+{
+    const double left = duration_ms(entry.deadline - now).count();
+    return left > (table.settings.policy.refuseByDeadline ? runMs : 0);
+}
+
+/// Moves the entries at the front that cannot be met to `table.refused`.
+void dropUnmeetable(admission_table &table, const admission_team &team, team_queue &queue,
+                    std::deque<team_queue::entry> &entries, double runMs, monotonic_time now)
+{
+    while (!entries.empty() && !canMeet(table, entries.front(), runMs, now)) {
+        const auto found = table.waiting.find(entries.front().id);
+        table.refused.push_back(
+            {found->first, refusalOfQueued(table, found->second, team, queue, runMs, now)});
+        table.waiting.erase(found);
+        entries.pop_front();
+    }
+}
+
+struct candidate
+{
+    const std::string *name = nullptr;
+    admission_team *team = nullptr;
+    team_queue *queue = nullptr;
+    bool urgentFirst = false; ///< has urgent work below its share
+    double score = 0;
+    monotonic_time oldest;
+};
+
+bool comesBefore(const candidate &a, const candidate &b, bool fair) noexcept
+{
+    if (a.urgentFirst != b.urgentFirst) {
+        return a.urgentFirst;
+    }
+    if (fair && a.score != b.score) {
+        return a.score < b.score;
+    }
+    return a.oldest < b.oldest;
+}
+
+candidate makeCandidate(const admission_table &table, const std::string &service, int slots,
+                        const std::string &name, admission_team &team, team_queue &queue)
+{
+    candidate result {&name, &team, &queue, false, scoreOf(table, team), {}};
+    if (!queue.urgent.empty()) {
+        // A team with a small share still gets one urgent request through.
+        const double bound = std::max(1.0, shareOfSlots(table, service, team, slots));
+        result.urgentFirst = !table.settings.policy.boundUrgent || queue.urgentRunning < bound;
+        result.oldest = queue.urgent.front().queuedAt;
+    } else {
+        result.oldest = queue.normal.front().queuedAt;
+    }
+    return result;
+}
+
+started_request startFront(admission_table &table, const std::string &service,
+                           const candidate &chosen, monotonic_time now)
+{
+    const bool urgent = !chosen.queue->urgent.empty();
+    auto &entries = urgent ? chosen.queue->urgent : chosen.queue->normal;
+    const std::uint64_t id = entries.front().id;
+    entries.pop_front();
+    updateRecent(table, *chosen.team, now);
+    ++chosen.team->running;
+    ++chosen.queue->running;
+    chosen.queue->urgentRunning += urgent ? 1 : 0;
+    ++table.services[service].running;
+    table.waiting.erase(id);
+    table.running[id] = {*chosen.name, service, urgent, now};
+    return {id, *chosen.name};
+}
+
+void expireEntries(admission_table &table, const admission_team &team, team_queue &queue,
+                   std::deque<team_queue::entry> &entries, double runMs, monotonic_time now)
+{
+    std::deque<team_queue::entry> kept;
+    for (const auto &entry : entries) {
+        const auto found = table.waiting.find(entry.id);
+        if (table.shuttingDown) {
+            table.refused.push_back({entry.id, makeRefusal(table, error_kind::shutting_down,
+                                                           found->second, "not started", 0)});
+        } else if (!canMeet(table, entry, runMs, now)) {
+            table.refused.push_back(
+                {entry.id, refusalOfQueued(table, found->second, team, queue, runMs, now)});
+        } else {
+            kept.push_back(entry);
+            continue;
+        }
+        table.waiting.erase(found);
+    }
+    entries.swap(kept);
+}
+
+} // namespace
+
+void setTeam(admission_table &table, const std::string &team, double weight)
+{
+    table.teams[team].weight = weight;
+}
+
+void setAllowance(admission_table &table, const std::string &team,
+                  const admission_allowance &allowance, monotonic_time now)
+{
+    auto &entry = table.teams[team];
+    updateRecent(table, entry, now);
+    entry.cap = allowance.cap;
+    entry.limit = allowance.limit;
+    entry.useOfOthers = allowance.useOfOthers;
+}
+
+result<void> submit(admission_table &table, const waiting_request &request, monotonic_time now)
+{
+    if (table.shuttingDown) {
+        return tl::unexpected(
+            makeRefusal(table, error_kind::shutting_down, request, "this process is stopping", 0));
+    }
+    const auto found = table.teams.find(request.team);
+    if (found == table.teams.end()) {
+        return tl::unexpected(makeRefusal(table, error_kind::not_ready, request,
+                                          "the team is not in the configuration in effect", 1000));
+    }
+    auto &team = found->second;
+    auto &queue = team.queues[request.service];
+    const double runMs = runMsOf(table, queue, table.services[request.service], now);
+    const double wait = waitMs(table, request, team, queue, runMs);
+    const std::size_t queued = queue.urgent.size() + queue.normal.size();
+    if (table.settings.policy.boundQueues && queued >= table.settings.queueBound) {
+        return tl::unexpected(
+            makeRefusal(table, kindOfRefusal(team), request, "the queue is full", wait));
+    }
+    const double left = duration_ms(request.deadline - now).count();
+    // A request that can start at once is a probe: it runs whatever the estimate says.
+    const bool tooLate = wait > 0 && table.settings.policy.refuseByDeadline && wait + runMs > left;
+    if (left <= 0 || tooLate) {
+        return tl::unexpected(makeRefusal(table, kindOfRefusal(team), request,
+                                          "the deadline cannot be met: expected wait "
+                                              + std::to_string(wholeMs(wait).count()) + " ms, run "
+                                              + std::to_string(wholeMs(runMs).count()) + " ms",
+                                          std::max(wait, wait + runMs - left)));
+    }
+    (request.urgent ? queue.urgent : queue.normal).push_back({request.id, now, request.deadline});
+    table.waiting[request.id] = request;
+    return {};
+}
+
+std::vector<started_request> startNext(admission_table &table, const std::string &service,
+                                       int freeSlots, monotonic_time now,
+                                       const reserve_function &reserve)
+{
+    std::vector<started_request> started;
+    auto &entry = table.services[service];
+    entry.freeSlots = std::max(0, freeSlots);
+    std::vector<candidate> open;
+    for (auto &[name, team] : table.teams) {
+        const auto queue = team.queues.find(service);
+        if (queue != team.queues.end() && isWaiting(queue->second)) {
+            updateRecent(table, team, now);
+            open.push_back({&name, &team, &queue->second, false, 0, {}});
+        }
+    }
+    while (entry.freeSlots > 0 && !open.empty()) {
+        const int slots = slotsOf(entry);
+        auto best = open.end();
+        for (auto it = open.begin(); it != open.end();) {
+            const double runMs = runMsOf(table, *it->queue, entry, now);
+            if (it->team->running < it->team->cap) {
+                // With an idle slot the estimate decides only about requests that have waited.
+                const double bound = it->queue->running == 0 ? 0 : runMs;
+                dropUnmeetable(table, *it->team, *it->queue, it->queue->urgent, bound, now);
+                dropUnmeetable(table, *it->team, *it->queue, it->queue->normal, bound, now);
+            }
+            if (it->team->running >= it->team->cap || !isWaiting(*it->queue)) {
+                it = open.erase(it);
+                best = open.end();
+                continue;
+            }
+            *it = makeCandidate(table, service, slots, *it->name, *it->team, *it->queue);
+            ++it;
+        }
+        best = std::min_element(open.begin(), open.end(), [&](const auto &a, const auto &b) {
+            return comesBefore(a, b, table.settings.policy.fairQueueing);
+        });
+        if (best == open.end()) {
+            break;
+        }
+        if (reserve && !reserve(*best->name)) {
+            open.erase(best);
+            continue;
+        }
+        started.push_back(startFront(table, service, *best, now));
+        --entry.freeSlots;
+    }
+    return started;
+}
+
+std::vector<refused_request> expire(admission_table &table, monotonic_time now)
+{
+    for (auto &[name, team] : table.teams) {
+        for (auto &[service, queue] : team.queues) {
+            if (!isWaiting(queue)) {
+                continue;
+            }
+            const double runMs = runMsOf(table, queue, table.services[service], now);
+            expireEntries(table, team, queue, queue.urgent, runMs, now);
+            expireEntries(table, team, queue, queue.normal, runMs, now);
+        }
+    }
+    return std::exchange(table.refused, {});
+}
+
+void finish(admission_table &table, std::uint64_t id, run_sample sample, monotonic_time now)
+{
+    const auto found = table.running.find(id);
+    if (found == table.running.end()) {
+        return;
+    }
+    const auto run = std::move(found->second);
+    table.running.erase(found);
+    auto &team = table.teams[run.team];
+    auto &queue = team.queues[run.service];
+    auto &service = table.services[run.service];
+    updateRecent(table, team, now);
+    --team.running;
+    --queue.running;
+    queue.urgentRunning -= run.urgent ? 1 : 0;
+    --service.running;
+    ++service.freeSlots;
+    if (sample == run_sample::complete) {
+        const double ms = elapsedMs(run.startedAt, now);
+        addSample(queue.runTime, ms, now);
+        addSample(service.runTime, ms, now);
+    }
+}
+
+bool cancel(admission_table &table, std::uint64_t id)
+{
+    const auto found = table.waiting.find(id);
+    if (found == table.waiting.end()) {
+        return false;
+    }
+    auto &queue = table.teams[found->second.team].queues[found->second.service];
+    auto &entries = found->second.urgent ? queue.urgent : queue.normal;
+    entries.erase(findEntry(entries, id));
+    table.waiting.erase(found);
+    return true;
+}
+
+void beginShutdown(admission_table &table) noexcept
+{
+    table.shuttingDown = true;
+}
+
+int queuedOf(const admission_table &table, const std::string &team) noexcept
+{
+    const auto found = table.teams.find(team);
+    std::size_t queued = 0;
+    if (found != table.teams.end()) {
+        for (const auto &[service, queue] : found->second.queues) {
+            queued += queue.urgent.size() + queue.normal.size();
+        }
+    }
+    return static_cast<int>(queued);
+}
+
+milliseconds expectedRun(const admission_table &table, const std::string &team,
+                         const std::string &service, monotonic_time now)
+{
+    const auto found = table.services.find(service);
+    const auto owner = table.teams.find(team);
+    const admission_service none;
+    const team_queue empty;
+    const team_queue *queue = &empty;
+    if (owner != table.teams.end()) {
+        const auto it = owner->second.queues.find(service);
+        queue = it == owner->second.queues.end() ? &empty : &it->second;
+    }
+    return wholeMs(
+        runMsOf(table, *queue, found == table.services.end() ? none : found->second, now));
+}
+
+} // namespace ibishinge
--- /dev/null
+++ b/src/decision/allowance.cpp
@@ -0,0 +1,286 @@
+#include <ibishinge/decision/allowance.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdlib>
+#include <iterator>
+#include <utility>
+#include <vector>
+
+namespace ibishinge {
+
+namespace {
+
+// Four seconds give every holder time to read the record and adjust before the turn passes on.
+constexpr std::int64_t rotationMs = 4000;
+
+// Holders of job pools are durable: the pool's job records say what is running.
+constexpr std::string_view durablePrefix = "jobs/";
+
+int sumOfGrants(const allowance_record &record) noexcept
+{
+    int sum = 0;
+    for (const auto &[id, entry] : record.holders) {
+        sum += entry.grant;
+    }
+    return sum;
+}
+
+int grantOf(const allowance_record &record, const std::string &id) noexcept
+{
+    const auto found = record.holders.find(id);
+    return found == record.holders.end() || found->second.freeAt ? 0 : found->second.grant;
+}
+
+bool changedMuch(int before, int after) noexcept
+{
+    return std::abs(after - before) > std::max(2, before / 4) || (before == 0) != (after == 0);
+}
+
+/// Adds to `granted` up to `wanted`, the smallest first, until `left` is used up.
+void fillEvenly(std::vector<int> &granted, const std::vector<int> &wanted, int &left,
+                std::size_t first)
+{
+    while (left > 0) {
+        std::vector<std::size_t> open;
+        for (std::size_t i = 0; i < wanted.size(); ++i) {
+            const std::size_t index = (first + i) % wanted.size();
+            if (granted[index] < wanted[index]) {
+                open.push_back(index);
+            }
+        }
+        if (open.empty()) {
+            return;
+        }
+        const int each = left / static_cast<int>(open.size());
+        for (const std::size_t index : open) {
+            const int step = std::min({std::max(1, each), wanted[index] - granted[index], left});
+            granted[index] += step;
+            left -= step;
+        }
+    }
+}
+
+void noteDeaths(allowance_record &record, const std::string &self, const death_proofs &proofs,
+                wall_time now, const allowance_settings &settings)
+{
+    for (auto it = record.holders.begin(); it != record.holders.end();) {
+        auto &[id, entry] = *it;
+        const auto proof = proofs.find(id);
+        if (!entry.freeAt && proof != proofs.end() && id != self
+            && !id.starts_with(durablePrefix)) {
+            entry.freeAt = proof->second + settings.maxRun + settings.clockSkew;
+        }
+        const bool isFree =
+            entry.freeAt && (*entry.freeAt <= now || !settings.safeguards.waitForRunTime);
+        it = isFree && settings.safeguards.reclaimDead ? record.holders.erase(it) : std::next(it);
+    }
+}
+
+bool isContended(const allowance_record &record) noexcept
+{
+    return std::any_of(record.holders.begin(), record.holders.end(), [](const auto &item) {
+        return !item.second.freeAt && item.second.need > item.second.grant;
+    });
+}
+
+int nextGrant(const allowance_holder &holder, const allowance_record &next, std::int64_t rotation,
+              const allowance_settings &settings)
+{
+    const auto &guards = settings.safeguards;
+    const int grant = grantOf(next, holder.id);
+    const int sum = sumOfGrants(next);
+    const int floor = guards.grantCoversRunning ? holder.running : 0;
+    if (holder.stopping) {
+        return std::min(grant, floor);
+    }
+    if (sum > next.limit && guards.keepSumRule) {
+        const auto cut = static_cast<std::int64_t>(grant) * next.limit / sum;
+        return std::min(grant, std::max(floor, static_cast<int>(cut)));
+    }
+    const int target = fairGrant(next, holder.id, rotation, settings);
+    if (target >= grant) {
+        const int room = std::max(0, next.limit - (sum - grant));
+        return guards.keepSumRule ? std::max(grant, std::min(target, room)) : target;
+    }
+    if (!guards.returnIdle) {
+        return grant;
+    }
+    if (isContended(next)) {
+        return std::min(grant, std::max(floor, target));
+    }
+    // Hysteresis: a small surplus stays, a large one is halved, so that alternating load does not
+    // cause a write each second.
+    const int surplus = grant - target;
+    if (surplus <= std::max(2, grant / 4)) {
+        return grant;
+    }
+    return std::min(grant, std::max(floor, grant - (surplus + 1) / 2));
+}
+
+bool isWorthWriting(const allowance_holder &holder, const allowance_record &next)
+{
+    if ((holder.knownRevision == 0 && !holder.stopping)
+        || next.limitVersion != holder.known.limitVersion
+        || next.holders.size() != holder.known.holders.size()) {
+        return true;
+    }
+    for (const auto &[id, entry] : next.holders) {
+        const auto old = holder.known.holders.find(id);
+        if (old == holder.known.holders.end() || old->second.grant != entry.grant
+            || old->second.freeAt != entry.freeAt) {
+            return true;
+        }
+        const bool lacked = old->second.need > old->second.grant;
+        if (lacked != (entry.need > entry.grant) || changedMuch(old->second.need, entry.need)
+            || changedMuch(old->second.use, entry.use)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+int runningCap(const allowance_holder &holder, const allowance_settings &settings) noexcept
+{
+    if (holder.stopping || holder.knownRevision == 0) {
+        return 0;
+    }
+    const int recorded = grantOf(holder.known, holder.id);
+    int cap = recorded;
+    if (holder.pending) {
+        const int written = grantOf(holder.pending->record, holder.id);
+        cap =
+            settings.safeguards.lowerWhilePending ? std::min(cap, written) : std::max(cap, written);
+    }
+    if (settings.safeguards.capByOthers) {
+        const int limit =
+            holder.limitVersion > holder.known.limitVersion ? holder.limit : holder.known.limit;
+        cap = std::min(cap, limit - (sumOfGrants(holder.known) - recorded));
+    }
+    return std::max(0, std::min(cap, holder.ceiling));
+}
+
+void updateCeiling(allowance_holder &holder, wall_time now, const allowance_settings &settings)
+{
+    holder.ceiling = std::numeric_limits<int>::max();
+    allowance_record record = holder.known;
+    const auto own = record.holders.find(holder.id);
+    if (own == record.holders.end() || !settings.safeguards.returnIdle) {
+        return;
+    }
+    own->second.need = holder.running + holder.queued;
+    if (isContended(record)) {
+        holder.ceiling =
+            fairGrant(record, holder.id, sinceEpoch(now).count() / rotationMs, settings);
+    }
+}
+
+int fairGrant(const allowance_record &record, const std::string &id, std::int64_t rotation,
+              const allowance_settings &settings)
+{
+    int left = record.limit;
+    std::size_t own = 0;
+    bool found = false;
+    std::vector<int> needs;
+    std::vector<int> wanted;
+    for (const auto &[holder, entry] : record.holders) {
+        if (entry.freeAt) {
+            left -= entry.grant;
+            continue;
+        }
+        if (holder == id) {
+            own = needs.size();
+            found = true;
+        }
+        needs.push_back(entry.need);
+        wanted.push_back(entry.need + std::max(settings.minHeadroom, entry.use / 4));
+    }
+    if (!found) {
+        return 0;
+    }
+    std::vector<int> granted(needs.size(), 0);
+    const std::size_t first = static_cast<std::size_t>(rotation) % needs.size();
+    fillEvenly(granted, needs, left, first);
+    fillEvenly(granted, wanted, left, first);
+    return granted[own];
+}
+
+int useOfOthers(const allowance_record &record, std::string_view id) noexcept
+{
+    int use = 0;
+    for (const auto &[holder, entry] : record.holders) {
+        use += holder == id ? 0 : entry.use;
+    }
+    return use;
+}
+
+std::optional<allowance_record> planWrite(const allowance_holder &holder,
+                                          const death_proofs &proofs, wall_time now,
+                                          const allowance_settings &settings)
+{
+    if (holder.pending) {
+        return holder.pending->record;
+    }
+    if (holder.limitVersion == 0 && holder.knownRevision == 0) {
+        return std::nullopt; // The limit is not known yet.
+    }
+    allowance_record next = holder.known;
+    if (holder.limitVersion > next.limitVersion) {
+        next.limit = holder.limit;
+        next.limitVersion = holder.limitVersion;
+    }
+    noteDeaths(next, holder.id, proofs, now, settings);
+
+    const auto known = holder.known.holders.find(holder.id);
+    const bool declaredDead = known != holder.known.holders.end() && known->second.freeAt;
+    if (holder.stopping && holder.running == 0) {
+        next.holders.erase(holder.id);
+    } else if (!declaredDead) {
+        auto &own = next.holders[holder.id];
+        own.use = holder.running;
+        own.need = holder.stopping ? holder.running : holder.running + holder.queued;
+        const std::int64_t rotation = sinceEpoch(now).count() / rotationMs;
+        own.grant = nextGrant(holder, next, rotation, settings);
+        if (holder.stopping) {
+            // What still runs at a target outlives this process by at most the run time.
+            own.freeAt = now + settings.maxRun + settings.clockSkew;
+        }
+    }
+    if (!isWorthWriting(holder, next)) {
+        return std::nullopt;
+    }
+    return next;
+}
+
+void beginWrite(allowance_holder &holder, allowance_record record)
+{
+    if (!holder.pending) {
+        holder.pending = pending_allowance {std::move(record), holder.knownRevision};
+    }
+}
+
+void writeApplied(allowance_holder &holder, std::int64_t revision)
+{
+    if (!holder.pending) {
+        return;
+    }
+    holder.known = std::move(holder.pending->record);
+    holder.knownRevision = revision;
+    holder.pending.reset();
+}
+
+void recordSeen(allowance_holder &holder, allowance_record record, std::int64_t revision)
+{
+    if (revision < holder.knownRevision) {
+        return;
+    }
+    holder.known = std::move(record);
+    holder.knownRevision = revision;
+    if (holder.pending && holder.pending->expectedRevision != revision) {
+        holder.pending.reset();
+    }
+}
+
+} // namespace ibishinge
--- /dev/null
+++ b/tests/admission_test.cpp
@@ -0,0 +1,579 @@
+#include <ibishinge/decision/admission.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <iostream>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace ibishinge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int unlimited = 1000000;
+const monotonic_time start = monotonic_time {} + 1h;
+
+admission_table tableOf(const std::map<std::string, double> &weights, int cap = unlimited)
+{
+    admission_table table;
+    for (const auto &[team, weight] : weights) {
+        setTeam(table, team, weight);
+        setAllowance(table, team, {cap, cap, 0}, start);
+    }
+    return table;
+}
+
+waiting_request request(std::uint64_t id, const std::string &team, bool urgent = false,
+                        milliseconds deadline = 60s, monotonic_time now = start)
+{
+    return {id, team, "s", urgent, now + deadline};
+}
+
+std::vector<std::uint64_t> idsOf(const std::vector<started_request> &started)
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto &one : started) {
+        ids.push_back(one.id);
+    }
+    return ids;
+}
+
+/// A fleet that is full: which team wants slots of which service, and how much it may have running.
+struct share_problem
+{
+    std::vector<double> weights;
+    std::vector<int> caps;
+    std::vector<std::vector<bool>> wants; ///< by team and service
+    std::vector<int> slots; ///< by service
+};
+
+/// Exact weighted max-min fair shares in whole slots, by augmenting paths: one slot at a time goes
+/// to the team with the lowest use for its weight that can still get one, if need be by moving
+/// other teams' slots to other services without changing their totals.
+class exact_shares
+{
+public:
+    explicit exact_shares(const share_problem &problem)
+        : m_problem(problem)
+        , m_held(problem.weights.size(), std::vector<int>(problem.slots.size(), 0))
+        , m_free(problem.slots)
+    {
+    }
+
+    std::vector<int> solve()
+    {
+        std::vector<int> totals(m_problem.weights.size(), 0);
+        std::set<std::size_t> open;
+        for (std::size_t t = 0; t < totals.size(); ++t) {
+            open.insert(t);
+        }
+        while (!open.empty()) {
+            const std::size_t lowest =
+                *std::min_element(open.begin(), open.end(), [&](std::size_t a, std::size_t b) {
+                    return totals[a] / m_problem.weights[a] < totals[b] / m_problem.weights[b];
+                });
+            std::set<std::size_t> visited;
+            if (totals[lowest] < m_problem.caps[lowest] && augment(lowest, visited)) {
+                ++totals[lowest];
+            } else {
+                open.erase(lowest);
+            }
+        }
+        return totals;
+    }
+
+private:
+    bool augment(std::size_t team, std::set<std::size_t> &visited)
+    {
+        for (std::size_t s = 0; s < m_free.size(); ++s) {
+            if (!m_problem.wants[team][s] || !visited.insert(s).second) {
+                continue;
+            }
+            if (m_free[s] > 0) {
+                --m_free[s];
+                ++m_held[team][s];
+                return true;
+            }
+            for (std::size_t other = 0; other < m_held.size(); ++other) {
+                if (other != team && m_held[other][s] > 0 && augment(other, visited)) {
+                    --m_held[other][s];
+                    ++m_held[team][s];
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    const share_problem &m_problem;
+    std::vector<std::vector<int>> m_held;
+    std::vector<int> m_free;
+};
+
+/// Runs the table on the problem with full queues and returns each team's mean use.
+std::vector<double> measuredShares(const share_problem &problem, std::uint64_t seed,
+                                   const admission_policy &policy)
+{
+    constexpr int steps = 6000; // of 5 ms
+    admission_table table;
+    table.settings.policy = policy;
+    table.settings.policy.refuseByDeadline = false;
+    for (std::size_t t = 0; t < problem.weights.size(); ++t) {
+        setTeam(table, std::to_string(t), problem.weights[t]);
+        setAllowance(table, std::to_string(t), {problem.caps[t], problem.caps[t], 0}, start);
+    }
+    std::mt19937_64 random(seed);
+    std::multimap<monotonic_time, std::uint64_t> ends;
+    std::vector<double> use(problem.weights.size(), 0);
+    std::uint64_t id = 0;
+    for (int step = 0; step < steps; ++step) {
+        const auto now = start + step * 5ms;
+        while (!ends.empty() && ends.begin()->first <= now) {
+            finish(table, ends.begin()->second, run_sample::complete, now);
+            ends.erase(ends.begin());
+        }
+        for (std::size_t s = 0; s < problem.slots.size(); ++s) {
+            const auto service = std::to_string(s);
+            for (std::size_t t = 0; t < use.size(); ++t) {
+                auto &queue = table.teams[std::to_string(t)].queues[service].normal;
+                // The first team asks ten times as often, so that its requests are the oldest.
+                for (std::size_t n = queue.size(); problem.wants[t][s] && n < (t == 0 ? 100 : 10);
+                     ++n) {
+                    (void)submit(table, {++id, std::to_string(t), service, false, now + 1h}, now);
+                }
+            }
+            const int free = problem.slots[s] - table.services[service].running;
+            for (const auto &started : startNext(table, service, free, now)) {
+                ends.emplace(now + milliseconds(50 + random() % 100), started.id);
+            }
+        }
+        for (std::size_t t = 0; t < use.size() && step >= steps / 4; ++t) {
+            use[t] += table.teams[std::to_string(t)].running / (steps * 0.75);
+        }
+    }
+    return use;
+}
+
+share_problem randomProblem(std::mt19937_64 &random)
+{
+    share_problem problem;
+    const std::size_t teams = 2 + random() % 4;
+    const std::size_t services = 1 + random() % 3;
+    for (std::size_t s = 0; s < services; ++s) {
+        problem.slots.push_back(static_cast<int>(8 + random() % 25));
+    }
+    for (std::size_t t = 0; t < teams; ++t) {
+        problem.weights.push_back(static_cast<double>(1U << (random() % 3)));
+        problem.caps.push_back(random() % 3 == 0 ? static_cast<int>(1 + random() % 12) : unlimited);
+        std::vector<bool> wants;
+        for (std::size_t s = 0; s < services; ++s) {
+            wants.push_back(s == t % services || random() % 2 == 0);
+        }
+        problem.wants.push_back(wants);
+    }
+    return problem;
+}
+
+/// Largest distance of a team's mean use from its exact share, in slots, over 40 problems.
+double worstDistance(const admission_policy &policy)
+{
+    std::mt19937_64 random(20261204);
+    double worst = 0;
+    for (std::uint64_t i = 0; i < 40; ++i) {
+        const auto problem = randomProblem(random);
+        const auto exact = exact_shares(problem).solve();
+        const auto measured = measuredShares(problem, i, policy);
+        for (std::size_t t = 0; t < exact.size(); ++t) {
+            worst = std::max(worst, std::abs(measured[t] - exact[t]));
+        }
+    }
+    return worst;
+}
+
+} // namespace
+
+/// Guards against a team that takes more than its share, requests without exactly one outcome, and
+/// overload that makes more work useless.
+class admission_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(admission_test);
+    CPPUNIT_TEST(fullQueueIsRefusedForOneTeamOnly);
+    CPPUNIT_TEST(limitInUseIsToldApartFromOverload);
+    CPPUNIT_TEST(deadlineThatCannotBeMetIsRefused);
+    CPPUNIT_TEST(requestIsAnsweredOnceItCannotBeMet);
+    CPPUNIT_TEST(unknownTeamIsNotReady);
+    CPPUNIT_TEST(shutdownRefusesNewAndWaiting);
+    CPPUNIT_TEST(retriesAreSpread);
+    CPPUNIT_TEST(teamWithoutAllowanceIsPassedOver);
+    CPPUNIT_TEST(failedReservationIsPassedOver);
+    CPPUNIT_TEST(idleShareGoesToWhoeverAsks);
+    CPPUNIT_TEST(useByOthersCounts);
+    CPPUNIT_TEST(urgentComesFirstWithinItsShare);
+    CPPUNIT_TEST(urgentWorkOfOneTeamLeavesTheRestTheirShare);
+    CPPUNIT_TEST(runTimesAreLearned);
+    CPPUNIT_TEST(slowSpellIsForgotten);
+    CPPUNIT_TEST(cancelledRequestNeverStarts);
+    CPPUNIT_TEST(eachRequestHasOneOutcome);
+    CPPUNIT_TEST(oneTeamIsServedLikeNaiveFifo);
+    CPPUNIT_TEST(noSlotIdlesThatNaiveFifoWouldUse);
+    CPPUNIT_TEST(sharesAreNearExactMaxMin);
+    CPPUNIT_TEST(withoutFairQueueingSharesAreFarOff);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void fullQueueIsRefusedForOneTeamOnly()
+    {
+        auto table = tableOf({{"a", 1}, {"b", 1}});
+        std::uint64_t id = 0;
+        for (std::size_t i = 0; i < table.settings.queueBound; ++i) {
+            CPPUNIT_ASSERT(submit(table, request(++id, "a"), start).has_value());
+        }
+        const auto refused = submit(table, request(++id, "a"), start);
+        CPPUNIT_ASSERT(refused.error().kind == error_kind::overloaded);
+        CPPUNIT_ASSERT(refused.error().retryAfter >= table.settings.minRetryAfter);
+        CPPUNIT_ASSERT(submit(table, request(++id, "b"), start).has_value());
+    }
+
+    void limitInUseIsToldApartFromOverload()
+    {
+        auto table = tableOf({{"a", 1}});
+        table.settings.queueBound = 1;
+        setAllowance(table, "a", {2, 10, 8}, start);
+        for (std::uint64_t id = 1; id <= 3; ++id) {
+            CPPUNIT_ASSERT(submit(table, request(id, "a"), start).has_value());
+            (void)startNext(table, "s", 10, start);
+        }
+        CPPUNIT_ASSERT(submit(table, request(4, "a"), start).error().kind
+                       == error_kind::over_limit);
+        // The limit has room, only this process's grant lags behind.
+        setAllowance(table, "a", {2, 10, 0}, start);
+        CPPUNIT_ASSERT(submit(table, request(4, "a"), start).error().kind
+                       == error_kind::overloaded);
+    }
+
+    void deadlineThatCannotBeMetIsRefused()
+    {
+        auto table = tableOf({{"a", 1}});
+        for (std::uint64_t id = 1; id <= 22; ++id) { // 2 run, 20 wait: about 1 s
+            CPPUNIT_ASSERT(submit(table, request(id, "a"), start).has_value());
+            (void)startNext(table, "s", id <= 2 ? 1 : 0, start);
+        }
+        const auto refused = submit(table, request(50, "a", false, 900ms), start);
+        CPPUNIT_ASSERT(refused.error().kind == error_kind::overloaded);
+        CPPUNIT_ASSERT(refused.error().retryAfter >= 900ms);
+        CPPUNIT_ASSERT(submit(table, request(51, "a", false, 1500ms), start).has_value());
+        CPPUNIT_ASSERT(submit(table, request(52, "a", true, 300ms), start).has_value());
+        CPPUNIT_ASSERT(!submit(table, request(53, "a", false, 0ms), start).has_value());
+    }
+
+    void requestIsAnsweredOnceItCannotBeMet()
+    {
+        auto table = tableOf({{"a", 1}});
+        CPPUNIT_ASSERT(submit(table, request(1, "a", false, 1s), start).has_value());
+        CPPUNIT_ASSERT(expire(table, start + 800ms).empty());
+        // The run takes 100 ms, so that the response would be late.
+        const auto refused = expire(table, start + 901ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), refused.size());
+        CPPUNIT_ASSERT(refused[0].reason.kind == error_kind::overloaded);
+        CPPUNIT_ASSERT(startNext(table, "s", 1, start + 901ms).empty());
+    }
+
+    void unknownTeamIsNotReady()
+    {
+        auto table = tableOf({});
+        const auto refused = submit(table, request(1, "x"), start);
+        CPPUNIT_ASSERT(refused.error().kind == error_kind::not_ready);
+    }
+
+    void shutdownRefusesNewAndWaiting()
+    {
+        auto table = tableOf({{"a", 1}});
+        CPPUNIT_ASSERT(submit(table, request(1, "a"), start).has_value());
+        CPPUNIT_ASSERT(submit(table, request(2, "a"), start).has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), startNext(table, "s", 1, start).size());
+        beginShutdown(table);
+        CPPUNIT_ASSERT(submit(table, request(3, "a"), start).error().kind
+                       == error_kind::shutting_down);
+        const auto refused = expire(table, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), refused.size());
+        CPPUNIT_ASSERT(refused[0].reason.kind == error_kind::shutting_down);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.running.size()); // In-flight work goes on.
+    }
+
+    void retriesAreSpread()
+    {
+        auto table = tableOf({{"a", 1}});
+        std::set<milliseconds> times;
+        for (std::uint64_t id = 0; id < 300; ++id) {
+            const auto queued = submit(table, request(id, "a"), start);
+            if (!queued) {
+                times.insert(queued.error().retryAfter);
+            }
+        }
+        CPPUNIT_ASSERT(times.size() > 100);
+    }
+
+    void teamWithoutAllowanceIsPassedOver()
+    {
+        auto table = tableOf({{"a", 1}, {"b", 1}});
+        setAllowance(table, "a", {1, 1, 0}, start);
+        for (std::uint64_t id = 1; id <= 10; ++id) {
+            CPPUNIT_ASSERT(submit(table, request(id, id <= 5 ? "a" : "b"), start).has_value());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), startNext(table, "s", 10, start).size());
+        CPPUNIT_ASSERT_EQUAL(1, table.teams["a"].running);
+    }
+
+    void failedReservationIsPassedOver()
+    {
+        auto table = tableOf({{"a", 1}, {"b", 1}});
+        for (std::uint64_t id = 1; id <= 4; ++id) {
+            CPPUNIT_ASSERT(submit(table, request(id, id <= 2 ? "a" : "b"), start).has_value());
+        }
+        const auto started =
+            startNext(table, "s", 10, start, [](const std::string &team) { return team == "b"; });
+        CPPUNIT_ASSERT((idsOf(started) == std::vector<std::uint64_t> {3, 4}));
+        CPPUNIT_ASSERT_EQUAL(2, queuedOf(table, "a"));
+    }
+
+    void idleShareGoesToWhoeverAsks()
+    {
+        auto table = tableOf({{"a", 1}, {"b", 9}});
+        for (std::uint64_t id = 1; id <= 10; ++id) {
+            CPPUNIT_ASSERT(submit(table, request(id, "a"), start).has_value());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(10), startNext(table, "s", 10, start).size());
+    }
+
+    void useByOthersCounts()
+    {
+        auto table = tableOf({{"a", 1}, {"b", 1}});
+        setAllowance(table, "a", {unlimited, unlimited, 20}, start);
+        for (std::uint64_t id = 1; id <= 20; ++id) {
+            CPPUNIT_ASSERT(submit(table, request(id, id <= 10 ? "a" : "b"), start).has_value());
+        }
+        (void)startNext(table, "s", 10, start);
+        CPPUNIT_ASSERT_EQUAL(10, table.teams["b"].running);
+    }
+
+    void urgentComesFirstWithinItsShare()
+    {
+        auto table = tableOf({{"a", 1}, {"b", 1}});
+        for (std::uint64_t id = 1; id <= 10; ++id) {
+            CPPUNIT_ASSERT(submit(table, request(id, "a"), start).has_value());
+            CPPUNIT_ASSERT(submit(table, request(id + 10, "b"), start).has_value());
+        }
+        CPPUNIT_ASSERT(submit(table, request(100, "a", true), start).has_value());
+        (void)startNext(table, "s", 0, start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(100), startNext(table, "s", 1, start)[0].id);
+    }
+
+    void urgentWorkOfOneTeamLeavesTheRestTheirShare()
+    {
+        for (const bool bounded : {true, false}) {
+            auto table = tableOf({{"a", 1}, {"b", 1}});
+            table.settings.policy.boundUrgent = bounded;
+            for (std::uint64_t id = 1; id <= 40; ++id) {
+                CPPUNIT_ASSERT(submit(table, request(id, "a", true), start).has_value());
+                CPPUNIT_ASSERT(submit(table, request(id + 100, "b"), start).has_value());
+            }
+            (void)startNext(table, "s", 20, start);
+            CPPUNIT_ASSERT_EQUAL(bounded ? 10 : 0, table.teams["b"].running);
+        }
+    }
+
+    void runTimesAreLearned()
+    {
+        auto table = tableOf({{"a", 1}});
+        for (std::uint64_t id = 1; id <= 100; ++id) {
+            const auto now = start + id * 1s;
+            CPPUNIT_ASSERT(submit(table, request(id, "a", false, 10s, now), now).has_value());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), startNext(table, "s", 1, now).size());
+            finish(table, id, run_sample::complete, now + 700ms);
+        }
+        const auto learned = expectedRun(table, "a", "s", start + 100s + 700ms);
+        CPPUNIT_ASSERT(learned > 690ms && learned < 710ms);
+    }
+
+    /// An estimate above all deadlines must not refuse everything for ever.
+    void slowSpellIsForgotten()
+    {
+        auto table = tableOf({{"a", 1}, {"b", 1}});
+        for (std::uint64_t id = 1; id <= 20; ++id) {
+            CPPUNIT_ASSERT(submit(table, request(id, "a"), start).has_value());
+            (void)startNext(table, "s", 1, start);
+        }
+        for (std::uint64_t id = 1; id <= 20; ++id) {
+            finish(table, id, run_sample::complete, start + 30s);
+        }
+        const auto now = start + 30s;
+        CPPUNIT_ASSERT(submit(table, request(30, "b"), now).has_value());
+        (void)startNext(table, "s", 1, now); // All slots are in use.
+        CPPUNIT_ASSERT(!submit(table, request(31, "a", false, 1s, now), now).has_value());
+        const auto later = now + 30s;
+        CPPUNIT_ASSERT(submit(table, request(32, "a", false, 1s, later), later).has_value());
+        // With a free slot it runs as a probe whatever the estimate says.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), startNext(table, "s", 1, later).size());
+    }
+
+    void cancelledRequestNeverStarts()
+    {
+        auto table = tableOf({{"a", 1}});
+        CPPUNIT_ASSERT(submit(table, request(1, "a"), start).has_value());
+        CPPUNIT_ASSERT(submit(table, request(2, "a"), start).has_value());
+        CPPUNIT_ASSERT(cancel(table, 1));
+        CPPUNIT_ASSERT((idsOf(startNext(table, "s", 5, start)) == std::vector<std::uint64_t> {2}));
+        CPPUNIT_ASSERT(!cancel(table, 1));
+        CPPUNIT_ASSERT(!cancel(table, 2));
+    }
+
+    void eachRequestHasOneOutcome()
+    {
+        CPPUNIT_ASSERT(rc::check("one outcome, caps and slots kept, no idle slot", [] {
+            auto table = tableOf({{"a", 1}, {"b", 2}, {"c", 4}}, 4);
+            table.settings.queueBound = 6;
+            const std::vector<std::string> teams {"a", "b", "c"};
+            const std::vector<std::string> services {"s", "t"};
+            std::map<std::uint64_t, int> outcomes;
+            std::vector<std::uint64_t> running;
+            auto now = start;
+            std::uint64_t id = 0;
+            const int steps = *rc::gen::inRange(0, 200);
+            for (int step = 0; step < steps; ++step) {
+                const auto &service = services[*rc::gen::inRange<std::size_t>(0, 2)];
+                switch (*rc::gen::inRange(0, 6)) {
+                case 0:
+                case 1: {
+                    const auto &team = teams[*rc::gen::inRange<std::size_t>(0, 3)];
+                    const auto deadline = now + milliseconds(*rc::gen::inRange(0, 800));
+                    const bool urgent = *rc::gen::arbitrary<bool>();
+                    outcomes[++id] =
+                        submit(table, {id, team, service, urgent, deadline}, now) ? 0 : 1;
+                    break;
+                }
+                case 2: {
+                    const int slots = *rc::gen::inRange(0, 6);
+                    const auto started = startNext(table, service, slots, now);
+                    RC_ASSERT(started.size() <= static_cast<std::size_t>(slots));
+                    for (const auto &one : started) {
+                        ++outcomes[one.id];
+                        running.push_back(one.id);
+                    }
+                    for (const auto &[name, team] : table.teams) {
+                        RC_ASSERT(team.running <= team.cap);
+                        const auto queue = team.queues.find(service);
+                        RC_ASSERT(
+                            started.size() == static_cast<std::size_t>(slots)
+                            || team.running == team.cap || queue == team.queues.end()
+                            || (queue->second.urgent.empty() && queue->second.normal.empty()));
+                    }
+                    break;
+                }
+                case 3:
+                    for (const auto &one : expire(table, now)) {
+                        ++outcomes[one.id];
+                        RC_ASSERT(one.reason.retryAfter > 0ms);
+                    }
+                    break;
+                case 4:
+                    if (id > 0) {
+                        const auto which = *rc::gen::inRange<std::uint64_t>(1, id + 1);
+                        outcomes[which] += cancel(table, which) ? 1 : 0;
+                    }
+                    break;
+                default:
+                    now += milliseconds(*rc::gen::inRange(0, 100));
+                    if (!running.empty()) {
+                        finish(table, running.back(), run_sample::complete, now);
+                        running.pop_back();
+                    }
+                    break;
+                }
+                for (const auto &[name, team] : table.teams) {
+                    for (const auto &[key, queue] : team.queues) {
+                        RC_ASSERT(queue.urgent.size() + queue.normal.size() <= 6U);
+                    }
+                }
+            }
+            beginShutdown(table);
+            for (const auto &one : expire(table, now)) {
+                ++outcomes[one.id];
+            }
+            for (const auto &[which, count] : outcomes) {
+                RC_ASSERT(count == 1);
+            }
+            RC_ASSERT(table.waiting.empty());
+            RC_ASSERT(table.running.size() == running.size());
+        }));
+    }
+
+    void oneTeamIsServedLikeNaiveFifo()
+    {
+        CPPUNIT_ASSERT(rc::check("one team, one class: same order as a queue", [] {
+            auto table = tableOf({{"a", 1}});
+            std::queue<std::uint64_t> naive;
+            const auto actions = *rc::gen::container<std::vector<int>>(rc::gen::inRange(-3, 4));
+            std::uint64_t id = 0;
+            for (const int action : actions) {
+                for (int i = 0; i < action; ++i) {
+                    if (submit(table, request(++id, "a"), start)) {
+                        naive.push(id);
+                    }
+                }
+                for (const auto &started : startNext(table, "s", std::max(0, -action), start)) {
+                    RC_ASSERT(started.id == naive.front());
+                    naive.pop();
+                }
+            }
+            RC_ASSERT(queuedOf(table, "a") == static_cast<int>(naive.size()));
+        }));
+    }
+
+    void noSlotIdlesThatNaiveFifoWouldUse()
+    {
+        CPPUNIT_ASSERT(rc::check("as many starts as a queue over all teams", [] {
+            auto table = tableOf({{"a", 1}, {"b", 3}, {"c", 9}});
+            int naive = 0;
+            const std::vector<std::string> teams {"a", "b", "c"};
+            const auto actions = *rc::gen::container<std::vector<int>>(rc::gen::inRange(-5, 6));
+            std::uint64_t id = 0;
+            for (const int action : actions) {
+                for (int i = 0; i < action; ++i) {
+                    const auto &team = teams[*rc::gen::inRange<std::size_t>(0, 3)];
+                    const bool urgent = *rc::gen::arbitrary<bool>();
+                    naive += submit(table, request(++id, team, urgent), start) ? 1 : 0;
+                }
+                const int slots = std::max(0, -action);
+                const auto started = startNext(table, "s", slots, start).size();
+                RC_ASSERT(static_cast<int>(started) == std::min(slots, naive));
+                naive -= static_cast<int>(started);
+            }
+        }));
+    }
+
+    void sharesAreNearExactMaxMin()
+    {
+        const double worst = worstDistance({});
+        std::cout << "\n  largest distance from the exact share: " << worst << " slots"
+                  << std::flush;
+        CPPUNIT_ASSERT(worst < 1.5);
+    }
+
+    void withoutFairQueueingSharesAreFarOff()
+    {
+        admission_policy fifo;
+        fifo.fairQueueing = false;
+        const double worst = worstDistance(fifo);
+        std::cout << "\n  first come, first served: " << worst << " slots" << std::flush;
+        CPPUNIT_ASSERT(worst > 5);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(admission_test);
--- /dev/null
+++ b/tests/allowance_test.cpp
@@ -0,0 +1,670 @@
+#include <ibishinge/state/allowance_manager.h>
+#include <ibishinge/state/allowance_record.h>
+
+#include "standins/memory_kv_store.h"
+#include "tests/support/manual_clock.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <deque>
+#include <iostream>
+#include <random>
+#include <thread>
+#include <tuple>
+
+using namespace ibishinge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto maxRun = 10s;
+constexpr auto skew = 1s;
+const std::string team = "search";
+constexpr int ablationScenarios = 120;
+
+/// One holder's connection to the store: loses calls and responses, delivers calls late, and lets
+/// others act between the holder's read and its write.
+class faulty_store final : public kv_store
+{
+public:
+    enum class fault : std::uint8_t { none, unavailable, lost_call, lost_response, late_call };
+
+    explicit faulty_store(memory_kv_store &inner, std::deque<std::vector<conditional_write>> &late)
+        : m_inner(inner)
+        , m_late(late)
+    {
+    }
+
+    fault writeFault = fault::none;
+    bool readFails = false;
+    std::function<void()> beforeWrite;
+
+    result<range_result> range(const range_query &query) override
+    {
+        if (readFails) {
+            return makeError(error_kind::unavailable, "store", "injected fault");
+        }
+        return m_inner.range(query);
+    }
+    result<batch_result> applyBatch(std::span<const conditional_write> writes) override
+    {
+        if (beforeWrite) {
+            std::exchange(beforeWrite, {})();
+        }
+        switch (writeFault) {
+        case fault::none:
+            return m_inner.applyBatch(writes);
+        case fault::unavailable:
+            return makeError(error_kind::unavailable, "store", "injected fault");
+        case fault::lost_call:
+            break;
+        case fault::lost_response:
+            (void)m_inner.applyBatch(writes);
+            break;
+        case fault::late_call:
+            m_late.emplace_back(writes.begin(), writes.end());
+            break;
+        }
+        return makeError(error_kind::outcome_unknown, "store", "injected fault");
+    }
+    result<lease_id> grantLease(std::chrono::seconds ttl) override
+    {
+        return m_inner.grantLease(ttl);
+    }
+    result<void> keepAlive(lease_id lease) override
+    {
+        return m_inner.keepAlive(lease);
+    }
+    result<void> revokeLease(lease_id lease) override
+    {
+        return m_inner.revokeLease(lease);
+    }
+
+private:
+    memory_kv_store &m_inner;
+    std::deque<std::vector<conditional_write>> &m_late;
+};
+
+/// One process, as seen from outside.
+struct process
+{
+    std::string id;
+    std::unique_ptr<faulty_store> store;
+    std::unique_ptr<allowance_manager> manager;
+    std::vector<monotonic_time> runs; ///< when each of its requests ends at the target
+    milliseconds clockOffset {0};
+    bool frozen = false;
+    bool adjusting = false;
+    bool stopping = false;
+    std::size_t syncedLimit = 0; ///< limit in force at its last complete exchange with the store
+};
+
+/// Up to 8 processes, their requests at the targets, and the limits the operators set.
+class fleet
+{
+public:
+    static constexpr std::size_t size = 8;
+
+    explicit fleet(const allowance_safeguards &safeguards)
+    {
+        m_settings.maxRun = maxRun;
+        m_settings.clockSkew = skew;
+        m_settings.safeguards = safeguards;
+        for (std::size_t i = 0; i < size; ++i) {
+            replace(i);
+        }
+    }
+
+    bool limitExceeded = false;
+
+    void act(int kind, std::size_t who, int amount)
+    {
+        auto &p = m_processes[who % size];
+        switch (kind % 16) {
+        case 0:
+        case 1:
+        case 2:
+        case 3:
+            start(p, 1 + amount % 12);
+            break;
+        case 4:
+        case 5:
+            m_clock.advance(milliseconds(amount % 4000));
+            noticeEnds();
+            break;
+        case 6:
+        case 7:
+        case 8:
+            p.manager->setQueued(team, amount % 3 == 0 ? 0 : amount % 30);
+            exchange(p, faulty_store::fault::none);
+            break;
+        case 9:
+            exchange(p, static_cast<faulty_store::fault>(amount % 5));
+            break;
+        case 10: // Another process adjusts and starts between this one's read and its write.
+            if (p.frozen || p.adjusting) {
+                break;
+            }
+            p.store->beforeWrite = [this, &p, amount] {
+                auto &other = m_processes[static_cast<std::size_t>(amount) % size];
+                if (&other != &p) {
+                    exchange(other, faulty_store::fault::none);
+                    start(other, 6);
+                }
+                start(p, 6);
+            };
+            exchange(p, static_cast<faulty_store::fault>(amount / 8 % 5));
+            break;
+        case 11:
+            if (amount % 2 == 0) {
+                crash(who % size);
+            } else {
+                p.frozen = true;
+            }
+            break;
+        case 12:
+            p.frozen = false;
+            noticeEnds();
+            break;
+        case 13:
+            setLimit(amount % 3 == 0 ? amount % 5 : amount % 40);
+            break;
+        case 14:
+            deliverLate();
+            break;
+        default:
+            if (amount % 4 == 0) {
+                stop(p);
+            } else {
+                p.store->readFails = amount % 4 == 1;
+            }
+            break;
+        }
+    }
+
+    /// All die or fall idle; after the run time a new process must get the whole limit.
+    [[nodiscard]] bool newProcessGetsWholeLimit()
+    {
+        for (std::size_t i = 0; i < size; ++i) {
+            m_processes[i].frozen = false;
+            m_processes[i].store->readFails = false;
+            m_processes[i].manager->setQueued(team, 0);
+            if (i % 2 == 0) {
+                crash(i);
+            }
+        }
+        while (!m_late.empty()) {
+            deliverLate();
+        }
+        m_clock.advance(maxRun);
+        noticeEnds();
+        setLimit(17);
+        for (int second = 0; second < 60; ++second) {
+            m_clock.advance(1s);
+            for (auto &p : m_processes) {
+                p.manager->setQueued(team, &p == m_processes.data() ? 17 : 0);
+                exchange(p, faulty_store::fault::none);
+            }
+        }
+        for (int i = 0; i < 17; ++i) {
+            if (!m_processes[0].manager->tryStart(team)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+private:
+    void replace(std::size_t index)
+    {
+        process next;
+        next.id = "entry-" + std::to_string(m_created++);
+        next.store = std::make_unique<faulty_store>(m_store, m_late);
+        next.manager = allowance_manager::create(next.id, *next.store, m_settings);
+        next.clockOffset = milliseconds(static_cast<int>(index * 137 % 1000) - 500);
+        m_processes[index] = std::move(next);
+    }
+
+    /// The process is gone; its requests go on at the targets. The successor at the same address
+    /// proves the death.
+    void crash(std::size_t index)
+    {
+        auto &p = m_processes[index];
+        if (p.adjusting) {
+            return;
+        }
+        m_orphans.insert(m_orphans.end(), p.runs.begin(), p.runs.end());
+        const std::string dead = p.id;
+        replace(index);
+        m_processes[index].manager->provedDead(dead,
+                                               m_clock.wallNow() + m_processes[index].clockOffset);
+        // The proof also spreads by the host list.
+        for (auto &other : m_processes) {
+            other.manager->provedDead(dead, m_clock.wallNow() + other.clockOffset);
+        }
+    }
+
+    void stop(process &p)
+    {
+        if (p.frozen || p.adjusting) {
+            return;
+        }
+        p.stopping = true;
+        p.store->writeFault = faulty_store::fault::none;
+        (void)p.manager->release(m_clock.wallNow() + p.clockOffset);
+    }
+
+    void setLimit(int limit)
+    {
+        m_limits.push_back(limit);
+    }
+
+    void noticeEnds()
+    {
+        for (auto &p : m_processes) {
+            if (p.frozen) {
+                continue;
+            }
+            const auto ended =
+                std::erase_if(p.runs, [this](monotonic_time end) { return end <= m_clock.now(); });
+            for (std::size_t i = 0; i < ended; ++i) {
+                p.manager->finished(team);
+            }
+        }
+    }
+
+    [[nodiscard]] int runningInFleet() const
+    {
+        const auto runs = [this](monotonic_time end) { return end > m_clock.now(); };
+        auto count = std::count_if(m_orphans.begin(), m_orphans.end(), runs);
+        for (const auto &p : m_processes) {
+            count += std::count_if(p.runs.begin(), p.runs.end(), runs);
+        }
+        return static_cast<int>(count);
+    }
+
+    void start(process &p, int count)
+    {
+        for (int i = 0; i < count && !p.frozen; ++i) {
+            if (!p.manager->tryStart(team)) {
+                return;
+            }
+            const auto run = milliseconds((m_started++ * 2741) % 10000 + 1);
+            p.runs.push_back(m_clock.now() + std::min<milliseconds>(run, maxRun));
+            // A lowered limit binds a process from its next complete exchange with the store.
+            const int limit = *std::max_element(
+                m_limits.begin() + static_cast<std::ptrdiff_t>(p.syncedLimit), m_limits.end());
+            limitExceeded = limitExceeded || runningInFleet() > limit;
+        }
+    }
+
+    void exchange(process &p, faulty_store::fault fault)
+    {
+        if (p.frozen || p.adjusting) {
+            return;
+        }
+        p.adjusting = true;
+        p.store->writeFault = fault;
+        const std::size_t newest = m_limits.size() - 1;
+        p.manager->setLimits({{team, m_limits[newest]}}, static_cast<std::int64_t>(newest) + 1);
+        const auto now = m_clock.wallNow() + p.clockOffset;
+        const auto adjusted = p.stopping ? p.manager->release(now) : p.manager->adjust(now);
+        p.store->beforeWrite = {};
+        p.adjusting = false;
+        if (!adjusted || fault != faulty_store::fault::none) {
+            return;
+        }
+        const auto stored = m_store.range({std::string(allowancePrefix) + team});
+        if (!stored->entries.empty()) {
+            const auto record = decodeAllowance(stored->entries.front().value);
+            if (record->limitVersion >= static_cast<std::int64_t>(newest) + 1) {
+                p.syncedLimit = newest;
+            }
+        }
+    }
+
+    void deliverLate()
+    {
+        if (!m_late.empty()) {
+            const auto writes = std::move(m_late.front());
+            m_late.pop_front();
+            (void)m_store.applyBatch(writes);
+        }
+    }
+
+    manual_clock m_clock;
+    memory_kv_store m_store {m_clock};
+    std::deque<std::vector<conditional_write>> m_late;
+    allowance_settings m_settings;
+    std::array<process, size> m_processes;
+    std::vector<monotonic_time> m_orphans;
+    std::vector<int> m_limits {20};
+    int m_created = 0;
+    int m_started = 0;
+};
+
+struct scenario_counts
+{
+    int limitExceeded = 0;
+    int allowanceLost = 0;
+};
+
+/// Runs scenarios of 300 random actions each from a fixed seed.
+scenario_counts runScenarios(const allowance_safeguards &safeguards, int scenarios)
+{
+    scenario_counts counts;
+    std::mt19937_64 random(20261204);
+    for (int i = 0; i < scenarios; ++i) {
+        fleet world(safeguards);
+        for (int step = 0; step < 300; ++step) {
+            const auto kind = static_cast<int>(random() % 16);
+            const auto who = static_cast<std::size_t>(random() % fleet::size);
+            world.act(kind, who, static_cast<int>(random() % 100000));
+        }
+        counts.limitExceeded += world.limitExceeded ? 1 : 0;
+        counts.allowanceLost += world.newProcessGetsWholeLimit() ? 0 : 1;
+    }
+    return counts;
+}
+
+std::string storedValue(memory_kv_store &store, const std::string &name)
+{
+    return store.range({std::string(allowancePrefix) + name})->entries.at(0).value;
+}
+
+} // namespace
+
+/// Guards against a team running above its limit over the fleet, and against allowance that is
+/// lost for good.
+class allowance_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(allowance_test);
+    CPPUNIT_TEST(limitHoldsInAnyInterleaving);
+    CPPUNIT_TEST(fixedSeedHasNoViolation);
+    CPPUNIT_TEST(eachSafeguardIsNeeded);
+    CPPUNIT_TEST(smallLimitReachesEveryHolder);
+    CPPUNIT_TEST(loweredLimitStopsStartsAtOnce);
+    CPPUNIT_TEST(idleHolderGivesUpItsGrant);
+    CPPUNIT_TEST(alternatingLoadCausesFewWrites);
+    CPPUNIT_TEST(outageKeepsGrants);
+    CPPUNIT_TEST(manyTeamsAreWrittenInBatches);
+    CPPUNIT_TEST(unreadableRecordConcernsOneTeam);
+    CPPUNIT_TEST(startsFromManyThreadsKeepTheGrant);
+    CPPUNIT_TEST(recordSurvivesCodec);
+    CPPUNIT_TEST(codecRejectsWhatItDoesNotKnow);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void limitHoldsInAnyInterleaving()
+    {
+        CPPUNIT_ASSERT(rc::check("running <= limit at each start, nothing lost", [] {
+            const auto actions =
+                *rc::gen::container<std::vector<std::tuple<int, int, int>>>(rc::gen::tuple(
+                    rc::gen::inRange(0, 16), rc::gen::inRange(0, static_cast<int>(fleet::size)),
+                    rc::gen::inRange(0, 100000)));
+            fleet world({});
+            for (const auto &[kind, who, amount] : actions) {
+                world.act(kind, static_cast<std::size_t>(who), amount);
+                RC_ASSERT(!world.limitExceeded);
+            }
+            RC_ASSERT(world.newProcessGetsWholeLimit());
+        }));
+    }
+
+    void fixedSeedHasNoViolation()
+    {
+        const auto counts = runScenarios({}, 300);
+        CPPUNIT_ASSERT_EQUAL(0, counts.limitExceeded);
+        CPPUNIT_ASSERT_EQUAL(0, counts.allowanceLost);
+    }
+
+    void eachSafeguardIsNeeded()
+    {
+        const std::vector<std::pair<std::string, bool allowance_safeguards::*>> safety {
+            {"conditionalWrites", &allowance_safeguards::conditionalWrites},
+            {"lowerWhilePending", &allowance_safeguards::lowerWhilePending},
+            {"grantCoversRunning", &allowance_safeguards::grantCoversRunning},
+            {"capByOthers", &allowance_safeguards::capByOthers},
+            {"waitForRunTime", &allowance_safeguards::waitForRunTime}};
+        for (const auto &[name, flag] : safety) {
+            allowance_safeguards off;
+            off.*flag = false;
+            const auto counts = runScenarios(off, ablationScenarios);
+            std::cout << "\n  without " << name << ": limit exceeded in " << counts.limitExceeded
+                      << " of " << ablationScenarios << std::flush;
+            CPPUNIT_ASSERT_MESSAGE(name, counts.limitExceeded > 0);
+        }
+        // Without the sum rule grants exceed the limit; `capByOthers` then holds all starts back.
+        const std::vector<std::pair<std::string, bool allowance_safeguards::*>> liveness {
+            {"keepSumRule", &allowance_safeguards::keepSumRule},
+            {"reclaimDead", &allowance_safeguards::reclaimDead},
+            {"returnIdle", &allowance_safeguards::returnIdle}};
+        for (const auto &[name, flag] : liveness) {
+            allowance_safeguards off;
+            off.*flag = false;
+            const auto counts = runScenarios(off, ablationScenarios);
+            std::cout << "\n  without " << name << ": allowance lost in " << counts.allowanceLost
+                      << " of " << ablationScenarios << std::flush;
+            CPPUNIT_ASSERT_MESSAGE(name, counts.allowanceLost > 0);
+        }
+    }
+
+    /// With fewer units than holders, a holder with a full queue must not keep its unit for good.
+    void smallLimitReachesEveryHolder()
+    {
+        std::vector<std::unique_ptr<allowance_manager>> managers;
+        std::vector<int> started(8, 0);
+        std::vector<int> running(8, 0);
+        for (int i = 0; i < 8; ++i) {
+            managers.push_back(allowance_manager::create("entry-" + std::to_string(i), m_store));
+            managers.back()->setLimits({{team, 3}}, 1);
+        }
+        for (int second = 0; second < 120; ++second) {
+            for (std::size_t i = 0; i < 8; ++i) {
+                managers[i]->setQueued(team, 5);
+                CPPUNIT_ASSERT(managers[i]->adjust(m_clock.wallNow()).has_value());
+                // A run takes one second and the next begins at once.
+                for (; running[i] > 0; --running[i]) {
+                    managers[i]->finished(team);
+                }
+                while (managers[i]->tryStart(team)) {
+                    ++running[i];
+                    ++started[i];
+                }
+            }
+            m_clock.advance(1s);
+        }
+        CPPUNIT_ASSERT(*std::min_element(started.begin(), started.end()) >= 10);
+    }
+
+    void loweredLimitStopsStartsAtOnce()
+    {
+        const auto manager = allowance_manager::create("a", m_store);
+        manager->setLimits({{team, 10}}, 1);
+        manager->setQueued(team, 10);
+        CPPUNIT_ASSERT(manager->adjust(m_clock.wallNow()).has_value());
+        for (int i = 0; i < 6; ++i) {
+            CPPUNIT_ASSERT(manager->tryStart(team));
+        }
+        manager->setLimits({{team, 4}}, 2);
+        CPPUNIT_ASSERT(!manager->tryStart(team));
+        CPPUNIT_ASSERT(manager->adjust(m_clock.wallNow()).has_value());
+        const auto record = decodeAllowance(storedValue(m_store, team));
+        CPPUNIT_ASSERT_EQUAL(6, record->holders.at("a").grant); // No less than what is running.
+        for (int i = 0; i < 3; ++i) {
+            manager->finished(team);
+        }
+        CPPUNIT_ASSERT(manager->adjust(m_clock.wallNow()).has_value());
+        CPPUNIT_ASSERT(manager->tryStart(team));
+        CPPUNIT_ASSERT(!manager->tryStart(team));
+    }
+
+    void idleHolderGivesUpItsGrant()
+    {
+        const auto idle = allowance_manager::create("a", m_store);
+        const auto busy = allowance_manager::create("b", m_store);
+        for (auto *manager : {idle.get(), busy.get()}) {
+            manager->setLimits({{team, 10}}, 1);
+        }
+        idle->setQueued(team, 10);
+        CPPUNIT_ASSERT(idle->adjust(m_clock.wallNow()).has_value());
+        CPPUNIT_ASSERT_EQUAL(10, idle->stateOf(team).cap);
+        idle->setQueued(team, 0);
+        busy->setQueued(team, 10);
+        for (int round = 0; round < 3; ++round) {
+            CPPUNIT_ASSERT(busy->adjust(m_clock.wallNow()).has_value());
+            CPPUNIT_ASSERT(idle->adjust(m_clock.wallNow()).has_value());
+        }
+        CPPUNIT_ASSERT_EQUAL(10, busy->stateOf(team).cap);
+    }
+
+    void alternatingLoadCausesFewWrites()
+    {
+        const auto manager = allowance_manager::create("a", m_store);
+        manager->setLimits({{team, 100}}, 1);
+        for (int i = 0; i < 10; ++i) {
+            manager->setQueued(team, 40);
+            CPPUNIT_ASSERT(manager->adjust(m_clock.wallNow()).has_value());
+        }
+        const auto before = m_store.writeCalls();
+        for (int second = 0; second < 100; ++second) {
+            manager->setQueued(team, second % 2 == 0 ? 38 : 42);
+            CPPUNIT_ASSERT(manager->adjust(m_clock.wallNow()).has_value());
+            m_clock.advance(1s);
+        }
+        CPPUNIT_ASSERT(m_store.writeCalls() - before <= 2);
+    }
+
+    void outageKeepsGrants()
+    {
+        const auto manager = allowance_manager::create("a", m_store);
+        manager->setLimits({{team, 10}}, 1);
+        manager->setQueued(team, 10);
+        CPPUNIT_ASSERT(manager->adjust(m_clock.wallNow()).has_value());
+        m_store.setFaultHook([](std::string_view) { return store_fault::unavailable; });
+        for (int second = 0; second < 3600; ++second) {
+            m_clock.advance(1s);
+            const auto adjusted = manager->adjust(m_clock.wallNow());
+            CPPUNIT_ASSERT(adjusted.error().kind == error_kind::unavailable);
+        }
+        CPPUNIT_ASSERT_EQUAL(10, manager->stateOf(team).cap);
+    }
+
+    void manyTeamsAreWrittenInBatches()
+    {
+        const auto manager = allowance_manager::create("a", m_store);
+        std::map<std::string, int> limits;
+        for (int i = 0; i < 300; ++i) {
+            limits["team-" + std::to_string(i)] = 10;
+        }
+        manager->setLimits(limits, 1);
+        CPPUNIT_ASSERT(manager->adjust(m_clock.wallNow()).has_value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(3), m_store.writeCalls());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1), m_store.readCalls());
+        CPPUNIT_ASSERT(manager->tryStart("team-299"));
+    }
+
+    void unreadableRecordConcernsOneTeam()
+    {
+        const std::array<conditional_write, 1> bad {{{"allowance/bad", 0, {}, "{", 0}}};
+        CPPUNIT_ASSERT(m_store.applyBatch(bad)->outcomes[0].applied);
+        const auto manager = allowance_manager::create("a", m_store);
+        manager->setLimits({{"bad", 10}, {"good", 10}}, 1);
+        const auto adjusted = manager->adjust(m_clock.wallNow());
+        CPPUNIT_ASSERT(adjusted.error().kind == error_kind::invalid_request);
+        CPPUNIT_ASSERT(manager->tryStart("good"));
+        CPPUNIT_ASSERT(!manager->tryStart("bad"));
+        CPPUNIT_ASSERT_EQUAL(std::string("{"), storedValue(m_store, "bad"));
+    }
+
+    void startsFromManyThreadsKeepTheGrant()
+    {
+        const auto manager = allowance_manager::create("a", m_store);
+        manager->setLimits({{team, 20}}, 1);
+        std::atomic<int> running {0};
+        std::atomic<int> highest {0};
+        std::vector<std::thread> threads;
+        for (int i = 0; i < 4; ++i) {
+            threads.emplace_back([&] {
+                for (int n = 0; n < 2000; ++n) {
+                    if (!manager->tryStart(team)) {
+                        std::this_thread::yield();
+                        continue;
+                    }
+                    const int now = ++running;
+                    int seen = highest;
+                    while (now > seen && !highest.compare_exchange_weak(seen, now)) { }
+                    --running;
+                    manager->finished(team);
+                }
+            });
+        }
+        for (int i = 0; i < 100; ++i) {
+            manager->setQueued(team, i % 30);
+            CPPUNIT_ASSERT(manager->adjust(m_clock.wallNow()).has_value());
+        }
+        for (auto &thread : threads) {
+            thread.join();
+        }
+        CPPUNIT_ASSERT(highest <= 20);
+        CPPUNIT_ASSERT_EQUAL(0, manager->stateOf(team).running);
+    }
+
+    void recordSurvivesCodec()
+    {
+        CPPUNIT_ASSERT(rc::check("decode(encode(record)) == record", [] {
+            allowance_record record;
+            record.limit = *rc::gen::inRange(0, 1000001);
+            record.limitVersion = *rc::gen::inRange<std::int64_t>(0, INT64_MAX);
+            for (int i = 0; i < *rc::gen::inRange(0, 10); ++i) {
+                auto &holder = record.holders["entry-" + std::to_string(i)];
+                holder.grant = *rc::gen::inRange(0, 1000001);
+                holder.use = *rc::gen::inRange(0, 1000001);
+                holder.need = *rc::gen::inRange(0, 1000001);
+                if (*rc::gen::arbitrary<bool>()) {
+                    holder.freeAt =
+                        wall_time {} + milliseconds(*rc::gen::inRange<std::int64_t>(0, 1LL << 43U));
+                }
+            }
+            RC_ASSERT(*decodeAllowance(encodeAllowance(record)) == record);
+        }));
+    }
+
+    void codecRejectsWhatItDoesNotKnow()
+    {
+        const std::string head = R"({"limit":1,"limit_version":1,"holders":)";
+        const std::vector<std::pair<std::string, std::string>> cases {
+            {"", "/"},
+            {"[]", "/"},
+            {R"({"limit":1})", "/limit_version"},
+            {R"({"limit":-1,"limit_version":1,"holders":{}})", "/limit"},
+            {R"({"limit":1.0,"limit_version":1,"holders":{}})", "/limit"},
+            {R"({"limit":"1","limit_version":1,"holders":{}})", "/limit"},
+            {R"({"limit":1000001,"limit_version":1,"holders":{}})", "/limit"},
+            {R"({"limit":18446744073709551615,"limit_version":1,"holders":{}})", "/limit"},
+            {R"({"limit":1,"limit_version":1,"holders":{},"x":1})", "/x"},
+            {R"({"limit":1,"limit_version":1,"holders":[]})", "/holders"},
+            {head + R"({"a":1}})", "/holders/a"},
+            {head + R"({"a":{"grant":1,"use":1}}})", "/holders/a/need"},
+            {head + R"({"a":{"grant":1,"use":1,"need":1,"y":0}}})", "/holders/a/y"},
+            {head + R"({"a":{"grant":1,"use":1,"need":1,"free_at_ms":null}}})",
+             "/holders/a/free_at_ms"},
+        };
+        for (const auto &[text, place] : cases) {
+            const auto decoded = decodeAllowance(text);
+            CPPUNIT_ASSERT_MESSAGE(text, !decoded.has_value());
+            CPPUNIT_ASSERT_EQUAL(place, decoded.error().place);
+            CPPUNIT_ASSERT(decoded.error().kind == error_kind::invalid_request);
+        }
+    }
+
+private:
+    manual_clock m_clock;
+    memory_kv_store m_store {m_clock};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(allowance_test);
