--- /dev/null
+++ b/include/ibishinge/decision/catalogue.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <ibishinge/base/work_class.h>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ibishinge {
+
+/// A customer with a share of the fleet.
+struct team_entry
+{
+    std::string name;
+    std::string owner; ///< who is responsible for the entry
+    work_class workClass = work_class::normal;
+    double shareWeight = 1; ///< relative to the weights of the other teams
+    std::int64_t upperLimit = 0; ///< running requests and tasks over the whole fleet
+};
+
+/// Who may use a service or queue.
+struct access_rule
+{
+    bool openToAll = false; ///< no key is needed
+    std::vector<std::string> teams; ///< empty if `openToAll`
+
+    /// Returns true if the list names `team`. Does not consider `openToAll`.
+    [[nodiscard]] bool lists(std::string_view team) const noexcept;
+};
+
+/// A service whose requests are routed to targets.
+struct service_entry
+{
+    std::string name;
+    std::string owner;
+    work_class workClass = work_class::normal;
+    access_rule access;
+    std::chrono::milliseconds maxRun {0}; ///< longest time for which a target works on a request
+    std::int64_t minIdleSlots = 0; ///< free slots kept for peaks
+    std::int64_t maxIdleSlots = 0; ///< free slots above this are surplus
+    std::int64_t maxWaiting = 0; ///< bound of the queue of each team in each entry process
+    std::chrono::milliseconds latencyObjective {0};
+    double availabilityObjective = 0; ///< share of requests answered, between 0 and 1
+};
+
+/// A queue of jobs.
+struct queue_entry
+{
+    std::string name;
+    std::string owner;
+    work_class workClass = work_class::normal;
+    access_rule access;
+    std::string pool; ///< pool whose workers run the jobs
+    std::int64_t maxWaiting = 0; ///< jobs
+    std::int64_t maxRunning = 0; ///< jobs
+    std::chrono::milliseconds maxRun {0};
+};
+
+/// Bound on unavailable hosts. Exactly one of the two is set.
+struct availability_budget
+{
+    std::optional<std::int64_t> minAvailable; ///< hosts
+    std::optional<std::int64_t> maxUnavailable; ///< hosts
+
+    friend bool operator==(const availability_budget &, const availability_budget &) = default;
+};
+
+enum class domain_level : std::uint8_t { rack, data_centre, region };
+
+/// Returns the name of `level` as used in documents. Thread-safe.
+[[nodiscard]] std::string_view nameOf(domain_level level) noexcept;
+
+/// Bound on unavailable hosts of a pool in each failure domain of one level.
+struct domain_budget
+{
+    domain_level level = domain_level::rack;
+    availability_budget budget;
+};
+
+/// A group of hosts with one availability budget.
+struct pool_entry
+{
+    std::string name;
+    std::string owner;
+    work_class workClass = work_class::normal;
+    std::int64_t maxHosts = 0;
+    availability_budget budget;
+    std::vector<domain_budget> domainBudgets; ///< at most one for each level
+    bool spare = false; ///< hosts are lent to other pools and run no jobs here
+    std::chrono::hours maintenanceInterval {0}; ///< each host is maintained once in this time
+};
+
+/// A batch of maintenance.
+struct wave_entry
+{
+    std::string name;
+    std::string owner;
+    work_class workClass = work_class::normal;
+    std::int64_t order = 0; ///< waves of a lower order come first; equal ones run together
+    std::int64_t concurrency = 1; ///< planned stops at a time
+    std::vector<std::string> pools;
+};
+
+/// The operators' document of everything the system manages. Names are unique in each list.
+struct catalogue
+{
+    std::vector<team_entry> teams;
+    std::vector<service_entry> services;
+    std::vector<queue_entry> queues;
+    std::vector<pool_entry> pools;
+    std::vector<wave_entry> waves;
+};
+
+/// Returns the entry called `name`, or null. The pointer is valid as long as `in` is unchanged.
+/// Thread-safe.
+[[nodiscard]] const team_entry *findTeam(const catalogue &in, std::string_view name) noexcept;
+[[nodiscard]] const service_entry *findService(const catalogue &in, std::string_view name) noexcept;
+[[nodiscard]] const queue_entry *findQueue(const catalogue &in, std::string_view name) noexcept;
+[[nodiscard]] const pool_entry *findPool(const catalogue &in, std::string_view name) noexcept;
+
+enum class change_kind : std::uint8_t { added, removed, changed };
+
+/// Returns the name of `kind` as used in documents. Thread-safe.
+[[nodiscard]] std::string_view nameOf(change_kind kind) noexcept;
+
+/// One difference between two catalogues.
+struct catalogue_difference
+{
+    change_kind kind = change_kind::changed;
+    std::string place; ///< "/teams/<name>" of an entry, with "/<field>" for a changed field
+    std::string before; ///< value of the changed field
+    std::string after;
+
+    friend bool operator==(const catalogue_difference &, const catalogue_difference &) = default;
+};
+
+/// Returns what turns `before` into `after`, sorted by place. Empty if they mean the same,
+/// whatever the order of their entries. Thread-safe.
+[[nodiscard]] std::vector<catalogue_difference> differences(const catalogue &before,
+                                                            const catalogue &after);
+
+} // namespace ibishinge
--- a/include/ibishinge/service/request_parser.h
+++ b/include/ibishinge/service/request_parser.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <ibishinge/base/error.h>
+#include <ibishinge/base/name.h>
 #include <ibishinge/base/time.h>
+#include <ibishinge/base/work_class.h>
 #include <ibishinge/outside/http_message.h>
 
 #include <chrono>
@@ -9,8 +11,6 @@
 
 namespace ibishinge {
 
-enum class work_class : std::uint8_t { normal, urgent };
-
 /// What a caller asks of a service, checked but not yet authorized.
 struct service_request
 {
@@ -25,7 +25,7 @@
 };
 
 /// Bounds of what callers may ask for.
-inline constexpr std::size_t maxRequestIdLength = 64;
+inline constexpr std::size_t maxRequestIdLength = maxNameLength;
 inline constexpr std::chrono::milliseconds minDeadline {1};
 /// Shorter than the retention time of ledger records, so that a record outlives all attempts.
 inline constexpr std::chrono::milliseconds maxDeadline {600000};
@@ -36,7 +36,4 @@
 /// path. Thread-safe.
 [[nodiscard]] result<service_request> parseServiceRequest(const http_request &request);
 
-/// Returns true for 1 to `maxRequestIdLength` characters of [A-Za-z0-9_-]. Thread-safe.
-[[nodiscard]] bool isValidName(std::string_view text) noexcept;
-
 } // namespace ibishinge
--- a/src/service/request_parser.cpp
+++ b/src/service/request_parser.cpp
@@ -1,7 +1,5 @@
 #include <ibishinge/service/request_parser.h>
 
-#include <algorithm>
-#include <cctype>
 #include <charconv>
 #include <optional>
 
@@ -79,14 +77,6 @@
 
 } // namespace
 
-bool isValidName(std::string_view text) noexcept
-{
-    return !text.empty() && text.size() <= maxRequestIdLength
-           && std::all_of(text.begin(), text.end(), [](unsigned char c) {
-                  return std::isalnum(c) != 0 || c == '_' || c == '-';
-              });
-}
-
 result<service_request> parseServiceRequest(const http_request &request)
 {
     const auto service = serviceInPath(request.path);
