Add the freshness rule for configuration

The rule is a pure function of the last proof of the store's state, the held revisions and the last exchange with each known member. A process takes over the proof of a member whose revisions it holds, so that processes with polls up to a second apart do not stop each other when the store goes down for all.

--- /dev/null
+++ b/src/decision/freshness.cpp
@@ -0,0 +1,109 @@
+#include <ibishinge/decision/freshness.h>
+
+#include <algorithm>
+
+namespace ibishinge {
+
+namespace {
+
+bool isRecent(const member_report &member, monotonic_time now)
+{
+    return now - member.startedAt <= maxExchangeAge;
+}
+
+bool hasAnswered(const member_report &member, monotonic_time now)
+{
+    return member.state == member_state::reachable && isRecent(member, now);
+}
+
+/// Returns why a member is not accounted for, or "" if it is.
+std::string_view objection(const member_report &member, const freshness_input &input)
+{
+    switch (member.state) {
+    case member_state::host_absent:
+        return "";
+    case member_state::silent:
+        break;
+    case member_state::refused:
+        // A process may have been started at the same address since, so this ages too.
+        return isRecent(member, input.now) ? "" : "has not been reached recently";
+    case member_state::reachable:
+        if (!isRecent(member, input.now)) {
+            return "has not answered recently";
+        }
+        return covers(input.held, member.revisions) ? "" : "holds a newer configuration";
+    }
+    return "does not answer";
+}
+
+std::optional<monotonic_time> latestContact(const freshness_input &input)
+{
+    auto latest = input.contact;
+    for (const auto &member : input.members) {
+        if (member.state == member_state::reachable && member.contactAge
+            && covers(input.held, member.revisions)) {
+            // The age was measured after the start, so the contact is not later than this.
+            const auto contact = member.startedAt - *member.contactAge;
+            latest = latest ? std::max(*latest, contact) : contact;
+        }
+    }
+    return latest;
+}
+
+std::optional<std::string> newestMember(const freshness_input &input)
+{
+    const member_report *newest = nullptr;
+    for (const auto &member : input.members) {
+        if (!hasAnswered(member, input.now) || covers(input.held, member.revisions)) {
+            continue;
+        }
+        const auto sum = [](const member_report &m) {
+            return m.revisions.catalogue + m.revisions.keys;
+        };
+        if (newest == nullptr || sum(member) > sum(*newest)) {
+            newest = &member;
+        }
+    }
+    return newest != nullptr ? std::optional(newest->incarnation) : std::nullopt;
+}
+
+} // namespace
+
+freshness_verdict decideFreshness(const freshness_input &input, const freshness_policy &policy)
+{
+    freshness_verdict verdict;
+    verdict.contact = latestContact(input);
+    verdict.fetchFrom = newestMember(input);
+    if (!policy.enforced) {
+        verdict.state = freshness_state::usable;
+        verdict.reason = "the rule is switched off";
+        return verdict;
+    }
+    if (!verdict.contact) {
+        verdict.reason = "no proof yet that the configuration is current";
+        return verdict;
+    }
+    if (input.now - *verdict.contact <= maxContactAge) {
+        verdict.state = freshness_state::usable;
+        verdict.reason = "proved current within " + std::to_string(maxContactAge.count()) + " ms";
+        return verdict;
+    }
+    for (const auto &member : input.members) {
+        const auto reason = objection(member, input);
+        if (!reason.empty()) {
+            verdict.reason = "no recent proof, and member " + member.incarnation + " ";
+            verdict.reason += reason;
+            return verdict;
+        }
+    }
+    verdict.state = freshness_state::usable;
+    verdict.reason = "no recent proof, but every known member is accounted for";
+    return verdict;
+}
+
+std::string_view nameOf(freshness_state state) noexcept
+{
+    return state == freshness_state::usable ? "usable" : "stopped";
+}
+
+} // namespace ibishinge
--- /dev/null
+++ b/tests/freshness_test.cpp
@@ -0,0 +1,179 @@
+#include <ibishinge/decision/freshness.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+using namespace ibishinge;
+using namespace std::chrono_literals;
+
+namespace {
+
+const monotonic_time now = monotonic_time {} + 1h;
+
+member_report report(member_state state, milliseconds exchangeAge = 0ms,
+                     std::optional<milliseconds> contactAge = {},
+                     configuration_revisions revisions = {5, 7})
+{
+    return {"m", state, now - exchangeAge, contactAge, revisions};
+}
+
+freshness_input input(std::optional<milliseconds> contactAge, std::vector<member_report> members)
+{
+    std::optional<monotonic_time> contact;
+    if (contactAge) {
+        contact = now - *contactAge;
+    }
+    return {now, contact, {5, 7}, std::move(members)};
+}
+
+std::optional<milliseconds> anyAge()
+{
+    if (*rc::gen::inRange(0, 4) == 0) {
+        return std::nullopt;
+    }
+    return milliseconds(*rc::gen::inRange(0, 8000));
+}
+
+member_report anyReport()
+{
+    return report(*rc::gen::element(member_state::silent, member_state::reachable,
+                                    member_state::refused, member_state::host_absent),
+                  milliseconds(*rc::gen::inRange(0, 8000)), anyAge(),
+                  {*rc::gen::inRange(4, 7), *rc::gen::inRange(6, 9)});
+}
+
+freshness_input anyInput()
+{
+    std::vector<member_report> members;
+    for (int i = *rc::gen::inRange(0, 5); i > 0; --i) {
+        members.push_back(anyReport());
+    }
+    return input(anyAge(), members);
+}
+
+} // namespace
+
+/// Guards against accepting keyed work while a revocation may exist that this process cannot know,
+/// and against stopping when the store is down for everyone.
+class freshness_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(freshness_test);
+    CPPUNIT_TEST(verdictFollowsTheTable);
+    CPPUNIT_TEST(newerConfigurationIsFetched);
+    CPPUNIT_TEST(oneUnaccountedMemberIsEnoughToStop);
+    CPPUNIT_TEST(lossOfContactNeverMakesItUsable);
+    CPPUNIT_TEST(contactNeverExceedsWhatWasProved);
+    CPPUNIT_TEST(constantsLeaveTimeForTheBound);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void verdictFollowsTheTable()
+    {
+        using enum member_state;
+        struct row
+        {
+            const char *what;
+            freshness_input given;
+            bool usable;
+        };
+        const std::vector<row> rows {
+            {"recent contact alone", input(3000ms, {report(silent)}), true},
+            {"old contact, silent member", input(3001ms, {report(silent)}), false},
+            {"never any contact", input({}, {}), false},
+            {"never any contact, members gone", input({}, {report(refused)}), false},
+            {"old contact, nobody else known", input(1h, {}), true},
+            {"old contact, all refuse", input(1h, {report(refused), report(refused)}), true},
+            {"old contact, old refusal", input(1h, {report(refused, 2501ms)}), false},
+            {"old contact, host gone", input(1h, {report(host_absent, 1h)}), true},
+            {"old contact, all the same", input(1h, {report(reachable, 1s, 1h)}), true},
+            {"old contact, old answer", input(1h, {report(reachable, 2501ms, 1h)}), false},
+            {"newer contact and same revisions", input(1h, {report(reachable, 1s, 1s)}), true},
+            {"newer keys at a member", input(1h, {report(reachable, 1s, 1h, {5, 8})}), false},
+            {"newer catalogue at a member", input(1h, {report(reachable, 1s, 1h, {6, 7})}), false},
+            {"member lags behind", input(1h, {report(reachable, 1s, 1h, {4, 6})}), true},
+            {"member without configuration", input(1h, {report(reachable, 1s, {}, {})}), true},
+            {"one of three silent",
+             input(1h, {report(reachable, 1s, 1h), report(refused), report(silent)}), false},
+            {"taken over from a member", input({}, {report(reachable, 1s, 1s)}), true},
+            {"taken over from a member that is itself old", input({}, {report(reachable, 1s, 1h)}),
+             true},
+            {"newer contact and newer keys at a member",
+             input(1h, {report(reachable, 1s, 0ms, {5, 8})}), false},
+            {"recent contact, newer keys at a member",
+             input(1s, {report(reachable, 1s, 0ms, {5, 8})}), true},
+        };
+        for (const auto &r : rows) {
+            const auto verdict = decideFreshness(r.given);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(r.what) + ": " + verdict.reason, r.usable,
+                                         verdict.state == freshness_state::usable);
+        }
+    }
+
+    void newerConfigurationIsFetched()
+    {
+        auto lagging = report(member_state::reachable, 1s, 1s, {4, 7});
+        auto newer = report(member_state::reachable, 1s, 1s, {5, 9});
+        newer.incarnation = "newer";
+        auto stale = report(member_state::reachable, 1h, 1s, {9, 9});
+        CPPUNIT_ASSERT(decideFreshness(input(1s, {lagging, newer, stale})).fetchFrom == "newer");
+        CPPUNIT_ASSERT(!decideFreshness(input(1s, {lagging, stale})).fetchFrom);
+    }
+
+    void oneUnaccountedMemberIsEnoughToStop()
+    {
+        CPPUNIT_ASSERT(rc::check("a silent member stops a process without recent proof", [] {
+            auto given = anyInput();
+            given.members.push_back(report(member_state::silent));
+            const auto verdict = decideFreshness(given);
+            const bool recent = verdict.contact && now - *verdict.contact <= maxContactAge;
+            RC_ASSERT((verdict.state == freshness_state::usable) == recent);
+        }));
+    }
+
+    void lossOfContactNeverMakesItUsable()
+    {
+        CPPUNIT_ASSERT(rc::check("time alone and lost answers never make it usable", [] {
+            auto given = anyInput();
+            const auto before = decideFreshness(given);
+            given.now += milliseconds(*rc::gen::inRange(0, 8000));
+            for (auto &member : given.members) {
+                if (member.state != member_state::host_absent && *rc::gen::arbitrary<bool>()) {
+                    member.state = member_state::silent;
+                }
+            }
+            if (before.state == freshness_state::stopped) {
+                RC_ASSERT(decideFreshness(given).state == freshness_state::stopped);
+            }
+        }));
+    }
+
+    void contactNeverExceedsWhatWasProved()
+    {
+        CPPUNIT_ASSERT(rc::check("the contact is the own one or a member's with no newer data", [] {
+            const auto given = anyInput();
+            const auto verdict = decideFreshness(given);
+            if (!verdict.contact || verdict.contact == given.contact) {
+                return;
+            }
+            bool found = false;
+            for (const auto &member : given.members) {
+                found = found
+                        || (covers(given.held, member.revisions) && member.contactAge
+                            && member.startedAt - *member.contactAge == *verdict.contact);
+            }
+            RC_ASSERT(found);
+        }));
+    }
+
+    void constantsLeaveTimeForTheBound()
+    {
+        CPPUNIT_ASSERT(maxExchangeAge < maxContactAge);
+        CPPUNIT_ASSERT(exchangeTimeout <= pollInterval);
+        CPPUNIT_ASSERT(maxContactAge + pollInterval < 6s);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(freshness_test);
