--- a/include/ibishinge/base/error.h
+++ b/include/ibishinge/base/error.h
@@ -75,6 +75,7 @@
     std::string place; ///< setting, header, JSON pointer, address or key that the error is about
     std::string message;
     std::chrono::milliseconds retryAfter {0}; ///< when to come back; 0 if unknown
+    int systemError = 0; ///< errno of a connection that could not be made; 0 if not known
 
     [[nodiscard]] std::error_code code() const noexcept
     {
@@ -82,6 +83,10 @@
     }
 };
 
+/// Returns true if the other side's system refused the connection, which shows that no process
+/// listens there. A lost packet or an unreachable network does not. Thread-safe.
+[[nodiscard]] bool isConnectionRefused(const error &e) noexcept;
+
 /// Holds a value or an `error`.
 template <class T>
 using result = tl::expected<T, error>;
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -1,6 +1,7 @@
 #include <ibishinge/base/error.h>
 
 #include <array>
+#include <cerrno>
 #include <cstddef>
 #include <utility>
 
@@ -76,7 +77,12 @@
 tl::unexpected<error> makeError(error_kind kind, std::string place, std::string message)
 {
     return tl::unexpected<error>(
-        error {kind, std::move(place), std::move(message), std::chrono::milliseconds {0}});
+        error {kind, std::move(place), std::move(message), std::chrono::milliseconds {0}, 0});
+}
+
+bool isConnectionRefused(const error &e) noexcept
+{
+    return e.kind == error_kind::unavailable && e.systemError == ECONNREFUSED;
 }
 
 std::string describe(const error &e)
--- a/src/outside/http_client.cpp
+++ b/src/outside/http_client.cpp
@@ -208,7 +208,13 @@
     const CURLcode code = curl_easy_perform(curl);
     if (code != CURLE_OK) {
         const char *text = in.tooLarge ? "response above the bound" : curl_easy_strerror(code);
-        return makeError(kindOf(code, curl), where, text);
+        error failure {kindOf(code, curl), where, text, std::chrono::milliseconds {0}, 0};
+        if (code == CURLE_COULDNT_CONNECT) {
+            long systemError = 0;
+            curl_easy_getinfo(curl, CURLINFO_OS_ERRNO, &systemError);
+            failure.systemError = static_cast<int>(systemError);
+        }
+        return tl::unexpected(std::move(failure));
     }
     long status = 0;
     curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
