--- a/include/ibishinge/outside/http_message.h
+++ b/include/ibishinge/outside/http_message.h
@@ -31,6 +31,10 @@
     std::string remoteAddress; ///< set by the server
 };
 
+/// Status of a response that is not sent: the server closes the connection instead. For stand-ins
+/// that lose responses.
+inline constexpr int noResponseStatus = 0;
+
 struct http_response
 {
     int status = 200;
--- a/include/ibishinge/outside/kv_store.h
+++ b/include/ibishinge/outside/kv_store.h
@@ -80,6 +80,10 @@
 /// Largest value of an entry, in bytes.
 inline constexpr std::size_t maxValueBytes = 1U << 20U;
 
+/// Largest sum of the sizes of a batch's keys and values, in bytes. etcd's default limit of a
+/// request is 1.5 MiB; the rest is left for the encoding of the conditions.
+inline constexpr std::size_t maxBatchBytes = (3U << 19U) - (64U << 10U);
+
 /// The platform's key-value service.
 ///
 /// Each member function is one call to the service. Implementations are thread-safe and block until
@@ -92,8 +96,12 @@
 
     [[nodiscard]] virtual result<range_result> range(const range_query &query) = 0;
 
-    /// Decides each write of the batch independently of the others.
-    /// Precondition: at most `maxBatchWrites` writes, no key twice.
+    /// Decides each write of the batch independently of the others; all conditions are checked
+    /// against the state before the batch.
+    ///
+    /// Precondition: at most `maxBatchWrites` writes and `maxBatchBytes` bytes, no key twice.
+    /// Errors: also `unknown_entity` if a write names a lease that has expired; then no write of
+    /// the batch was applied.
     [[nodiscard]] virtual result<batch_result>
     applyBatch(std::span<const conditional_write> writes) = 0;
 
@@ -102,6 +110,7 @@
     /// Errors: also `unknown_entity` if the lease has expired.
     [[nodiscard]] virtual result<void> keepAlive(lease_id lease) = 0;
 
+    /// Succeeds also if the lease has expired.
     [[nodiscard]] virtual result<void> revokeLease(lease_id lease) = 0;
 };
 
--- a/src/outside/http_server.cpp
+++ b/src/outside/http_server.cpp
@@ -140,6 +140,10 @@
         break;
     }
     const http_response response = state.handler(request);
+    if (response.status == noResponseStatus) {
+        mg_close_connection(connection);
+        return 499; // Only for the access log.
+    }
     send(connection, response);
     return response.status;
 }
--- a/standins/memory_kv_store.h
+++ b/standins/memory_kv_store.h
@@ -3,11 +3,14 @@
 #include <ibishinge/base/time.h>
 #include <ibishinge/outside/kv_store.h>
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
-#include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -40,9 +43,15 @@
     /// "keepAlive" or "revokeLease".
     using fault_hook = std::function<store_fault(std::string_view operation)>;
 
-    /// Precondition: `clock` outlives the store.
-    explicit memory_kv_store(const clock_source &clock)
+    /// Bounds the memory of a long run: at 400 batches of 128 records a second, a million changes
+    /// are 20 s of history.
+    static constexpr std::size_t defaultHistoryLimit = 1'000'000;
+
+    /// Keeps the last `historyLimit` changes. Precondition: `clock` outlives the store.
+    explicit memory_kv_store(const clock_source &clock,
+                             std::size_t historyLimit = defaultHistoryLimit)
         : m_clock(clock)
+        , m_historyLimit(historyLimit)
     {
     }
 
@@ -55,13 +64,29 @@
     [[nodiscard]] std::vector<kv_change> history() const
     {
         const std::lock_guard lock(m_mutex);
-        return m_history;
+        return {m_history.begin(), m_history.end()};
+    }
+    /// Returns the changes kept from `first` on, and the number of older ones that were dropped.
+    [[nodiscard]] std::pair<std::vector<kv_change>, std::int64_t>
+    historyFrom(store_revision first) const
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto begin = std::lower_bound(
+            m_history.begin(), m_history.end(), first,
+            [](const kv_change &change, store_revision value) { return change.revision < value; });
+        return {{begin, m_history.end()}, m_historyDropped};
     }
     [[nodiscard]] std::int64_t readCalls() const
     {
         const std::lock_guard lock(m_mutex);
         return m_readCalls;
     }
+    [[nodiscard]] bool hasLease(lease_id lease)
+    {
+        const std::lock_guard lock(m_mutex);
+        expireLeases();
+        return m_leases.contains(lease);
+    }
     /// Batches and lease operations.
     [[nodiscard]] std::int64_t writeCalls() const
     {
@@ -100,23 +125,44 @@
         if (writes.size() > maxBatchWrites) {
             return makeError(error_kind::too_large, "batch", "more than 128 writes");
         }
+        std::size_t bytes = 0;
         for (const auto &write : writes) {
-            if (write.value && write.value->size() > maxValueBytes) {
+            const std::size_t valueBytes = write.value ? write.value->size() : 0;
+            if (valueBytes > maxValueBytes) {
                 return makeError(error_kind::too_large, write.key, "value above 1 MiB");
             }
+            bytes += write.key.size() + valueBytes;
+        }
+        if (bytes > maxBatchBytes) {
+            return makeError(error_kind::too_large, "batch", "keys and values above the bound");
         }
         const auto fault = nextFault("applyBatch");
         if (fault == store_fault::unavailable || fault == store_fault::lost_call) {
             return faultError(fault);
         }
         expireLeases();
+        for (const auto &write : writes) {
+            if (write.lease != 0 && !m_leases.contains(write.lease)) {
+                return makeError(error_kind::unknown_entity, "lease", "expired or never granted");
+            }
+        }
+        // etcd checks the conditions of all nested transactions before it applies any of them.
+        std::vector<bool> allowed;
+        for (const auto &write : writes) {
+            allowed.push_back(conditionsHold(write));
+        }
         batch_result applied;
         // etcd gives all writes of a transaction the same revision.
         const store_revision next = m_revision + 1;
-        for (const auto &write : writes) {
-            applied.outcomes.push_back(applyOne(write, next));
+        for (std::size_t i = 0; i < writes.size(); ++i) {
+            applied.outcomes.push_back(allowed[i] ? applyOne(writes[i], next)
+                                                  : rejectOne(writes[i]));
         }
         applied.revision = m_revision;
+        for (auto &outcome : applied.outcomes) {
+            // A batch that only deletes absent keys does not advance the revision.
+            outcome.modRevision = outcome.applied ? m_revision : 0;
+        }
         if (fault == store_fault::lost_response) {
             return faultError(fault);
         }
@@ -194,26 +240,32 @@
         return makeError(kind, "store", "injected fault");
     }
 
-    write_outcome applyOne(const conditional_write &write, store_revision next)
+    bool conditionsHold(const conditional_write &write) const
     {
         const auto found = m_entries.find(write.key);
         const store_revision present = found == m_entries.end() ? 0 : found->second.modRevision;
+        return (!write.expectedRevision || *write.expectedRevision == present) && guardHolds(write);
+    }
+
+    write_outcome rejectOne(const conditional_write &write) const
+    {
         write_outcome outcome;
-        const bool leaseMissing = write.lease != 0 && !m_leases.contains(write.lease);
-        if ((write.expectedRevision && *write.expectedRevision != present) || !guardHolds(write)
-            || leaseMissing) {
-            if (found != m_entries.end()) {
-                outcome.current = found->second;
-            }
-            return outcome;
+        if (const auto found = m_entries.find(write.key); found != m_entries.end()) {
+            outcome.current = found->second;
         }
+        return outcome;
+    }
+
+    write_outcome applyOne(const conditional_write &write, store_revision next)
+    {
+        const auto found = m_entries.find(write.key);
+        write_outcome outcome;
         outcome.applied = true;
-        outcome.modRevision = next;
         if (!write.value && found == m_entries.end()) {
             return outcome; // Deleting an absent key changes nothing.
         }
         m_revision = next;
-        m_history.push_back({next, write.key, write.value});
+        record({next, write.key, write.value});
         if (write.value) {
             auto &entry = m_entries[write.key];
             entry.key = write.key;
@@ -227,6 +279,15 @@
         return outcome;
     }
 
+    void record(kv_change change)
+    {
+        m_history.push_back(std::move(change));
+        if (m_history.size() > m_historyLimit) {
+            m_history.pop_front();
+            ++m_historyDropped;
+        }
+    }
+
     bool guardHolds(const conditional_write &write) const
     {
         if (!write.guard) {
@@ -255,10 +316,11 @@
         if (m_leases.erase(lease) == 0) {
             return;
         }
-        ++m_revision;
+        const store_revision next = m_revision + 1;
         for (auto it = m_entries.begin(); it != m_entries.end();) {
             if (it->second.lease == lease) {
-                m_history.push_back({m_revision, it->first, std::nullopt});
+                m_revision = next;
+                record({next, it->first, std::nullopt});
                 it = m_entries.erase(it);
             } else {
                 ++it;
@@ -271,7 +333,9 @@
     fault_hook m_hook;
     std::map<std::string, kv_entry> m_entries;
     std::map<lease_id, lease_state> m_leases;
-    std::vector<kv_change> m_history;
+    std::deque<kv_change> m_history;
+    std::size_t m_historyLimit;
+    std::int64_t m_historyDropped = 0;
     store_revision m_revision = 0;
     lease_id m_lastLease = 0;
     std::int64_t m_readCalls = 0;
