--- a/include/ibishinge/state/allowance_manager.h
+++ b/include/ibishinge/state/allowance_manager.h
@@ -58,6 +58,9 @@
     /// Notes a proof of death of `holder` (design.md, section 6); `now` is the time of the proof.
     void provedDead(const std::string &holder, wall_time now);
 
+    /// Returns all holders in the records last read, each once.
+    [[nodiscard]] std::vector<std::string> holders() const;
+
     [[nodiscard]] team_allowance stateOf(const std::string &team) const;
 
     /// Reads all allowance records and writes those that should change: one read, and one batch for
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -179,8 +179,8 @@
         for number in range(workers):
             self.launch_worker(f"worker-{number}", number)
         for name in self.processes:
-            wait_until(lambda name=name: http("GET", self.url(name, "/healthz"))[0] == 200,
-                       f"{name} healthy")
+            wait_until(lambda name=name: http("GET", self.url(name, "/healthz"))[0] > 0,
+                       f"{name} listening")
         self.publish_hosts()
         for number in range(entries):
             self.launch_entry(f"entry-{number}", number)
@@ -220,7 +220,7 @@
         entry_hosts = [{"id": f"entry-{number}", "address": "127.0.0.1", "rack": "entry",
                         "data_centre": f"dc{number % 2 + 1}", "state": "live", "services": []}
                        for number in range(self.sizes[0])]
-        self.admin("hosts", "/admin/hosts", self.hosts + entry_hosts)
+        self.admin("hosts", "/admin/hosts", {"hosts": self.hosts + entry_hosts, "lag_ms": 500})
 
     def apply_catalogue(self, catalogue, revision=0):
         status, headers, answer = self.operators("PUT", "/v1/catalogue", catalogue,
--- a/src/outside/http_client.cpp
+++ b/src/outside/http_client.cpp
@@ -131,16 +131,17 @@
     std::mutex mutex;
     std::multimap<std::string, curl_handle> idle; ///< by endpoint, each with one open connection
 
-    curl_handle take(const std::string &where)
+    /// Returns a handle, and whether it may hold an open connection.
+    std::pair<curl_handle, bool> take(const std::string &where)
     {
         const std::lock_guard lock(mutex);
         const auto found = idle.find(where);
         if (found == idle.end()) {
-            return curl_handle(curl_easy_init());
+            return {curl_handle(curl_easy_init()), false};
         }
         curl_handle handle = std::move(found->second);
         idle.erase(found);
-        return handle;
+        return {std::move(handle), true};
     }
 
     void giveBack(const std::string &where, curl_handle handle)
@@ -175,7 +176,7 @@
     if (timeout.count() <= 0) {
         return makeError(error_kind::unavailable, where, "no time left to send the request");
     }
-    curl_handle handle = m_impl->take(where);
+    auto [handle, usedBefore] = m_impl->take(where);
     CURL *curl = handle.get();
     const std::string url =
         "http://" + where + request.path + (request.query.empty() ? "" : "?" + request.query);
--- a/src/state/allowance_manager.cpp
+++ b/src/state/allowance_manager.cpp
@@ -3,6 +3,7 @@
 #include <ibishinge/state/allowance_record.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace ibishinge {
@@ -82,6 +83,18 @@
     m_proofs.emplace(holder, now);
 }
 
+std::vector<std::string> allowance_manager::holders() const
+{
+    std::set<std::string> ids;
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[name, team] : m_teams) {
+        for (const auto &[id, grant] : team.known.holders) {
+            ids.insert(id);
+        }
+    }
+    return {ids.begin(), ids.end()};
+}
+
 team_allowance allowance_manager::stateOf(const std::string &team) const
 {
     const std::lock_guard lock(m_mutex);
--- /dev/null
+++ b/tests/death_proof_test.cpp
@@ -0,0 +1,89 @@
+#include <ibishinge/decision/death_proof.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace ibishinge;
+using namespace std::chrono_literals;
+
+namespace {
+
+holder_id holder(const std::string &host, std::uint16_t port, const std::string &incarnation)
+{
+    return {host, {"127.0.0.1", port}, incarnation};
+}
+
+host_list_snapshot listOf(const std::vector<std::string> &ids)
+{
+    host_list_snapshot list;
+    for (const auto &id : ids) {
+        listed_host host;
+        host.id = id;
+        list.hosts.push_back(host);
+    }
+    return list;
+}
+
+} // namespace
+
+/// Guards against giving out the allowance of a process that is only frozen or not yet listed.
+class death_proof_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(death_proof_test);
+    CPPUNIT_TEST(holderIdSurvivesText);
+    CPPUNIT_TEST(casesOfProof);
+    CPPUNIT_TEST(unlistedHostNeedsTheGrace);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void holderIdSurvivesText()
+    {
+        CPPUNIT_ASSERT(parseHolderId(toString(self)) == self);
+        for (const char *text : {"jobs/pool", "", "a/b/c", "//", "h/127.0.0.1:1/"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !parseHolderId(text).has_value());
+        }
+    }
+
+    void casesOfProof()
+    {
+        struct row
+        {
+            const char *name;
+            holder_id holder;
+            std::vector<std::string> listedBefore;
+            std::vector<std::string> listedNow;
+            bool dead;
+        };
+        const std::vector<row> rows {
+            {"itself", self, {"a"}, {"a"}, false},
+            {"predecessor at its address", holder("a", 1, "old"), {"a"}, {"a"}, true},
+            {"another live process", holder("b", 2, "x"), {"a", "b"}, {"a", "b"}, false},
+            {"host left the list", holder("b", 2, "x"), {"a", "b"}, {"a"}, true},
+            {"host never listed", holder("c", 3, "x"), {"a"}, {"a"}, false},
+            {"list not read yet", holder("b", 2, "x"), {}, {}, false},
+        };
+        for (const auto &row : rows) {
+            host_sightings sightings;
+            noteHosts(sightings, listOf(row.listedBefore));
+            noteHosts(sightings, listOf(row.listedNow));
+            const auto dead = provenDead(sightings, {toString(row.holder)}, self, start);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.dead, !dead.empty());
+        }
+    }
+
+    void unlistedHostNeedsTheGrace()
+    {
+        host_sightings sightings;
+        noteHosts(sightings, listOf({"a"}));
+        const std::vector<std::string> holders {toString(holder("c", 3, "x"))};
+        CPPUNIT_ASSERT(provenDead(sightings, holders, self, start).empty());
+        CPPUNIT_ASSERT(
+            provenDead(sightings, holders, self, start + unlistedHostGrace - 1s).empty());
+        CPPUNIT_ASSERT(!provenDead(sightings, holders, self, start + unlistedHostGrace).empty());
+    }
+
+private:
+    const monotonic_time start = monotonic_time {} + 1h;
+    const holder_id self = holder("a", 1, "new");
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(death_proof_test);
