--- a/include/ibishinge/state/commit_queue.h
+++ b/include/ibishinge/state/commit_queue.h
@@ -30,8 +30,8 @@
     std::uint32_t seed = 1; ///< of the jitter; should differ for each process
 };
 
-/// Returns the time between two batches of one process: the sum over `members` processes stays at or
-/// below `callsPerSecond`. Thread-safe.
+/// Returns the time between two batches of one process: the sum over `members` processes stays at
+/// or below `callsPerSecond`. Thread-safe.
 [[nodiscard]] std::chrono::microseconds commitInterval(const commit_options &options,
                                                        std::size_t members) noexcept;
 
@@ -81,9 +81,8 @@
     [[nodiscard]] std::optional<batch> take(monotonic_time now);
 
     /// Takes the result of a batch and returns the writes that are decided by it.
-    [[nodiscard]] std::vector<decided_write> complete(const batch &sent,
-                                                      const result<batch_result> &answer,
-                                                      monotonic_time now);
+    [[nodiscard]] std::vector<decided_write>
+    complete(const batch &sent, const result<batch_result> &answer, monotonic_time now);
 
     /// Writes waiting or in flight.
     [[nodiscard]] std::size_t size() const noexcept
--- a/include/ibishinge/state/request_ledger.h
+++ b/include/ibishinge/state/request_ledger.h
@@ -46,15 +46,16 @@
 {
 public:
     /// Precondition: the arguments outlive the ledger.
-    [[nodiscard]] static std::unique_ptr<request_ledger>
-    create(group_committer &committer, kv_store &store, const clock_source &clock,
-           const ledger_options &options = {});
+    [[nodiscard]] static std::unique_ptr<request_ledger> create(group_committer &committer,
+                                                                kv_store &store,
+                                                                const clock_source &clock,
+                                                                const ledger_options &options = {});
 
     /// Blocks until this attempt may be dispatched, may not be, or the deadline has passed.
     ///
     /// Results: `claimed`, `already_finished`, `claimed_by_other`, `superseded`, `duplicate_id`,
-    /// `outcome_unknown`, `unavailable`. The attempt may be dispatched only after `claimed`, and only
-    /// before its deadline. After `superseded`, `outcome_unknown` and `unavailable` it must be
+    /// `outcome_unknown`, `unavailable`. The attempt may be dispatched only after `claimed`, and
+    /// only before its deadline. After `superseded`, `outcome_unknown` and `unavailable` it must be
     /// released before its caller is told "not run".
     [[nodiscard]] ledger_outcome claim(request_attempt &attempt, monotonic_time deadline);
 
