Prove that a request on a fresh connection is sent once

The former freshConnectionIsNeverSentTwice could not fail: its server closed every connection, so that none was reusable. Now the server answers the first request on a connection and closes it without a response on the second. With fresh each request is received once, on a connection of its own; with reuse_allowed the second request is received twice, as documented at connection_use. The test checks both, so it fails if it no longer sees the hazard.

--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -9,9 +9,14 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <future>
+#include <map>
+#include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace ibishinge;
 using namespace std::chrono_literals;
@@ -84,6 +89,129 @@
     std::thread m_thread;
 };
 
+/// Answers the first requests on each connection completely, and closes it without a response when
+/// the next one has arrived. Counts the requests by their body.
+class closing_server
+{
+public:
+    explicit closing_server(int answered)
+        : m_answered(answered)
+        , m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof address); // NOLINT
+        socklen_t length = sizeof address;
+        getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &length); // NOLINT
+        m_port = ntohs(address.sin_port);
+        listen(m_socket, 64);
+        m_acceptor = std::thread([this] { acceptAll(); });
+    }
+
+    ~closing_server()
+    {
+        shutdown(m_socket, SHUT_RDWR);
+        m_acceptor.join();
+        for (auto &connection : m_connections) {
+            shutdown(connection.descriptor, SHUT_RDWR);
+            connection.thread.join();
+            close(connection.descriptor);
+        }
+        close(m_socket);
+    }
+    closing_server(const closing_server &) = delete;
+    closing_server &operator=(const closing_server &) = delete;
+
+    [[nodiscard]] endpoint where() const
+    {
+        return {"127.0.0.1", m_port};
+    }
+    [[nodiscard]] int received(const std::string &body) const
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_received.find(body);
+        return found != m_received.end() ? found->second : 0;
+    }
+    [[nodiscard]] std::size_t connections() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_connections.size();
+    }
+
+private:
+    struct served_connection
+    {
+        int descriptor;
+        std::thread thread;
+    };
+
+    void acceptAll()
+    {
+        while (true) {
+            const int descriptor = accept(m_socket, nullptr, nullptr);
+            if (descriptor < 0) {
+                return;
+            }
+            const std::lock_guard lock(m_mutex);
+            m_connections.push_back(
+                {descriptor, std::thread([this, descriptor] { serve(descriptor); })});
+        }
+    }
+
+    void serve(int descriptor)
+    {
+        for (int i = 0;; ++i) {
+            const auto body = readRequest(descriptor);
+            if (!body) {
+                return;
+            }
+            {
+                const std::lock_guard lock(m_mutex);
+                ++m_received[*body];
+            }
+            if (i == m_answered) {
+                shutdown(descriptor, SHUT_RDWR);
+                return;
+            }
+            const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+            if (send(descriptor, response.data(), response.size(), MSG_NOSIGNAL) < 0) {
+                return;
+            }
+        }
+    }
+
+    /// Returns the body of the next request, or nothing if the client has closed the connection.
+    static std::optional<std::string> readRequest(int descriptor)
+    {
+        std::string bytes;
+        std::array<char, 4096> buffer {};
+        while (true) {
+            const auto end = bytes.find("\r\n\r\n");
+            const auto field = bytes.find("Content-Length: ");
+            if (end != std::string::npos && field < end) {
+                const std::size_t length = std::stoul(bytes.substr(field + 16));
+                if (bytes.size() >= end + 4 + length) {
+                    return bytes.substr(end + 4, length);
+                }
+            }
+            const auto count = read(descriptor, buffer.data(), buffer.size());
+            if (count <= 0) {
+                return std::nullopt;
+            }
+            bytes.append(buffer.data(), static_cast<std::size_t>(count));
+        }
+    }
+
+    int m_answered;
+    int m_socket;
+    std::uint16_t m_port = 0;
+    mutable std::mutex m_mutex;
+    std::map<std::string, int> m_received;
+    std::vector<served_connection> m_connections;
+    std::thread m_acceptor;
+};
+
 http_request post(const std::string &body)
 {
     http_request request;
@@ -104,6 +232,8 @@
     CPPUNIT_TEST(stalledBodyTimesOut);
     CPPUNIT_TEST(refusedConnectionIsUnavailable);
     CPPUNIT_TEST(freshConnectionIsNeverSentTwice);
+    CPPUNIT_TEST(freshConnectionsStayApart);
+    CPPUNIT_TEST(closedFreshConnectionIsReported);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -168,17 +298,61 @@
         CPPUNIT_ASSERT(response.error().kind == error_kind::unavailable);
     }
 
-    /// A server that closes a reused connection makes libcurl send the request a second time. With
-    /// a fresh connection for each request this must not happen.
+    /// A server that closes a reused connection without a response makes libcurl send the request
+    /// a second time. With a fresh connection for each request this must not happen, whatever
+    /// connections are open. The last row shows that the hazard is real and that this test sees it.
     void freshConnectionIsNeverSentTwice()
     {
-        const raw_server server("", 2);
+        struct row
+        {
+            const char *name;
+            connection_use second;
+            int received;
+            std::size_t connections;
+        };
+        const std::array<row, 2> rows {{
+            {"fresh", connection_use::fresh, 1, 2},
+            {"reuse allowed", connection_use::reuse_allowed, 2, 2},
+        }};
+        for (const auto &row : rows) {
+            closing_server server(1);
+            const auto client = http_client::create({});
+            const auto first =
+                client->send(server.where(), post("first"), 10s, connection_use::reuse_allowed);
+            CPPUNIT_ASSERT_MESSAGE(row.name, first.has_value());
+            const auto second = client->send(server.where(), post("second"), 10s, row.second);
+            CPPUNIT_ASSERT_MESSAGE(row.name, second.has_value());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 1, server.received("first"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.received, server.received("second"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.connections, server.connections());
+        }
+    }
+
+    /// Many requests on connections of their own, while reusable ones are open.
+    void freshConnectionsStayApart()
+    {
+        closing_server server(1);
+        const auto client = http_client::create({});
+        for (int i = 0; i < 20; ++i) {
+            const std::string body = "request " + std::to_string(i);
+            CPPUNIT_ASSERT(
+                client->send(server.where(), post(body), 10s, connection_use::fresh).has_value());
+            CPPUNIT_ASSERT_EQUAL(1, server.received(body));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(20), server.connections());
+    }
+
+    /// A fresh connection that is closed without a response may have run the request.
+    void closedFreshConnectionIsReported()
+    {
+        closing_server server(0);
         const auto client = http_client::create({});
-        for (int i = 1; i <= 2; ++i) {
+        for (const char *body : {"first", "second"}) {
             const auto response =
-                client->send(server.where(), post("x"), 10s, connection_use::fresh);
+                client->send(server.where(), post(body), 10s, connection_use::fresh);
             CPPUNIT_ASSERT(!response.has_value());
-            CPPUNIT_ASSERT_EQUAL(i, server.requests());
+            CPPUNIT_ASSERT(response.error().kind == error_kind::target_failed);
+            CPPUNIT_ASSERT_EQUAL(1, server.received(body));
         }
     }
 };
