Refuse ambiguous requests and end responses before the server stops

It showed four faults of http_server, now fixed: - of two Content-Length fields the first was used; - CivetWeb drops header fields after the 64th without an error; a request with 64 or more is answered with 400; - a body sent one byte at a time was not bounded by receiveTimeout; - mg_stop makes writes fail, so a stop cut the responses in progress.

A sender that is fast at first and then slow is still only bounded for each read of at most 16 KiB, since mg_read returns only when its buffer is full.

--- a/include/ibishinge/outside/http_server.h
+++ b/include/ibishinge/outside/http_server.h
@@ -18,7 +18,8 @@
     int threads = 64; ///< largest number of connections served at once
     std::size_t maxBodyBytes = 1U << 20U;
     std::size_t maxHeaderBytes = 16U << 10U;
-    std::chrono::milliseconds receiveTimeout {10000}; ///< bound on a slow sender
+    /// Bound on a slow sender: for each wait, and for the whole body between two reads.
+    std::chrono::milliseconds receiveTimeout {10000};
     std::chrono::milliseconds keepAliveTimeout {2000}; ///< an idle connection is closed after this
 };
 
@@ -27,8 +28,9 @@
 
 /// An HTTP server with one thread for each connection, on CivetWeb.
 ///
-/// Answers malformed requests with 400, bodies above the bound with 413 and bodies that end early
-/// not at all: the handler is only called with a complete request.
+/// Answers malformed requests and those with 64 header fields or more with 400, bodies above the
+/// bound with 413 and bodies that end early not at all: the handler is only called with a complete
+/// request.
 class http_server
 {
 public:
@@ -36,7 +38,8 @@
     [[nodiscard]] static result<std::unique_ptr<http_server>>
     start(const http_server_options &options, http_handler handler);
 
-    /// Stops to listen and waits until the handlers in progress have returned.
+    /// Answers new requests with 503 `shutting_down`, waits until the responses of the handlers in
+    /// progress are written, and stops to listen.
     ~http_server();
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
--- a/src/outside/http_server.cpp
+++ b/src/outside/http_server.cpp
@@ -4,8 +4,12 @@
 
 #include <civetweb.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
 #include <utility>
 #include <vector>
 
@@ -17,23 +21,68 @@
     http_handler handler;
     mg_context *context = nullptr;
     std::uint16_t port = 0;
+
+    std::mutex mutex;
+    std::condition_variable changed;
+    int handling = 0; ///< requests from the call of the handler until the response is written
+    bool stopping = false;
+
+    /// Returns false if the server is stopping and the handler must not be called.
+    bool enter()
+    {
+        const std::lock_guard lock(mutex);
+        handling += stopping ? 0 : 1;
+        return !stopping;
+    }
+
+    void leave()
+    {
+        const std::lock_guard lock(mutex);
+        --handling;
+        changed.notify_all();
+    }
+
+    void drain()
+    {
+        std::unique_lock lock(mutex);
+        stopping = true;
+        changed.wait(lock, [this] { return handling == 0; });
+    }
 };
 
 namespace {
 
 constexpr std::size_t readChunkBytes = 16384;
 
+/// mg_read returns only when it has filled its buffer, or when one wait has exceeded the timeout. A
+/// sender of single bytes is noticed after this many of them.
+constexpr std::size_t firstReadBytes = 16;
+
+/// Reads that take longer do not increase the size of the next one.
+constexpr std::chrono::milliseconds fastRead {1};
+
+/// CivetWeb drops further fields without an error (its constant MG_MAX_HEADERS).
+constexpr int maxHeaderCount = 64;
+
 enum class body_status { complete, cut, too_large, malformed };
 
-body_status readBody(mg_connection *connection, long long contentLength, std::size_t limit,
-                     std::string &body)
+body_status readBody(mg_connection *connection, long long contentLength,
+                     const http_server_options &options, std::string &body)
 {
+    using steady = std::chrono::steady_clock;
+    const std::size_t limit = options.maxBodyBytes;
     if (contentLength >= 0 && static_cast<unsigned long long>(contentLength) > limit) {
         return body_status::too_large;
     }
+    const auto deadline = steady::now() + options.receiveTimeout;
     std::array<char, readChunkBytes> chunk;
+    std::size_t wanted = firstReadBytes;
     while (contentLength < 0 || body.size() < static_cast<std::size_t>(contentLength)) {
-        const int count = mg_read(connection, chunk.data(), chunk.size());
+        const auto begin = steady::now();
+        if (begin >= deadline) {
+            return body_status::cut;
+        }
+        const int count = mg_read(connection, chunk.data(), wanted);
         if (count < 0) {
             return body_status::cut;
         }
@@ -44,6 +93,8 @@
         if (body.size() > limit) {
             return body_status::too_large;
         }
+        wanted =
+            steady::now() - begin <= fastRead ? std::min(2 * wanted, chunk.size()) : firstReadBytes;
     }
     const bool complete =
         contentLength < 0 || body.size() == static_cast<std::size_t>(contentLength);
@@ -89,17 +140,27 @@
     return request;
 }
 
-/// A request with both framings, or with an unreadable length, is how one request is passed off as
-/// two; it is rejected (RFC 9112, section 6.1).
+/// Counts the fields that say how long the body is.
+std::ptrdiff_t countFramingFields(const http_request &request)
+{
+    return std::count_if(
+        request.headers.begin(), request.headers.end(), [](const http_header &header) {
+            const std::vector<http_header> one {header};
+            return findHeader(one, "Content-Length") || findHeader(one, "Transfer-Encoding");
+        });
+}
+
+/// A request with both framings, with two lengths, or with an unreadable length, is how one request
+/// is passed off as two; it is rejected (RFC 9112, section 6.1).
 bool hasAmbiguousLength(const http_request &request)
 {
+    if (countFramingFields(request) > 1) {
+        return true;
+    }
     const auto length = findHeader(request.headers, "Content-Length");
     if (!length) {
         return false;
     }
-    if (findHeader(request.headers, "Transfer-Encoding")) {
-        return true;
-    }
     std::uint64_t value = 0;
     const char *end = length->data() + length->size();
     const auto parsed = std::from_chars(length->data(), end, value);
@@ -122,9 +183,9 @@
     const mg_request_info &info = *mg_get_request_info(connection);
     http_request request = toRequest(info);
     auto status = body_status::malformed;
-    if (!hasAmbiguousLength(request)) {
-        status = readBody(connection, bodyLength(request, info), state.options.maxBodyBytes,
-                          request.body);
+    const bool tooManyHeaders = info.num_headers >= maxHeaderCount;
+    if (!tooManyHeaders && !hasAmbiguousLength(request)) {
+        status = readBody(connection, bodyLength(request, info), state.options, request.body);
     }
     switch (status) {
     case body_status::cut:
@@ -134,13 +195,20 @@
         send(connection, errorResponse(error_kind::too_large, "body above the bound"));
         return 413;
     case body_status::malformed:
-        send(connection, errorResponse(error_kind::invalid_request, "ambiguous body length"));
+        send(connection,
+             errorResponse(error_kind::invalid_request,
+                           tooManyHeaders ? "too many headers" : "ambiguous body length"));
         return 400;
     case body_status::complete:
         break;
     }
+    if (!state.enter()) {
+        send(connection, errorResponse(error_kind::shutting_down, "the process is stopping"));
+        return answerFor(error_kind::shutting_down).httpStatus;
+    }
     const http_response response = state.handler(request);
     send(connection, response);
+    state.leave();
     return response.status;
 }
 
@@ -196,6 +264,8 @@
 
 http_server::~http_server()
 {
+    // mg_stop makes mg_write fail at once, so that responses in progress would be lost.
+    m_impl->drain();
     mg_stop(m_impl->context);
 }
 
