--- a/include/ibishinge/decision/routing.h
+++ b/include/ibishinge/decision/routing.h
@@ -85,12 +85,16 @@
 
 struct routing_options
 {
-    /// Number of random candidates of a data centre.
+    /// Number of random candidates of a data centre (docs/routing.md compares 2, 3 and 10).
     int candidates = 2;
     /// Half of a target's slots: below this a remote target is not worth the longer way.
     double remoteAdvantage = 4;
-    /// What other processes had in flight is forgotten at the rate at which requests end.
-    milliseconds loadHalfLife {200};
+    /// Weight of what other processes have in flight when two targets are compared. Reports are
+    /// about one run time old; at full weight they raise the p99 delay when arrivals are even
+    /// (docs/routing.md).
+    double othersWeight = 0.25;
+    /// A report is forgotten slowly, so that a target does not look empty for want of a newer one.
+    milliseconds loadHalfLife {1000};
     /// Bounds the memory of outcomes at a low rate of requests.
     milliseconds statisticsHalfLife {30000};
     /// Bounds it at a high rate: a target that begins to fail is an outlier after about 9 failures,
@@ -197,8 +201,8 @@
 /// ejects outliers, and removes targets that are gone. Call about ten times a second.
 void updateTargetHealth(target_table &table, monotonic_time now, milliseconds sinceLast);
 
-/// Returns the load by which targets are compared: own requests in flight, those of other processes
-/// by the last report, and recent failures.
+/// Returns how full a target is: own requests in flight, those of other processes by the last
+/// report, and recent failures. Data centres are compared by it.
 [[nodiscard]] double estimatedLoad(const target_table &table, const target &t, monotonic_time now);
 
 } // namespace ibishinge
--- a/src/decision/routing.cpp
+++ b/src/decision/routing.cpp
@@ -178,6 +178,19 @@
     }
 }
 
+/// Failures count as if they had kept their slots for a while: a target that fails at once has
+/// nothing in flight and would draw most of the work.
+double failureLoad(const target &t)
+{
+    return withoutRemainder(std::min(t.statistics.recentFailures, static_cast<double>(t.slots)));
+}
+
+double othersLoad(const target_table &table, const target &t, monotonic_time now)
+{
+    return withoutRemainder(t.othersLoad
+                            * remaining(between(t.reportedAt, now), table.options.loadHalfLife));
+}
+
 const target *bestOf(const target_table &table, std::vector<const target *> &pool,
                      monotonic_time now, random_engine &engine)
 {
@@ -187,7 +200,9 @@
     for (std::size_t i = 0; i < draws; ++i) {
         std::uniform_int_distribution<std::size_t> index(i, pool.size() - 1);
         std::swap(pool[i], pool[index(engine)]);
-        const double load = estimatedLoad(table, *pool[i], now);
+        const target &t = *pool[i];
+        const double load =
+            t.inFlight + failureLoad(t) + table.options.othersWeight * othersLoad(table, t, now);
         if (best == nullptr || load < bestLoad) {
             best = pool[i];
             bestLoad = load;
@@ -430,12 +445,7 @@
 
 double estimatedLoad(const target_table &table, const target &t, monotonic_time now)
 {
-    const double others =
-        t.othersLoad * remaining(between(t.reportedAt, now), table.options.loadHalfLife);
-    // Failures count as if they had kept their slots for a while: a target that fails at once has
-    // nothing in flight and would draw most of the work.
-    const double failures = std::min(t.statistics.recentFailures, static_cast<double>(t.slots));
-    return t.inFlight + withoutRemainder(others) + withoutRemainder(failures);
+    return t.inFlight + failureLoad(t) + othersLoad(table, t, now);
 }
 
 result<target_reservation> selectTarget(target_table &table, const target_request &request,
