--- a/include/ibishinge/decision/allowance.h
+++ b/include/ibishinge/decision/allowance.h
@@ -53,7 +53,7 @@
     /// Largest difference between the wall clocks of two entry hosts. Added to `maxRun`, since
     /// the process that frees a grant may not be the one that recorded the death.
     milliseconds clockSkew {2000};
-    int minHeadroom = 2; ///< grant above the need, while nobody else needs it
+    int minHeadroom = 1000000; ///< grant above the need, as far as nobody else needs it
     allowance_safeguards safeguards;
 };
 
