--- a/src/service/entry_process.cpp
+++ b/src/service/entry_process.cpp
@@ -9,12 +9,12 @@
 #include <ibishinge/outside/http_server.h>
 #include <ibishinge/outside/http_target_client.h>
 #include <ibishinge/outside/jsonrpc_peer_client.h>
-#include <ibishinge/outside/jsonrpc_peer_server.h>
+#include <ibishinge/service/configuration_agent.h>
 #include <ibishinge/service/entry_service.h>
 #include <ibishinge/service/operators_api.h>
-#include <ibishinge/service/peer_exchange.h>
 #include <ibishinge/state/membership.h>
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 #include <utility>
@@ -24,7 +24,8 @@
 namespace {
 
 constexpr milliseconds tickInterval {20};
-constexpr milliseconds storeInterval {1000};
+constexpr milliseconds configurationInterval {100};
+constexpr milliseconds allowanceInterval {1000};
 constexpr milliseconds hostListInterval {1000};
 constexpr milliseconds hostListTimeout {1000};
 constexpr milliseconds drainPoll {20};
@@ -93,8 +94,7 @@
     std::mutex sightingsMutex;
     host_sightings sightings;
 
-    outage_log configurationLog {"configuration_poll"};
-    outage_log membershipLog {"membership"};
+    bool configurationUsable = false; ///< as last logged
     outage_log allowanceLog {"allowance"};
     outage_log hostListLog {"host_list"};
 
@@ -102,14 +102,13 @@
     std::unique_ptr<http_server> callersServer;
     std::unique_ptr<http_server> operatorsServer;
     std::unique_ptr<http_server> peersServer;
-    std::unique_ptr<peer_exchange> exchange;
+    std::unique_ptr<configuration_agent> agent;
     std::vector<std::unique_ptr<periodic_task>> tasks;
 
     void build();
     result<void> listen();
     void startTasks();
-    void pollConfiguration();
-    void renewMembership();
+    void applyConfiguration();
     void adjustAllowances();
     void readHostList();
     http_response handleCaller(const http_request &request);
@@ -208,42 +207,39 @@
 
 void entry_process::impl::startTasks()
 {
-    exchange = std::make_unique<peer_exchange>(*configuration, *peers);
+    agent = configuration_agent::start(*members, *configuration, *peers);
     const auto every = [this](milliseconds interval, void (impl::*function)()) {
         tasks.push_back(
             std::make_unique<periodic_task>(interval, [this, function] { (this->*function)(); }));
     };
     tasks.push_back(std::make_unique<periodic_task>(tickInterval, [this] { dispatcher->tick(); }));
-    every(storeInterval, &impl::pollConfiguration);
-    every(storeInterval, &impl::renewMembership);
-    every(storeInterval, &impl::adjustAllowances);
+    every(configurationInterval, &impl::applyConfiguration);
+    every(allowanceInterval, &impl::adjustAllowances);
     every(hostListInterval, &impl::readHostList);
 }
 
-void entry_process::impl::pollConfiguration()
+void entry_process::impl::applyConfiguration()
 {
-    configurationLog.note(configuration->poll());
     const auto view = configuration->view();
     if (view.current->revisions.catalogue > 0) {
         dispatcher->applyCatalogue(view.current->catalogue.value,
                                    view.current->revisions.catalogue);
     }
+    const bool usable = view.freshness.state == freshness_state::usable;
+    if (usable != configurationUsable) {
+        configurationUsable = usable;
+        logEvent(usable ? log_level::info : log_level::warning, "configuration_freshness",
+                 {{"state", nameOf(view.freshness.state)}, {"reason", view.freshness.reason}});
+    }
     metrics.set("ibishinge_configuration_revision", {},
                 static_cast<double>(view.current->revisions.catalogue));
-}
+    metrics.set("ibishinge_configuration_usable", {}, usable ? 1 : 0);
 
-void entry_process::impl::renewMembership()
-{
-    const auto renewed = members->renew();
-    membershipLog.note(renewed);
-    if (renewed) {
-        const auto others = members->others();
-        configuration->noteListed(others);
-        const auto entries = std::count_if(others.begin(), others.end(), [](const auto &member) {
-            return member.role == member_role::entry;
-        });
-        committer->setMembers(static_cast<std::size_t>(entries) + 1);
-    }
+    const auto others = members->others();
+    const auto entries = std::count_if(others.begin(), others.end(), [](const auto &member) {
+        return member.role == member_role::entry;
+    });
+    committer->setMembers(static_cast<std::size_t>(entries) + 1);
 }
 
 void entry_process::impl::adjustAllowances()
@@ -317,7 +313,7 @@
     }
     state.callersServer.reset();
     state.tasks.clear();
-    state.exchange.reset();
+    state.agent.reset();
     const auto now = state.clock.wallNow();
     if (const auto released = state.allowances->release(now); !released) {
         logEvent(log_level::warning, "allowance_not_released",
