--- a/src/state/document_reader.cpp
+++ b/src/state/document_reader.cpp
@@ -15,6 +15,10 @@
 /// Longest excerpt of a wrong value in a problem, in bytes.
 constexpr std::size_t maxExcerpt = 80;
 
+/// Deepest nesting of a document; the library writes values by recursion, so that deep ones would
+/// exhaust the stack.
+constexpr int maxDepth = 32;
+
 std::string excerpt(const json &value)
 {
     std::string text = value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -41,13 +45,22 @@
     return {buffer.data(), written.ptr};
 }
 
-/// Watches the parser for fields that occur twice.
+/// Watches the parser for fields that occur twice and for nesting beyond the bound.
 class duplicate_finder
 {
 public:
-    bool operator()(json::parse_event_t event, const json &parsed)
+    bool operator()(int depth, json::parse_event_t event, const json &parsed)
     {
         using event_t = json::parse_event_t;
+        if (m_isTooDeep) {
+            return false;
+        }
+        if (depth > maxDepth) {
+            m_isTooDeep = true;
+            m_problems.push_back({pointer(), "more than " + std::to_string(maxDepth) + " levels",
+                                  "a document that is nested less deeply"});
+            return false;
+        }
         switch (event) {
         case event_t::object_start:
         case event_t::array_start:
@@ -103,6 +116,7 @@
     }
 
     std::vector<frame> m_frames;
+    bool m_isTooDeep = false;
     std::vector<document_problem> m_problems;
 };
 
@@ -123,8 +137,8 @@
     duplicate_finder finder;
     try {
         json parsed =
-            json::parse(text, [&finder](int, json::parse_event_t event, const json &value) {
-                return finder(event, value);
+            json::parse(text, [&finder](int depth, json::parse_event_t event, const json &value) {
+                return finder(depth, event, value);
             });
         if (!finder.problems().empty()) {
             return tl::unexpected(finder.problems());
--- a/tests/catalogue_test.cpp
+++ b/tests/catalogue_test.cpp
@@ -136,6 +136,7 @@
     CPPUNIT_TEST(eachFaultIsReportedAtItsPlace);
     CPPUNIT_TEST(anyFaultsAreReportedTogether);
     CPPUNIT_TEST(repeatedFieldIsReported);
+    CPPUNIT_TEST(deepNestingIsReported);
     CPPUNIT_TEST(documentSurvivesARoundTrip);
     CPPUNIT_TEST(differencesNameEveryChange);
     CPPUNIT_TEST(differencesIgnoreOrder);
@@ -203,6 +204,26 @@
         CPPUNIT_ASSERT_EQUAL(std::string("/teams/1/b/c"), read.error().front().pointer);
     }
 
+    /// A document of an operator could otherwise end the process by a stack overflow.
+    void deepNestingIsReported()
+    {
+        const std::size_t levels = 1000000;
+        const auto arrays = std::string(levels, '[') + std::string(levels, ']');
+        std::string objects;
+        for (std::size_t i = 0; i < levels; ++i) {
+            objects += R"({"a":)";
+        }
+        objects += "1" + std::string(levels, '}');
+        for (const auto &text : {arrays, objects, R"({"teams":)" + arrays + "}"}) {
+            const auto read = parseDocument(text);
+            CPPUNIT_ASSERT(!read.has_value());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), read.error().size());
+            CPPUNIT_ASSERT_EQUAL(std::string("more than 32 levels"), read.error().front().found);
+        }
+        CPPUNIT_ASSERT(parseDocument(std::string(32, '[') + std::string(32, ']')).has_value());
+        CPPUNIT_ASSERT(!parseDocument(std::string(levels, '[')).has_value());
+    }
+
     void documentSurvivesARoundTrip()
     {
         const auto read = parseCatalogue(sample());
