--- a/include/ibishinge/decision/admission.h
+++ b/include/ibishinge/decision/admission.h
@@ -65,6 +65,10 @@
     milliseconds defaultRun {100}; ///< run time before anything was learned
     milliseconds recentUse {2000}; ///< time constant of the average of a team's use
     double recentWeight = 0.5; ///< weight of the average beside the use at present
+    /// Time constant of the average of the use by others. All processes see each other's use with a
+    /// lag of 1 to 2 s and react to it alike; without a longer average their reactions add up to
+    /// oscillation.
+    milliseconds othersUse {15000};
     /// Unused estimates halve in this time. A spell of slow responses would otherwise raise an
     /// estimate above all deadlines, so that nothing runs and nothing corrects it.
     milliseconds estimateHalfLife {5000};
@@ -96,8 +100,9 @@
     int cap = 0; ///< how many this process may have running
     int limit = 0; ///< over the fleet
     int useOfOthers = 0; ///< of other processes; lags
-    double recent = 0; ///< average of the use over `recentUse`
-    monotonic_time recentAt;
+    double recent = 0; ///< average of `running` over `recentUse`
+    double others = 0; ///< average of `useOfOthers` over `othersUse`
+    monotonic_time averagedAt;
     std::map<std::string, team_queue> queues; ///< by service
 };
 
--- a/include/ibishinge/decision/allowance.h
+++ b/include/ibishinge/decision/allowance.h
@@ -16,7 +16,7 @@
 {
     int grant = 0; ///< the holder never has more running than this
     int use = 0; ///< running when the holder last wrote
-    int need = 0; ///< running and queued when the holder last wrote
+    int need = 0; ///< of the holder when it last wrote, see `noteNeed`
     std::optional<wall_time> freeAt; ///< set after proof of death: the grant is free from here on
 
     bool operator==(const holder_grant &) const = default;
@@ -53,7 +53,9 @@
     /// Largest difference between the wall clocks of two entry hosts. Added to `maxRun`, since
     /// the process that frees a grant may not be the one that recorded the death.
     milliseconds clockSkew {2000};
-    int minHeadroom = 1000000; ///< grant above the need, as far as nobody else needs it
+    /// Grant above the need, while nobody else needs it. What is left of the limit stays free, so
+    /// that a holder whose need rises gets it without waiting for others to give it up.
+    int minHeadroom = 2;
     allowance_safeguards safeguards;
 };
 
@@ -75,6 +77,7 @@
     std::int64_t limitVersion = 0; ///< 0: no configuration yet
     int running = 0;
     int queued = 0;
+    int need = 0; ///< set by `noteNeed`
     int ceiling = std::numeric_limits<int>::max(); ///< set by `updateCeiling`
     bool stopping = false; ///< starts nothing more and gives its grant back
 };
@@ -93,6 +96,11 @@
 [[nodiscard]] int fairGrant(const allowance_record &record, const std::string &id,
                             std::int64_t rotation, const allowance_settings &settings);
 
+/// Sets the need to what runs and waits; it falls by at most three tenths with each call, of which
+/// there is one a second. With the need of one instant, a process with a short queue at that
+/// instant would lose its grant and let its next requests wait for a second.
+void noteNeed(allowance_holder &holder) noexcept;
+
 /// Sets the ceiling of what the holder starts: its fair grant while another holder lacks some, no
 /// bound otherwise. Without it a holder with a long queue would always have its whole grant running
 /// and could never give any of it up.
--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -55,23 +55,25 @@
     return static_cast<double>(table.settings.defaultRun.count());
 }
 
-int useOf(const admission_table &table, const admission_team &team) noexcept
+double gainOf(milliseconds constant, double elapsed) noexcept
 {
-    return team.running + (table.settings.policy.countOthers ? team.useOfOthers : 0);
+    return 1
+           - std::exp(-elapsed / static_cast<double>(std::max<std::int64_t>(1, constant.count())));
 }
 
-/// Brings the average of the team's use up to `now`; call it before the use changes.
-void updateRecent(const admission_table &table, admission_team &team, monotonic_time now) noexcept
+/// Brings the averages of the team's use up to `now`; call it before the use changes.
+void updateAverages(const admission_table &table, admission_team &team, monotonic_time now) noexcept
 {
-    const double constant = static_cast<double>(table.settings.recentUse.count());
-    const double gain = 1 - std::exp(-elapsedMs(team.recentAt, now) / constant);
-    team.recent += gain * (useOf(table, team) - team.recent);
-    team.recentAt = std::max(team.recentAt, now);
+    const double elapsed = elapsedMs(team.averagedAt, now);
+    team.recent += gainOf(table.settings.recentUse, elapsed) * (team.running - team.recent);
+    team.others += gainOf(table.settings.othersUse, elapsed) * (team.useOfOthers - team.others);
+    team.averagedAt = std::max(team.averagedAt, now);
 }
 
 double scoreOf(const admission_table &table, const admission_team &team) noexcept
 {
-    return (useOf(table, team) + table.settings.recentWeight * team.recent) / team.weight;
+    const double others = table.settings.policy.countOthers ? team.others : 0;
+    return (team.running + table.settings.recentWeight * team.recent + others) / team.weight;
 }
 
 bool isWaiting(const team_queue &queue) noexcept
@@ -218,7 +220,7 @@
     auto &entries = urgent ? chosen.queue->urgent : chosen.queue->normal;
     const std::uint64_t id = entries.front().id;
     entries.pop_front();
-    updateRecent(table, *chosen.team, now);
+    updateAverages(table, *chosen.team, now);
     ++chosen.team->running;
     ++chosen.queue->running;
     chosen.queue->urgentRunning += urgent ? 1 : 0;
@@ -260,7 +262,11 @@
                   const admission_allowance &allowance, monotonic_time now)
 {
     auto &entry = table.teams[team];
-    updateRecent(table, entry, now);
+    if (entry.averagedAt == monotonic_time {}) {
+        entry.others = allowance.useOfOthers;
+        entry.averagedAt = now;
+    }
+    updateAverages(table, entry, now);
     entry.cap = allowance.cap;
     entry.limit = allowance.limit;
     entry.useOfOthers = allowance.useOfOthers;
@@ -312,7 +318,7 @@
     for (auto &[name, team] : table.teams) {
         const auto queue = team.queues.find(service);
         if (queue != team.queues.end() && isWaiting(queue->second)) {
-            updateRecent(table, team, now);
+            updateAverages(table, team, now);
             open.push_back({&name, &team, &queue->second, false, 0, {}});
         }
     }
@@ -377,7 +383,7 @@
     auto &team = table.teams[run.team];
     auto &queue = team.queues[run.service];
     auto &service = table.services[run.service];
-    updateRecent(table, team, now);
+    updateAverages(table, team, now);
     --team.running;
     --queue.running;
     queue.urgentRunning -= run.urgent ? 1 : 0;
--- a/src/decision/allowance.cpp
+++ b/src/decision/allowance.cpp
@@ -162,6 +162,11 @@
     return std::max(0, std::min(cap, holder.ceiling));
 }
 
+void noteNeed(allowance_holder &holder) noexcept
+{
+    holder.need = std::max(holder.running + holder.queued, holder.need * 7 / 10);
+}
+
 void updateCeiling(allowance_holder &holder, wall_time now, const allowance_settings &settings)
 {
     holder.ceiling = std::numeric_limits<int>::max();
@@ -170,7 +175,7 @@
     if (own == record.holders.end() || !settings.safeguards.returnIdle) {
         return;
     }
-    own->second.need = holder.running + holder.queued;
+    own->second.need = holder.need;
     if (isContended(record)) {
         holder.ceiling =
             fairGrant(record, holder.id, sinceEpoch(now).count() / rotationMs, settings);
@@ -194,7 +199,8 @@
             own = needs.size();
             found = true;
         }
-        needs.push_back(entry.need);
+        // One more than the need, so that an urgent request need not wait for a run to end.
+        needs.push_back(entry.need + (entry.need > 0 ? 1 : 0));
         wanted.push_back(entry.need + std::max(settings.minHeadroom, entry.use / 4));
     }
     if (!found) {
@@ -240,7 +246,7 @@
     } else if (!declaredDead) {
         auto &own = next.holders[holder.id];
         own.use = holder.running;
-        own.need = holder.stopping ? holder.running : holder.running + holder.queued;
+        own.need = holder.stopping ? holder.running : holder.need;
         const std::int64_t rotation = sinceEpoch(now).count() / rotationMs;
         own.grant = nextGrant(holder, next, rotation, settings);
         if (holder.stopping) {
--- a/src/state/allowance_manager.cpp
+++ b/src/state/allowance_manager.cpp
@@ -114,6 +114,9 @@
             recordSeen(found->second, std::move(*record), entry.modRevision);
         }
     }
+    for (auto &[team, holder] : m_teams) {
+        noteNeed(holder);
+    }
     return outcome;
 }
 
@@ -174,7 +177,7 @@
 
 result<void> allowance_manager::adjust(wall_time now)
 {
-    const auto read = readAll();
+    auto read = readAll();
     // A record that cannot be read concerns one team only; the others go on.
     if (!read && read.error().kind != error_kind::invalid_request) {
         return read;
