--- a/src/state/membership.cpp
+++ b/src/state/membership.cpp
@@ -114,7 +114,7 @@
     const std::lock_guard renewing(m_renewing);
     lease_id current = lease();
     if (current != 0) {
-        const auto kept = m_store.keepAlive(current);
+        auto kept = m_store.keepAlive(current);
         if (!kept && kept.error().kind != error_kind::unknown_entity) {
             return kept;
         }
--- a/tests/peer_contract_test.cpp
+++ b/tests/peer_contract_test.cpp
@@ -366,6 +366,7 @@
         const served_handler server(handler);
         std::atomic<int> wrong {0};
         std::vector<std::thread> threads;
+        threads.reserve(8);
         for (int t = 0; t < 8; ++t) {
             threads.emplace_back([&, t] {
                 for (int i = 0; i < 50; ++i) {
