--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -423,10 +423,12 @@
                     for (const auto &[name, team] : table.teams) {
                         RC_ASSERT(team.running <= team.cap);
                         const auto queue = team.queues.find(service);
-                        RC_ASSERT(
-                            started.size() == static_cast<std::size_t>(slots)
-                            || team.running == team.cap || queue == team.queues.end()
-                            || (queue->second.urgent.empty() && queue->second.normal.empty()));
+                        // RC_ASSERT evaluates both sides of || always.
+                        const bool isServed =
+                            queue == team.queues.end()
+                            || (queue->second.urgent.empty() && queue->second.normal.empty());
+                        RC_ASSERT(started.size() == static_cast<std::size_t>(slots)
+                                  || team.running == team.cap || isServed);
                     }
                     break;
                 }
