--- a/include/ibishinge/service/request_dispatcher.h
+++ b/include/ibishinge/service/request_dispatcher.h
@@ -67,8 +67,8 @@
     /// then holds no target and still has to be completed.
     [[nodiscard]] result<void> moveToOtherTarget(dispatch_slot &slot, const attempt_report &report);
 
-    /// Ends a started request. After a `timeout` the team's unit and the target's slot stay in use
-    /// until the longest run has passed, since the target may still be working.
+    /// Ends a started request. After `timeout` and `failed` the team's unit stays in use until the
+    /// longest run has passed, since the target may still be working.
     void complete(const dispatch_slot &slot, const attempt_report &report);
 
     /// Refuses what can no longer meet its deadline, frees what timed out and refreshes the health
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -149,7 +149,7 @@
         status, _, answer = http(method, self.url(name, path), data)
         if status >= 300:
             raise ValueError(f"{name}{path}: status {status}: {answer[:200]}")
-        return json.loads(answer or b"null")
+        return json.loads(answer) if answer[:1] in (b"{", b"[") else None
 
     def operators(self, method, path, body=None, headers=None, entry=None):
         """Calls the operators' API of an entry process; returns (status, headers, JSON)."""
--- a/src/outside/http_server.cpp
+++ b/src/outside/http_server.cpp
@@ -1,6 +1,7 @@
 #include <ibishinge/outside/http_server.h>
 
 #include <ibishinge/base/civetweb_library.h>
+#include <ibishinge/base/logging.h>
 
 #include <civetweb.h>
 
@@ -9,6 +10,7 @@
 #include <charconv>
 #include <chrono>
 #include <condition_variable>
+#include <exception>
 #include <mutex>
 #include <utility>
 #include <vector>
@@ -176,6 +178,20 @@
     return info.content_length;
 }
 
+/// An exception must not unwind through CivetWeb's C code, which would end the process.
+http_response callHandler(const http_handler &handler, const http_request &request) noexcept
+{
+    try {
+        return handler(request);
+    } catch (const std::exception &e) {
+        logEvent(log_level::error, "handler_failed",
+                 {{"path", request.path}, {"reason", e.what()}});
+        const auto &answer = answerFor(error_kind::internal);
+        return jsonResponse(answer.httpStatus,
+                            R"({"error":"internal","run":"may_have_run","message":"see the log"})");
+    }
+}
+
 template <class Impl>
 int handleRequest(mg_connection *connection, void *data)
 {
@@ -206,14 +222,14 @@
         send(connection, errorResponse(error_kind::shutting_down, "the process is stopping"));
         return answerFor(error_kind::shutting_down).httpStatus;
     }
-    const http_response response = state.handler(request);
+    const http_response response = callHandler(state.handler, request);
     if (response.status == noResponseStatus) {
         mg_close_connection(connection);
-        return 499; // Only for the access log.
+    } else {
+        send(connection, response);
     }
-    send(connection, response);
     state.leave();
-    return response.status;
+    return response.status == noResponseStatus ? 499 : response.status; // For the access log.
 }
 
 } // namespace
--- a/src/service/request_dispatcher.cpp
+++ b/src/service/request_dispatcher.cpp
@@ -160,7 +160,9 @@
     if (slot.target.attempt != 0) {
         completeAttempt(m_targets, slot.target.attempt, report, now);
     }
-    if (report.outcome == attempt_outcome::timeout) {
+    const bool mayStillRun = report.outcome == attempt_outcome::timeout
+        || report.outcome == attempt_outcome::failed;
+    if (mayStillRun) {
         m_lingering.push_back({slot.id, slot.request.team, now + slot.request.maxRun});
     } else {
         const bool ran = report.outcome == attempt_outcome::complete;
--- a/src/state/request_ledger.cpp
+++ b/src/state/request_ledger.cpp
@@ -73,6 +73,12 @@
         const auto outcome = m_committer.submit(
             {key, write->expectedRevision, {}, encodeLedgerRecord(write->record), *lease},
             deadline);
+        if (!outcome && outcome.error().kind == error_kind::unknown_entity) {
+            // The store has lost this lease or that of another write of the batch; it rejects the
+            // whole batch for either.
+            dropLease(*lease);
+            continue;
+        }
         if (!outcome) {
             // The committer has repeated the write until the deadline.
             maybeSent = maybeSent || outcome.error().kind == error_kind::outcome_unknown;
@@ -85,11 +91,6 @@
             continue;
         }
         const store_revision present = outcome->current ? outcome->current->modRevision : 0;
-        if (present == write->expectedRevision) {
-            // The condition held, so the store has lost the lease.
-            dropLease(*lease);
-            continue;
-        }
         std::optional<found_record> current;
         if (outcome->current) {
             auto record = decodeLedgerRecord(key, outcome->current->value);
