--- a/include/ibishinge/decision/routing.h
+++ b/include/ibishinge/decision/routing.h
@@ -85,8 +85,9 @@
 
 struct routing_options
 {
-    /// Number of random candidates of a data centre. Services have 8 to 12 targets: comparing all of
-    /// them has less than half the slot overruns of comparing two (docs/routing.md).(docs/routing.md compares 2, 3 and 10).
+    /// Number of random candidates of a data centre. Services have 8 to 12 targets: comparing all
+    /// of them has less than half the slot overruns of comparing two
+    /// (docs/routing.md).(docs/routing.md compares 2, 3 and 10).
     int candidates = 16;
     /// Half of a target's slots: below this a remote target is not worth the longer way.
     double remoteAdvantage = 4;
