Add the job table and placement

Transitions are a checked table; placement picks by shape, so that one failed search covers all equal jobs, and relieves a worker for urgent work by throttling, checkpointing and stopping, in that order.

--- /dev/null
+++ b/src/decision/placement.cpp
@@ -0,0 +1,544 @@
+#include <ibishinge/decision/placement.h>
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <random>
+#include <utility>
+
+namespace ibishinge {
+
+namespace {
+
+using action_list = std::vector<placement_action>;
+
+/// Jobs of one shape that are passed over in one tick because the only workers with room have
+/// failed them before.
+constexpr int maxPassedOver = 16;
+
+/// Urgent jobs for which room is made in one tick.
+constexpr int maxReliefs = 32;
+
+struct placement_pass
+{
+    pool_tables &tables;
+    wall_time now;
+    std::mt19937_64 random;
+    const placement_settings &settings;
+    action_list actions;
+    int starts = 0;
+};
+
+bool isHeldForOther(const worker_row &worker, const std::string &job, wall_time now)
+{
+    return !worker.heldFor.empty() && worker.heldUntil > now && worker.heldFor != job;
+}
+
+bool hasRoom(const placement_pass &pass, const worker_row &worker, const resources &need)
+{
+    return fits(need, pass.settings.safeguards.boundByWorkerSize ? worker.free : worker.capacity);
+}
+
+/// Returns the tightest fitting workers of one group, spread over racks.
+const worker_row *bestOfGroup(const placement_pass &pass, const job_row &job,
+                              const std::string &name, const resources &need, bool accelerators)
+{
+    const auto domains = pass.tables.queueDomains.find(job.record.queue);
+    const auto load = [&](const worker_row &worker) {
+        if (domains == pass.tables.queueDomains.end()) {
+            return 0;
+        }
+        const auto found = domains->second.find(worker.rack);
+        return found == domains->second.end() ? 0 : found->second;
+    };
+    const std::int64_t least =
+        pass.settings.safeguards.boundByWorkerSize ? need.processors : INT64_MIN;
+    const worker_row *best = nullptr;
+    int bestLoad = 0;
+    std::size_t candidates = 0;
+    for (auto it = pass.tables.byFree.lower_bound({accelerators, least, ""});
+         it != pass.tables.byFree.end() && std::get<0>(*it) == accelerators
+         && candidates < pass.settings.fitCandidates;
+         ++it) {
+        const auto &worker = pass.tables.workers.find(std::get<2>(*it))->second;
+        if (!isUsable(worker, pass.now) || !hasRoom(pass, worker, need)
+            || isHeldForOther(worker, name, pass.now) || job.failedOn.contains(worker.id)) {
+            continue;
+        }
+        ++candidates;
+        const int rackLoad = load(worker);
+        if (best == nullptr || rackLoad < bestLoad) {
+            best = &worker;
+            bestLoad = rackLoad;
+        }
+    }
+    return best;
+}
+
+/// Forgets where a job failed once no other worker could ever take it.
+void forgetIfUnavoidable(const placement_pass &pass, job_row &job, const resources &need)
+{
+    const bool canAvoid =
+        std::any_of(pass.tables.workers.begin(), pass.tables.workers.end(), [&](const auto &item) {
+            return isUsable(item.second, pass.now) && fits(need, item.second.capacity)
+                   && !job.failedOn.contains(item.first);
+        });
+    if (!canAvoid) {
+        job.failedOn.clear();
+    }
+}
+
+const worker_row *bestWorker(const placement_pass &pass, const job_row &job,
+                             const std::string &name, const resources &need)
+{
+    // Workers with accelerators are left to those who need them as long as another one has room.
+    if (need.accelerators == 0) {
+        if (const auto *plain = bestOfGroup(pass, job, name, need, false)) {
+            return plain;
+        }
+    }
+    return bestOfGroup(pass, job, name, need, true);
+}
+
+/// Takes the name by value, since the callers hold references into the index that this changes.
+void start(placement_pass &pass, std::string name, const worker_row &worker, const resources &need)
+{
+    const std::string id = worker.id;
+    auto &row = pass.tables.workers.find(id)->second;
+    if (row.heldFor == name) {
+        row.heldFor.clear();
+        pass.tables.heldWorkers.erase(id);
+    }
+    event_details details;
+    details.worker = id;
+    details.reserved = need;
+    if (applyEvent(pass.tables, name, job_event::place, pass.now, details)) {
+        pass.actions.push_back({placement_kind::start, std::move(name), id, need, {}});
+        ++pass.starts;
+    }
+}
+
+bool hasAllowance(const placement_pass &pass, const std::string &team)
+{
+    const auto found = pass.tables.teams.find(team);
+    return !pass.settings.safeguards.boundByTeamCap
+           || (found != pass.tables.teams.end() && found->second.active < found->second.cap);
+}
+
+/// Returns the team of the class that is furthest below its share, or nothing.
+std::optional<std::string> nextTeam(const placement_pass &pass, bool normalClass)
+{
+    std::optional<std::string> best;
+    double lowest = std::numeric_limits<double>::infinity();
+    for (auto it = pass.tables.openShapes.lower_bound({normalClass, ""});
+         it != pass.tables.openShapes.end() && it->first.first == normalClass; ++it) {
+        const auto &team = it->first.second;
+        if (!hasAllowance(pass, team)) {
+            continue;
+        }
+        const auto row = pass.tables.teams.find(team);
+        const double share = row == pass.tables.teams.end()
+                                 ? 0
+                                 : static_cast<double>(row->second.processors) / row->second.weight;
+        if (share < lowest) {
+            lowest = share;
+            best = team;
+        }
+    }
+    return best;
+}
+
+/// Tries the oldest shape of a team; blocks it if no worker has room.
+void placeFromTeam(placement_pass &pass, const std::string &team, bool normalClass)
+{
+    const job_shape shape = pass.tables.openShapes[{normalClass, team}].begin()->second;
+    auto &row = pass.tables.shapes.find(shape)->second;
+    int passedOver = 0;
+    row.blockedByAvoidance = true;
+    for (const auto &[submitted, name] : row.jobs) {
+        auto &job = pass.tables.jobs.find(name)->second;
+        const auto need = correctedSize(pass.tables, job.record, pass.settings);
+        if (!job.failedOn.empty()) {
+            forgetIfUnavoidable(pass, job, need);
+        }
+        if (const auto *worker = bestWorker(pass, job, name, need)) {
+            start(pass, name, *worker, need);
+            return;
+        }
+        if (job.failedOn.empty()) {
+            row.blockedByAvoidance = false;
+            break;
+        }
+        if (++passedOver == maxPassedOver) {
+            break;
+        }
+    }
+    setBlocked(pass.tables, shape, true);
+}
+
+/// The behaviour without `skipBlockedShapes`: while the team's oldest shape is blocked, its other
+/// shapes wait as well.
+void blockTeamBehindHead(placement_pass &pass, const std::string &team, bool normalClass)
+{
+    const auto open = pass.tables.openShapes.find({normalClass, team});
+    if (open == pass.tables.openShapes.end()) {
+        return;
+    }
+    const auto oldest = open->second.begin()->first;
+    const auto &blocked = pass.tables.blockedShapes;
+    const bool isBehind = std::any_of(blocked.begin(), blocked.end(), [&](const auto &shape) {
+        return shape.team == team && *pass.tables.shapes.at(shape).jobs.begin() < oldest;
+    });
+    if (!isBehind) {
+        return;
+    }
+    const auto behind = open->second;
+    for (const auto &[head, shape] : behind) {
+        setBlocked(pass.tables, shape, true);
+    }
+}
+
+void placeClass(placement_pass &pass, bool normalClass)
+{
+    while (pass.starts < pass.settings.maxStartsPerTick) {
+        const auto team = nextTeam(pass, normalClass);
+        if (!team) {
+            return;
+        }
+        placeFromTeam(pass, *team, normalClass);
+        if (!pass.settings.safeguards.skipBlockedShapes) {
+            blockTeamBehindHead(pass, *team, normalClass);
+        }
+    }
+}
+
+void refuseMisfits(placement_pass &pass)
+{
+    if (!pass.tables.isPoolKnown || pass.tables.capacities.empty()) {
+        return;
+    }
+    for (const auto &shape : std::exchange(pass.tables.uncheckedShapes, {})) {
+        const bool fitsOne =
+            std::any_of(pass.tables.capacities.begin(), pass.tables.capacities.end(),
+                        [&](const auto &capacity) { return fits(shape.declared, capacity.first); });
+        if (fitsOne) {
+            continue;
+        }
+        const auto jobs = pass.tables.shapes.at(shape).jobs;
+        const std::string reason = "fits no worker of the pool: needs "
+                                   + std::to_string(shape.declared.processors) + " processors, "
+                                   + std::to_string(shape.declared.memoryMb) + " MB and "
+                                   + std::to_string(shape.declared.accelerators) + " accelerators";
+        for (const auto &[submitted, name] : jobs) {
+            event_details details;
+            details.reason = reason;
+            if (applyEvent(pass.tables, name, job_event::fail, pass.now, details)) {
+                pass.actions.push_back({placement_kind::refuse, name, "", {}, reason});
+            }
+        }
+    }
+}
+
+void endExpired(placement_pass &pass)
+{
+    auto &tables = pass.tables;
+    while (!tables.delayed.empty() && tables.delayed.begin()->first <= pass.now) {
+        const auto [time, name] = *tables.delayed.begin();
+        tables.delayed.erase(tables.delayed.begin());
+        auto &job = tables.jobs.at(name);
+        const auto record = job.record;
+        const auto revision = job.revision;
+        job.revision = -1;
+        putJob(tables, record, revision, pass.now);
+    }
+    for (auto it = tables.heldWorkers.begin(); it != tables.heldWorkers.end();) {
+        auto &worker = tables.workers.at(*it);
+        if (worker.heldUntil > pass.now && tables.jobs.contains(worker.heldFor)
+            && tables.jobs.at(worker.heldFor).record.state == job_state::waiting) {
+            ++it;
+            continue;
+        }
+        worker.heldFor.clear();
+        tables.grownWorkers.insert(*it);
+        it = tables.heldWorkers.erase(it);
+    }
+    for (auto it = tables.setAsideWorkers.begin(); it != tables.setAsideWorkers.end();) {
+        auto &worker = tables.workers.at(*it);
+        if (worker.setAsideUntil.value_or(pass.now) > pass.now) {
+            ++it;
+            continue;
+        }
+        worker.setAsideUntil.reset();
+        worker.successes = 0;
+        worker.failedJobs.clear();
+        tables.grownWorkers.insert(*it);
+        it = tables.setAsideWorkers.erase(it);
+    }
+}
+
+void unblockShapes(placement_pass &pass)
+{
+    auto &tables = pass.tables;
+    std::vector<const worker_row *> grown;
+    resources most {INT64_MIN, INT64_MIN, INT64_MIN};
+    for (const auto &id : std::exchange(tables.grownWorkers, {})) {
+        const auto &worker = tables.workers.at(id);
+        if (isUsable(worker, pass.now)) {
+            grown.push_back(&worker);
+            most = {std::max(most.processors, worker.free.processors),
+                    std::max(most.memoryMb, worker.free.memoryMb),
+                    std::max(most.accelerators, worker.free.accelerators)};
+        }
+    }
+    if (grown.empty()) {
+        return;
+    }
+    std::vector<job_shape> open;
+    for (const auto &shape : tables.blockedShapes) {
+        const auto &name = tables.shapes.at(shape).jobs.begin()->second;
+        const auto need = correctedSize(tables, tables.jobs.at(name).record, pass.settings);
+        if (fits(need, most) && std::any_of(grown.begin(), grown.end(), [&](const auto *worker) {
+                return fits(need, worker->free);
+            })) {
+            open.push_back(shape);
+        }
+    }
+    for (const auto &shape : open) {
+        setBlocked(tables, shape, false);
+    }
+}
+
+/// What would make room for an urgent job on one worker.
+struct relief_plan
+{
+    placement_kind kind = placement_kind::throttle;
+    std::string worker;
+    std::vector<std::string> jobs;
+    double cost = std::numeric_limits<double>::infinity();
+};
+
+resources halved(const resources &full)
+{
+    return {(full.processors + 1) / 2, full.memoryMb, full.accelerators};
+}
+
+double lossOf(const job_row &job, wall_time now)
+{
+    const std::chrono::duration<double> ran = now - job.startedAt;
+    return ran.count() * static_cast<double>(job.record.reserved.processors);
+}
+
+std::optional<relief_plan> planThrottle(const placement_pass &pass, const worker_row &worker,
+                                        const resources &need)
+{
+    relief_plan plan {placement_kind::throttle, worker.id, {}, 0};
+    resources room = worker.free;
+    for (const auto &name : worker.jobs) {
+        if (fits(need, room)) {
+            break;
+        }
+        const auto &job = pass.tables.jobs.at(name);
+        if (job.record.workClass == work_class::urgent || job.throttledFrom
+            || job.record.state != job_state::running || job.record.reserved.processors < 2) {
+            continue;
+        }
+        room.processors += job.record.reserved.processors - halved(job.record.reserved).processors;
+        plan.jobs.push_back(name);
+        plan.cost += 1;
+    }
+    return fits(need, room) ? std::optional(plan) : std::nullopt;
+}
+
+std::optional<relief_plan> planCheckpoint(const placement_pass &pass, const worker_row &worker,
+                                          const resources &need)
+{
+    relief_plan plan {placement_kind::checkpoint, worker.id, {}, 0};
+    std::vector<std::pair<double, std::string>> victims;
+    resources room = worker.free;
+    for (const auto &name : worker.jobs) {
+        const auto &job = pass.tables.jobs.at(name);
+        if (job.record.workClass == work_class::urgent || !job.record.repeatable) {
+            continue;
+        }
+        if (job.record.state == job_state::checkpointing) {
+            room += job.record.reserved;
+        } else if (job.record.state == job_state::running) {
+            victims.emplace_back(lossOf(job, pass.now), name);
+        }
+    }
+    std::sort(victims.begin(), victims.end());
+    for (const auto &[loss, name] : victims) {
+        if (fits(need, room)) {
+            break;
+        }
+        const auto &reserved = pass.tables.jobs.at(name).record.reserved;
+        room += reserved;
+        plan.jobs.push_back(name);
+        plan.cost += loss;
+    }
+    return fits(need, room) ? std::optional(plan) : std::nullopt;
+}
+
+/// Returns the cheapest plan of the mildest kind over a sample of the workers.
+std::optional<relief_plan> planRelief(placement_pass &pass, const std::string &job,
+                                      const resources &need)
+{
+    std::optional<relief_plan> bestThrottle;
+    std::optional<relief_plan> bestCheckpoint;
+    auto &workers = pass.tables.workers;
+    auto it = workers.begin();
+    if (workers.size() > pass.settings.reliefCandidates) {
+        // A random start spreads the relief over the pool; a full scan would cost as much as the
+        // pool is large for each urgent job.
+        const auto offset = pass.random() % workers.size();
+        it = std::next(workers.begin(), static_cast<std::ptrdiff_t>(offset));
+    }
+    const std::size_t count = std::min(workers.size(), pass.settings.reliefCandidates);
+    for (std::size_t seen = 0; seen < count; ++seen, ++it) {
+        it = it == workers.end() ? workers.begin() : it;
+        const auto &worker = it->second;
+        if (!isUsable(worker, pass.now) || !fits(need, worker.capacity)
+            || isHeldForOther(worker, job, pass.now)) {
+            continue;
+        }
+        const auto keep = [](std::optional<relief_plan> &best, std::optional<relief_plan> plan) {
+            if (plan && (!best || plan->cost < best->cost)) {
+                best = std::move(plan);
+            }
+        };
+        keep(bestThrottle, planThrottle(pass, worker, need));
+        if (!bestThrottle) {
+            keep(bestCheckpoint, planCheckpoint(pass, worker, need));
+        }
+    }
+    return bestThrottle ? bestThrottle : bestCheckpoint;
+}
+
+void carryOut(placement_pass &pass, const std::string &urgent, const relief_plan &plan)
+{
+    auto &worker = pass.tables.workers.at(plan.worker);
+    worker.heldFor = urgent;
+    worker.heldUntil = pass.now + pass.settings.holdTime;
+    pass.tables.heldWorkers.insert(plan.worker);
+    for (const auto &name : plan.jobs) {
+        auto &job = pass.tables.jobs.at(name);
+        if (plan.kind == placement_kind::throttle) {
+            job.throttledFrom = job.record.reserved;
+            const auto reserved = halved(job.record.reserved);
+            changeReservation(pass.tables, name, reserved);
+            pass.tables.throttledJobs.insert(name);
+            pass.actions.push_back({placement_kind::throttle, name, plan.worker, reserved, {}});
+        } else if (applyEvent(pass.tables, name, job_event::checkpoint, pass.now)) {
+            pass.actions.push_back(
+                {placement_kind::checkpoint, name, plan.worker, job.record.reserved, {}});
+        }
+    }
+}
+
+/// Stops what has not finished its checkpoint in time at the workers held for an urgent job.
+void stopSlowCheckpoints(placement_pass &pass, const std::string &urgent)
+{
+    for (const auto &id : pass.tables.heldWorkers) {
+        const auto &worker = pass.tables.workers.at(id);
+        if (worker.heldFor != urgent) {
+            continue;
+        }
+        for (const auto &name : worker.jobs) {
+            const auto &job = pass.tables.jobs.at(name);
+            if (job.record.state == job_state::checkpointing
+                && pass.now - job.record.changedAt >= pass.settings.reliefStep) {
+                pass.actions.push_back({placement_kind::stop, name, id, job.record.reserved, {}});
+            }
+        }
+    }
+}
+
+void relieve(placement_pass &pass)
+{
+    if (!pass.settings.safeguards.relieveForUrgent) {
+        return;
+    }
+    std::vector<std::string> pressed;
+    for (const auto &shape : pass.tables.blockedShapes) {
+        if (shape.normalClass || pressed.size() >= maxReliefs) {
+            break; // Urgent shapes sort first.
+        }
+        if (!hasAllowance(pass, shape.team)) {
+            continue;
+        }
+        for (const auto &[submitted, name] : pass.tables.shapes.at(shape).jobs) {
+            if (pressed.size() < maxReliefs) {
+                pressed.push_back(name);
+            }
+        }
+    }
+    for (const auto &name : pressed) {
+        auto &job = pass.tables.jobs.at(name);
+        if (!hasAllowance(pass, job.record.team)) {
+            continue;
+        }
+        const auto need = correctedSize(pass.tables, job.record, pass.settings);
+        const bool isHeld =
+            std::any_of(pass.tables.heldWorkers.begin(), pass.tables.heldWorkers.end(),
+                        [&](const auto &id) { return pass.tables.workers.at(id).heldFor == name; });
+        if (!isHeld) {
+            if (const auto plan = planRelief(pass, name, need)) {
+                job.reliefSince = job.reliefSince.value_or(pass.now);
+                carryOut(pass, name, *plan);
+            }
+        } else {
+            stopSlowCheckpoints(pass, name);
+        }
+        // Throttling makes room at once.
+        if (const auto *worker = bestWorker(pass, job, name, need)) {
+            start(pass, name, *worker, need);
+        }
+    }
+}
+
+void endThrottling(placement_pass &pass)
+{
+    for (auto it = pass.tables.throttledJobs.begin(); it != pass.tables.throttledJobs.end();) {
+        const std::string name = *it;
+        auto &job = pass.tables.jobs.at(name);
+        const auto worker = pass.tables.workers.find(job.record.worker);
+        if (worker == pass.tables.workers.end() || !worker->second.heldFor.empty()) {
+            ++it;
+            continue;
+        }
+        const auto full = job.throttledFrom.value_or(job.record.reserved);
+        resources room = worker->second.free;
+        room += job.record.reserved;
+        if (!fits(full, room)) {
+            ++it;
+            continue;
+        }
+        changeReservation(pass.tables, name, full);
+        job.throttledFrom.reset();
+        pass.actions.push_back({placement_kind::unthrottle, name, worker->first, full, {}});
+        it = pass.tables.throttledJobs.erase(it);
+    }
+}
+
+} // namespace
+
+bool isUsable(const worker_row &worker, wall_time now) noexcept
+{
+    return worker.accepting && (!worker.setAsideUntil || *worker.setAsideUntil <= now);
+}
+
+std::vector<placement_action> placeJobs(pool_tables &tables, wall_time now, std::uint64_t seed,
+                                        const placement_settings &settings)
+{
+    placement_pass pass {tables, now, std::mt19937_64(seed), settings, {}, 0};
+    endExpired(pass);
+    refuseMisfits(pass);
+    endThrottling(pass);
+    unblockShapes(pass);
+    placeClass(pass, false);
+    relieve(pass);
+    placeClass(pass, true);
+    return std::move(pass.actions);
+}
+
+} // namespace ibishinge
