--- a/include/ibishinge/decision/job_table.h
+++ b/include/ibishinge/decision/job_table.h
@@ -24,7 +24,8 @@
     std::int64_t memoryMb = 0;
     std::int64_t accelerators = 0;
 
-    friend auto operator<=>(const resources &, const resources &) = default;
+    friend auto operator<=>(const resources &,
+                            const resources &) = default; // NOLINT(modernize-use-nullptr)
     resources &operator+=(const resources &other) noexcept;
     resources &operator-=(const resources &other) noexcept;
 };
@@ -161,7 +162,8 @@
     std::string queue;
     resources declared;
 
-    friend auto operator<=>(const job_shape &, const job_shape &) = default;
+    friend auto operator<=>(const job_shape &,
+                            const job_shape &) = default; // NOLINT(modernize-use-nullptr)
 };
 
 struct shape_row
