--- a/include/ibishinge/decision/job_table.h
+++ b/include/ibishinge/decision/job_table.h
@@ -151,9 +151,16 @@
     double weight = 1;
     int cap = 0; ///< active jobs that this pool may have of the team
     int active = 0;
+    int waiting = 0; ///< including those in back-off
     std::int64_t processors = 0; ///< reserved by its active jobs
 };
 
+struct queue_row
+{
+    std::int64_t cap = 0; ///< active jobs that the queue may have
+    std::int64_t active = 0;
+};
+
 /// Jobs that placement treats alike. One failed search then covers all of them.
 struct job_shape
 {
@@ -217,6 +224,7 @@
     std::unordered_map<std::string, job_row> jobs; ///< by `jobName`
     std::map<std::string, worker_row> workers;
     std::map<std::string, team_row> teams;
+    std::map<std::string, queue_row> queues; ///< a queue that is missing has no bound
     std::map<std::pair<std::string, std::string>, size_correction> corrections; ///< queue, team
 
     // Indexes.
@@ -226,6 +234,7 @@
     std::set<std::tuple<bool, std::int64_t, std::string>> byFree;
     std::map<resources, int> capacities; ///< number of workers of each size
     std::set<std::string> grownWorkers; ///< gained room since the last placement
+    std::set<std::string> grownQueues; ///< fell below their cap since the last placement
     std::set<job_shape> uncheckedShapes; ///< whose fit to the pool's workers is to be checked
     /// Shapes that are not blocked, by (normal class, team), the oldest first.
     std::map<std::pair<bool, std::string>,
@@ -276,6 +285,9 @@
 /// Sets a team's weight and cap. A raised cap makes its jobs candidates again by itself.
 void setTeam(pool_tables &tables, const std::string &team, double weight, int cap);
 
+/// Sets a queue's bound of active jobs.
+void setQueue(pool_tables &tables, const std::string &queue, std::int64_t cap);
+
 /// Returns the amounts to reserve for a job by what is known of its queue and team.
 [[nodiscard]] resources correctedSize(const pool_tables &tables, const job_record &record,
                                       const placement_settings &settings);
--- a/include/ibishinge/state/allowance_manager.h
+++ b/include/ibishinge/state/allowance_manager.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -52,6 +53,13 @@
     /// Returns the unit of a successful `tryStart`.
     void finished(const std::string &team);
 
+    /// Sets what is running, for a holder whose use is known from records instead of its own starts.
+    void setRunning(const std::string &team, int running);
+
+    /// Makes all later writes depend on another key's revision. For a durable holder, whose grants
+    /// an earlier owner must not change any more.
+    void setGuard(write_guard guard);
+
     /// Sets how many requests of the team wait in this process.
     void setQueued(const std::string &team, int queued);
 
@@ -88,6 +96,7 @@
     death_proofs m_proofs;
     std::int64_t m_limitVersion = 0;
     bool m_stopping = false;
+    std::optional<write_guard> m_guard;
 };
 
 } // namespace ibishinge
--- a/include/ibishinge/state/job_record.h
+++ b/include/ibishinge/state/job_record.h
@@ -28,7 +28,7 @@
 [[nodiscard]] std::string jobKey(std::string_view pool, std::string_view name);
 
 enum class job_note : std::uint8_t {
-    submitted, ///< the value is the record as created
+    submitted, ///< written before the record; the value is the time in ms since 1970-01-01 UTC
     cancel, ///< the job shall be cancelled; the value is "{}"
 };
 
--- a/src/decision/job_table.cpp
+++ b/src/decision/job_table.cpp
@@ -135,6 +135,12 @@
     auto &team = tables.teams[record.team];
     team.active += add ? 1 : -1;
     team.processors += add ? record.reserved.processors : -record.reserved.processors;
+    if (const auto queue = tables.queues.find(record.queue); queue != tables.queues.end()) {
+        queue->second.active += add ? 1 : -1;
+        if (!add && queue->second.active < queue->second.cap) {
+            tables.grownQueues.insert(record.queue);
+        }
+    }
     const auto worker = tables.workers.find(record.worker);
     if (worker == tables.workers.end()) {
         return;
@@ -155,6 +161,7 @@
            wall_time now)
 {
     if (record.state == waiting) {
+        tables.teams[record.team].waiting += add ? 1 : -1;
         if (add) {
             indexWaiting(tables, record, name, now);
         } else {
@@ -481,6 +488,21 @@
     row.cap = cap;
 }
 
+void setQueue(pool_tables &tables, const std::string &queue, std::int64_t cap)
+{
+    const auto [row, isNew] = tables.queues.try_emplace(queue);
+    if (isNew) {
+        for (const auto &[name, job] : tables.jobs) {
+            const bool counts = job.record.queue == queue && isActive(job.record.state);
+            row->second.active += counts ? 1 : 0;
+        }
+    }
+    if (cap > row->second.cap) {
+        tables.grownQueues.insert(queue);
+    }
+    row->second.cap = cap;
+}
+
 resources correctedSize(const pool_tables &tables, const job_record &record,
                         const placement_settings &settings)
 {
--- a/src/decision/placement.cpp
+++ b/src/decision/placement.cpp
@@ -125,6 +125,12 @@
            || (found != pass.tables.teams.end() && found->second.active < found->second.cap);
 }
 
+bool isBelowQueueCap(const placement_pass &pass, const std::string &queue)
+{
+    const auto found = pass.tables.queues.find(queue);
+    return found == pass.tables.queues.end() || found->second.active < found->second.cap;
+}
+
 /// Returns the team of the class that is furthest below its share, or nothing.
 std::optional<std::string> nextTeam(const placement_pass &pass, bool normalClass)
 {
@@ -152,6 +158,10 @@
 void placeFromTeam(placement_pass &pass, const std::string &team, bool normalClass)
 {
     const job_shape shape = pass.tables.openShapes[{normalClass, team}].begin()->second;
+    if (!isBelowQueueCap(pass, shape.queue)) {
+        setBlocked(pass.tables, shape, true);
+        return;
+    }
     auto &row = pass.tables.shapes.find(shape)->second;
     int passedOver = 0;
     row.blockedByAvoidance = true;
@@ -290,11 +300,16 @@
                     std::max(most.accelerators, worker.free.accelerators)};
         }
     }
-    if (grown.empty()) {
+    const auto grownQueues = std::exchange(tables.grownQueues, {});
+    if (grown.empty() && grownQueues.empty()) {
         return;
     }
     std::vector<job_shape> open;
     for (const auto &shape : tables.blockedShapes) {
+        if (grownQueues.contains(shape.queue)) {
+            open.push_back(shape);
+            continue;
+        }
         const auto &name = tables.shapes.at(shape).jobs.begin()->second;
         const auto need = correctedSize(tables, tables.jobs.at(name).record, pass.settings);
         if (fits(need, most) && std::any_of(grown.begin(), grown.end(), [&](const auto *worker) {
@@ -463,7 +478,7 @@
         if (shape.normalClass || pressed.size() >= maxReliefs) {
             break; // Urgent shapes sort first.
         }
-        if (!hasAllowance(pass, shape.team)) {
+        if (!hasAllowance(pass, shape.team) || !isBelowQueueCap(pass, shape.queue)) {
             continue;
         }
         for (const auto &[submitted, name] : pass.tables.shapes.at(shape).jobs) {
@@ -474,7 +489,7 @@
     }
     for (const auto &name : pressed) {
         auto &job = pass.tables.jobs.at(name);
-        if (!hasAllowance(pass, job.record.team)) {
+        if (!hasAllowance(pass, job.record.team) || !isBelowQueueCap(pass, job.record.queue)) {
             continue;
         }
         const auto need = correctedSize(pass.tables, job.record, pass.settings);
--- a/src/outside/http_worker_client.cpp
+++ b/src/outside/http_worker_client.cpp
@@ -102,7 +102,9 @@
     result<start_reply> start(const endpoint &worker, const task_start &task,
                               std::chrono::milliseconds timeout) override
     {
-        const auto answer = call(worker, "/v1/start", ibishinge::toJson(task), timeout);
+        // On a fresh connection nothing is sent twice, so that a refusal is final.
+        const auto answer =
+            call(worker, "/v1/start", ibishinge::toJson(task), timeout, connection_use::fresh);
         if (!answer) {
             return tl::unexpected(answer.error());
         }
@@ -153,17 +155,17 @@
         return makeError(error_kind::target_failed, toString(worker), "malformed answer");
     }
 
+    /// All calls but the start can be repeated without harm.
     result<json> call(const endpoint &worker, const char *path, const json &body,
-                      std::chrono::milliseconds timeout)
+                      std::chrono::milliseconds timeout,
+                      connection_use use = connection_use::reuse_allowed)
     {
         http_request request;
         request.method = "POST";
         request.path = path;
         request.headers = {{"Content-Type", "application/json"}};
         request.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
-        // All calls can be repeated without harm, so libcurl may repeat them on a new connection.
-        const auto response =
-            m_client.send(worker, request, timeout, connection_use::reuse_allowed);
+        const auto response = m_client.send(worker, request, timeout, use);
         if (!response) {
             return tl::unexpected(response.error());
         }
--- a/src/state/allowance_manager.cpp
+++ b/src/state/allowance_manager.cpp
@@ -67,6 +67,21 @@
     }
 }
 
+void allowance_manager::setRunning(const std::string &team, int running)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_teams.find(team);
+    if (found != m_teams.end()) {
+        found->second.running = running;
+    }
+}
+
+void allowance_manager::setGuard(write_guard guard)
+{
+    const std::lock_guard lock(m_mutex);
+    m_guard = std::move(guard);
+}
+
 void allowance_manager::setQueued(const std::string &team, int queued)
 {
     const std::lock_guard lock(m_mutex);
@@ -132,6 +147,7 @@
         conditional_write write;
         write.key = std::string(allowancePrefix) + team;
         write.value = encodeAllowance(*next);
+        write.guard = m_guard;
         beginWrite(holder, std::move(*next));
         if (m_settings.safeguards.conditionalWrites) {
             write.expectedRevision = holder.pending->expectedRevision;
