--- a/tests/worker_client_test.cpp
+++ b/tests/worker_client_test.cpp
@@ -291,6 +291,7 @@
     {
         for (const char *body :
              {"", "[]", "{}", R"({"incarnation":"w","capacity":{},"others":{},"leaving":false})",
+              // NOLINTNEXTLINE(bugprone-suspicious-missing-comma): one literal over three lines.
               R"({"incarnation":"w","capacity":{"processors":1,"memory_mb":1,"accelerators":1},)"
               R"("others":{"processors":1,"memory_mb":1,"accelerators":1},"leaving":false,)"
               R"("tasks":[{"task":{"pool":"p","job":"q/a","attempt":1},"phase":"odd"}]})"}) {
