Decide planned stops within the availability budgets

One record holds all stops. A stop is admitted only if every budget of its host stays intact, counting losses and the stops of all planners; a loss that breaks a budget revokes stops that have not been reached.

--- /dev/null
+++ b/src/decision/maintenance.cpp
@@ -0,0 +1,808 @@
+#include <ibishinge/decision/maintenance.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+
+namespace ibishinge {
+
+namespace {
+
+/// Pools that no wave lists are maintained last, one host at a time.
+const wave_entry &unlistedWave()
+{
+    static const wave_entry wave {
+        "unlisted", "", work_class::normal, std::numeric_limits<std::int64_t>::max(), 1, {}};
+    return wave;
+}
+
+bool isActive(const planned_stop &stop) noexcept
+{
+    return stop.state != stop_state::returned;
+}
+
+const planned_stop *activeStop(const stops_record &record, const std::string &host)
+{
+    const auto found = record.stops.find(host);
+    return found != record.stops.end() && isActive(found->second) ? &found->second : nullptr;
+}
+
+std::int64_t allowedBy(const availability_budget &budget, std::int64_t total) noexcept
+{
+    return budget.minAvailable ? total - *budget.minAvailable : budget.maxUnavailable.value_or(0);
+}
+
+/// Pool in whose budgets the host counts.
+const std::string &budgetPool(const stops_record &record, const host_view &host,
+                              const maintenance_safeguards &safeguards)
+{
+    const planned_stop *stop = activeStop(record, host.id);
+    return safeguards.moveThroughRecord && stop != nullptr && stop->reason == stop_reason::move
+               ? stop->pool
+               : host.pool;
+}
+
+/// Collects the accounts by label while a budget table is filled.
+class table_builder
+{
+public:
+    explicit table_builder(budget_table &table)
+        : m_table(table)
+    {
+    }
+    void add(std::size_t host, const std::string &label, std::int64_t weight,
+             const availability_budget *budget)
+    {
+        const auto [found, isNew] = m_positions.emplace(label, m_table.accounts.size());
+        if (isNew) {
+            m_table.accounts.push_back({label, 0, 0, 0});
+            m_budgets.push_back(budget);
+        }
+        auto &account = m_table.accounts[found->second];
+        account.total += weight;
+        account.unavailable += m_table.unavailable[host] ? weight : 0;
+        m_table.sharesOf[host].push_back({found->second, weight});
+    }
+    void setPoolBounds()
+    {
+        for (std::size_t i = 0; i < m_budgets.size(); ++i) {
+            auto &account = m_table.accounts[i];
+            if (m_budgets[i] != nullptr) {
+                account.allowed = allowedBy(*m_budgets[i], account.total);
+            }
+        }
+    }
+    void setServiceBound(const service_entry &service, std::int64_t inUse)
+    {
+        if (const auto found = m_positions.find("service " + service.name);
+            found != m_positions.end()) {
+            auto &account = m_table.accounts[found->second];
+            account.allowed =
+                account.total - std::max<std::int64_t>(1, service.minIdleSlots + inUse);
+        }
+    }
+
+private:
+    budget_table &m_table;
+    std::unordered_map<std::string, std::size_t> m_positions;
+    std::vector<const availability_budget *> m_budgets;
+};
+
+void setUnavailable(budget_table &budgets, std::size_t host, bool unavailable)
+{
+    if (budgets.unavailable[host] == unavailable) {
+        return;
+    }
+    budgets.unavailable[host] = unavailable;
+    for (const auto &share : budgets.sharesOf[host]) {
+        budgets.accounts[share.account].unavailable += unavailable ? share.weight : -share.weight;
+    }
+}
+
+bool budgetsHold(const budget_table &budgets, std::size_t host) noexcept
+{
+    return std::all_of(budgets.sharesOf[host].begin(), budgets.sharesOf[host].end(),
+                       [&](const auto &share) {
+                           const auto &account = budgets.accounts[share.account];
+                           return account.unavailable <= account.allowed;
+                       });
+}
+
+/// True if the budget forbids the stop even with every other host available.
+const budget_account *neverAllows(const budget_table &budgets, std::size_t host) noexcept
+{
+    for (const auto &share : budgets.sharesOf[host]) {
+        const auto &account = budgets.accounts[share.account];
+        if (share.weight > account.allowed) {
+            return &account;
+        }
+    }
+    return nullptr;
+}
+
+using position_map = std::unordered_map<std::string_view, std::size_t>;
+
+position_map positionsOf(const maintenance_view &view)
+{
+    position_map positions;
+    positions.reserve(view.hosts.size());
+    for (std::size_t i = 0; i < view.hosts.size(); ++i) {
+        positions.emplace(view.hosts[i].id, i);
+    }
+    return positions;
+}
+
+/// Waves of the catalogue and the one of unlisted pools.
+class wave_index
+{
+public:
+    explicit wave_index(const catalogue &config)
+    {
+        for (const auto &wave : config.waves) {
+            for (const auto &pool : wave.pools) {
+                m_byPool.emplace(pool, &wave);
+            }
+        }
+    }
+    [[nodiscard]] const wave_entry &of(const std::string &pool) const
+    {
+        const auto found = m_byPool.find(pool);
+        return found == m_byPool.end() ? unlistedWave() : *found->second;
+    }
+
+private:
+    std::unordered_map<std::string_view, const wave_entry *> m_byPool;
+};
+
+wall_time deadlineOf(const host_view &host, const pool_entry *pool)
+{
+    return host.lastMaintenance && pool != nullptr
+               ? *host.lastMaintenance + pool->maintenanceInterval
+               : wall_time {};
+}
+
+bool isDue(const host_view &host, const pool_entry *pool, wall_time now,
+           const maintenance_settings &settings)
+{
+    if (pool == nullptr) {
+        return false;
+    }
+    const auto lead = std::chrono::duration_cast<std::chrono::seconds>(
+        std::chrono::duration<double>(pool->maintenanceInterval) * settings.leadShare);
+    return deadlineOf(host, pool) - lead <= now;
+}
+
+/// Racks of different data centres may have the same name.
+std::string rackKey(const failure_domains &domains)
+{
+    return domains.dataCentre + "/" + domains.rack;
+}
+
+wall_time endOfWork(const host_view &host, wall_time now) noexcept
+{
+    return host.runningWork == 0 ? now : std::max(now, host.workEndsAt);
+}
+
+/// A host that waits for maintenance.
+struct candidate
+{
+    std::size_t host = 0;
+    const wave_entry *wave = nullptr;
+    wall_time deadline;
+    bool pressing = false; ///< near its deadline
+    bool longWork = false;
+};
+
+/// Maintenance that remains to be done, as of one view.
+struct maintenance_agenda
+{
+    std::vector<candidate> candidates;
+    std::map<std::string, std::int64_t> active; ///< stops in progress, by wave
+    std::set<std::pair<std::string, std::string>> unproved; ///< wave and rack
+    std::map<std::int64_t, std::int64_t> openByOrder; ///< candidates and active stops
+};
+
+maintenance_agenda agendaOf(const stops_record &record, const maintenance_view &view,
+                            const budget_table &budgets, wall_time now,
+                            const maintenance_settings &settings)
+{
+    maintenance_agenda agenda;
+    const wave_index waves(*view.config);
+    std::unordered_map<std::string_view, const pool_entry *> pools;
+    for (const auto &pool : view.config->pools) {
+        pools.emplace(pool.name, &pool);
+    }
+    for (std::size_t i = 0; i < view.hosts.size(); ++i) {
+        const auto &host = view.hosts[i];
+        const auto known = pools.find(host.pool);
+        const pool_entry *pool = known == pools.end() ? nullptr : known->second;
+        const auto &wave = waves.of(host.pool);
+        const auto stop = record.stops.find(host.id);
+        if (stop != record.stops.end()) {
+            if (isActive(stop->second) && stop->second.reason == stop_reason::maintenance
+                && !stop->second.failed) {
+                ++agenda.active[stop->second.wave];
+                agenda.unproved.emplace(stop->second.wave, rackKey(host.domains));
+                ++agenda.openByOrder[wave.order];
+            }
+            continue;
+        }
+        if (host.condition != host_condition::live || host.drainRequested
+            || !isDue(host, pool, now, settings) || neverAllows(budgets, i) != nullptr) {
+            continue;
+        }
+        const wall_time deadline = deadlineOf(host, pool);
+        const bool pressing = host.lastMaintenance && deadline - settings.deadlineReserve <= now;
+        const bool longWork = endOfWork(host, now) > now + settings.maxDrain;
+        agenda.candidates.push_back({i, &wave, deadline, pressing, longWork});
+        ++agenda.openByOrder[wave.order];
+    }
+    return agenda;
+}
+
+bool isBehindEarlierWave(const maintenance_agenda &agenda, const candidate &c)
+{
+    return !c.pressing && !agenda.openByOrder.empty()
+           && agenda.openByOrder.begin()->first < c.wave->order;
+}
+
+bool isHalted(const stops_record &record, const std::string &wave,
+              const maintenance_settings &settings)
+{
+    const auto found = record.waves.find(wave);
+    return settings.safeguards.haltWaves && found != record.waves.end() && found->second.halted;
+}
+
+/// Number of stops at a time that the deadlines need, with the reserve.
+std::int64_t pacedStops(const std::vector<const candidate *> &byDeadline,
+                        const maintenance_view &view, wall_time now,
+                        const maintenance_settings &settings)
+{
+    using hours = std::chrono::duration<double, std::ratio<3600>>;
+    hours work {0};
+    double needed = 0;
+    for (const candidate *c : byDeadline) {
+        work += endOfWork(view.hosts[c->host], now) - now;
+        work += settings.rebootLimit;
+        const hours left = std::max<hours>(c->deadline - now, std::chrono::hours(1));
+        needed = std::max(needed, work / left);
+    }
+    return static_cast<std::int64_t>(std::ceil(needed * settings.paceReserve));
+}
+
+/// Limits of the waves in this tick.
+std::map<std::string, std::int64_t> waveLimits(const maintenance_agenda &agenda,
+                                               const maintenance_view &view, wall_time now,
+                                               const maintenance_settings &settings)
+{
+    std::map<std::string, std::int64_t> limits;
+    std::map<std::string, std::vector<const candidate *>> byWave;
+    for (const auto &c : agenda.candidates) {
+        limits[c.wave->name] = c.wave->concurrency;
+        byWave[c.wave->name].push_back(&c);
+    }
+    if (!settings.paced) {
+        return limits;
+    }
+    for (auto &[wave, candidates] : byWave) {
+        std::sort(candidates.begin(), candidates.end(),
+                  [](const auto *a, const auto *b) { return a->deadline < b->deadline; });
+        limits[wave] =
+            std::clamp<std::int64_t>(pacedStops(candidates, view, now, settings), 1, limits[wave]);
+    }
+    return limits;
+}
+
+/// Sorts so that hosts near their deadline come first, then data centre by data centre and rack by
+/// rack, those whose work ends soonest first.
+void sortCandidates(std::vector<candidate> &candidates, const maintenance_view &view, wall_time now)
+{
+    // A domain is as early as the mean end of work of its waiting hosts: a single idle host must
+    // not pull a rack of busy ones forward.
+    std::unordered_map<std::string, std::pair<double, double>> sums;
+    const auto ends = [&](const candidate &c) {
+        return std::chrono::duration<double>(endOfWork(view.hosts[c.host], now) - now).count();
+    };
+    const auto keys = [&](const candidate &c) {
+        const auto &domains = view.hosts[c.host].domains;
+        return std::pair("d" + domains.dataCentre, "r" + rackKey(domains));
+    };
+    for (const auto &c : candidates) {
+        const auto [dataCentre, rack] = keys(c);
+        for (const auto &key : {dataCentre, rack}) {
+            sums[key].first += ends(c);
+            sums[key].second += 1;
+        }
+    }
+    struct rank
+    {
+        bool waits = false;
+        std::int64_t order = 0;
+        bool longWork = false;
+        double dataCentreEnd = 0;
+        std::string dataCentre;
+        double rackEnd = 0;
+        std::string rack;
+        double end = 0;
+        std::string id;
+    };
+    std::vector<std::pair<rank, candidate>> ranked;
+    ranked.reserve(candidates.size());
+    for (const auto &c : candidates) {
+        const auto [dataCentre, rack] = keys(c);
+        const auto &d = sums[dataCentre];
+        const auto &r = sums[rack];
+        ranked.push_back({{!c.pressing, c.wave->order, c.longWork, d.first / d.second, dataCentre,
+                           r.first / r.second, rack, ends(c), view.hosts[c.host].id},
+                          c});
+    }
+    const auto tied = [](const rank &r) {
+        return std::tie(r.waits, r.order, r.longWork, r.dataCentreEnd, r.dataCentre, r.rackEnd,
+                        r.rack, r.end, r.id);
+    };
+    std::sort(ranked.begin(), ranked.end(),
+              [&](const auto &a, const auto &b) { return tied(a.first) < tied(b.first); });
+    for (std::size_t i = 0; i < ranked.size(); ++i) {
+        candidates[i] = ranked[i].second;
+    }
+}
+
+planned_stop newStop(const host_view &host, stop_reason reason, std::string_view planner,
+                     wall_time now)
+{
+    planned_stop stop;
+    stop.pool = host.pool;
+    stop.planner = planner;
+    stop.reason = reason;
+    stop.admittedAt = now;
+    return stop;
+}
+
+bool admitOne(stops_record &record, budget_table &budgets, const maintenance_view &view,
+              std::size_t position, planned_stop stop)
+{
+    const auto &host = view.hosts[position];
+    if (record.stops.contains(host.id) || host.condition != host_condition::live
+        || brokenBy(budgets, position) != nullptr) {
+        return false;
+    }
+    setUnavailable(budgets, position, true);
+    record.stops.emplace(host.id, std::move(stop));
+    return true;
+}
+
+void admitMaintenance(stops_record &record, budget_table &budgets, const maintenance_view &view,
+                      wall_time now, std::string_view planner, const maintenance_settings &settings)
+{
+    auto agenda = agendaOf(record, view, budgets, now, settings);
+    const auto limits = waveLimits(agenda, view, now, settings);
+    sortCandidates(agenda.candidates, view, now);
+    for (const auto &c : agenda.candidates) {
+        const auto &host = view.hosts[c.host];
+        const auto &wave = c.wave->name;
+        if (isHalted(record, wave, settings) || isBehindEarlierWave(agenda, c)
+            || (c.longWork && !c.pressing) || agenda.active[wave] >= limits.at(wave)
+            || (settings.safeguards.awaitHealthy
+                && agenda.unproved.contains({wave, rackKey(host.domains)}))) {
+            continue;
+        }
+        auto stop = newStop(host, stop_reason::maintenance, planner, now);
+        stop.wave = wave;
+        if (admitOne(record, budgets, view, c.host, std::move(stop))) {
+            ++agenda.active[wave];
+        }
+    }
+}
+
+/// True if the host has been healthy for long enough since its reboot.
+bool isProved(const host_view &host, const planned_stop &stop, wall_time now,
+              const maintenance_settings &settings)
+{
+    return host.condition == host_condition::live && host.healthySince
+           && *host.healthySince > stop.stoppedAt && *host.healthySince + settings.probation <= now;
+}
+
+bool mayReturn(const host_view &host, const planned_stop &stop, wall_time now,
+               const maintenance_settings &settings)
+{
+    switch (stop.reason) {
+    case stop_reason::maintenance:
+        return isProved(host, stop, now, settings);
+    case stop_reason::drain:
+        return !host.drainRequested && host.condition == host_condition::live;
+    case stop_reason::move:
+        return host.pool == stop.toPool;
+    }
+    return false;
+}
+
+void noteFailure(stops_record &record, planned_stop &stop, const maintenance_settings &settings)
+{
+    stop.failed = true;
+    auto &wave = record.waves[stop.wave];
+    ++wave.failed;
+    wave.halted = wave.halted || wave.failed > wave.returned / settings.returnedPerFailure;
+}
+
+void noteReturn(stops_record &record, planned_stop &stop, wall_time now)
+{
+    stop.state = stop_state::returned;
+    stop.returnedAt = now;
+    if (stop.reason == stop_reason::maintenance) {
+        ++record.waves[stop.wave].returned;
+    } else if (stop.reason == stop_reason::move) {
+        record.poolChanges[stop.pool] = {false, now};
+        record.poolChanges[stop.toPool] = {true, now};
+    }
+}
+
+/// Forgets the counts of waves whose round is over.
+void endWaves(stops_record &record, const maintenance_view &view, wall_time now,
+              const maintenance_settings &settings)
+{
+    const auto agenda = agendaOf(record, view, budgetsOf(record, view), now, settings);
+    std::set<std::string> open;
+    for (const auto &[host, stop] : record.stops) {
+        open.insert(stop.wave);
+    }
+    for (const auto &c : agenda.candidates) {
+        open.insert(c.wave->name);
+    }
+    std::erase_if(record.waves, [&](const auto &wave) {
+        return !wave.second.halted && !open.contains(wave.first);
+    });
+}
+
+} // namespace
+
+const std::string &domainAt(const failure_domains &domains, domain_level level) noexcept
+{
+    switch (level) {
+    case domain_level::rack:
+        return domains.rack;
+    case domain_level::data_centre:
+        return domains.dataCentre;
+    case domain_level::region:
+        break;
+    }
+    return domains.region;
+}
+
+std::string_view nameOf(host_condition condition) noexcept
+{
+    constexpr std::array<std::string_view, 4> names {"live", "leaving", "lost", "unknown"};
+    return names.at(static_cast<std::size_t>(condition));
+}
+
+std::string_view nameOf(stop_reason reason) noexcept
+{
+    constexpr std::array<std::string_view, 3> names {"maintenance", "drain", "move"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+std::string_view nameOf(stop_state state) noexcept
+{
+    constexpr std::array<std::string_view, 4> names {"admitted", "draining", "stopped", "returned"};
+    return names.at(static_cast<std::size_t>(state));
+}
+
+std::string_view nameOf(wait_reason reason) noexcept
+{
+    constexpr std::array<std::string_view, 16> names {"none",
+                                                      "unknown_host",
+                                                      "not_available",
+                                                      "not_due",
+                                                      "stale_view",
+                                                      "stop_admitted",
+                                                      "stop_draining",
+                                                      "stop_stopped",
+                                                      "reboot_failed",
+                                                      "earlier_wave",
+                                                      "wave_halted",
+                                                      "concurrency",
+                                                      "domain_not_healthy",
+                                                      "long_work",
+                                                      "budget",
+                                                      "budget_never_allows"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+budget_table budgetsOf(const stops_record &record, const maintenance_view &view,
+                       const maintenance_safeguards &safeguards)
+{
+    budget_table table;
+    table.sharesOf.resize(view.hosts.size());
+    table.unavailable.resize(view.hosts.size());
+    table_builder builder(table);
+    std::unordered_map<std::string_view, const pool_entry *> pools;
+    for (const auto &pool : view.config->pools) {
+        pools.emplace(pool.name, &pool);
+    }
+    for (std::size_t i = 0; i < view.hosts.size(); ++i) {
+        const auto &host = view.hosts[i];
+        const bool isLost = safeguards.countLosses && host.condition != host_condition::live;
+        table.unavailable[i] = isLost || activeStop(record, host.id) != nullptr;
+        for (const auto &service : host.services) {
+            builder.add(i, "service " + service.name, service.slots, nullptr);
+        }
+        const auto found = pools.find(budgetPool(record, host, safeguards));
+        if (found == pools.end()) {
+            continue;
+        }
+        const auto &pool = *found->second;
+        builder.add(i, "pool " + pool.name, 1, &pool.budget);
+        if (!safeguards.countDomains) {
+            continue;
+        }
+        for (const auto &domain : pool.domainBudgets) {
+            const std::string place = domain.level == domain_level::rack
+                                          ? rackKey(host.domains)
+                                          : domainAt(host.domains, domain.level);
+            builder.add(
+                i, "pool " + pool.name + ", " + std::string(nameOf(domain.level)) + " " + place, 1,
+                &domain.budget);
+        }
+    }
+    builder.setPoolBounds();
+    for (const auto &service : view.config->services) {
+        const auto used = view.slotsInUse.find(service.name);
+        builder.setServiceBound(service, used == view.slotsInUse.end() ? 0 : used->second);
+    }
+    return table;
+}
+
+const budget_account *brokenBy(const budget_table &budgets, std::size_t position) noexcept
+{
+    for (const auto &share : budgets.sharesOf[position]) {
+        const auto &account = budgets.accounts[share.account];
+        if (account.unavailable + share.weight > account.allowed) {
+            return &account;
+        }
+    }
+    return nullptr;
+}
+
+bool isFresh(const stops_record &record, const maintenance_view &view) noexcept
+{
+    return view.catalogueVersion >= record.catalogueVersion
+           && view.hostListVersion >= record.hostListVersion;
+}
+
+stops_record revokeStops(stops_record record, const maintenance_view &view,
+                         const maintenance_settings &settings)
+{
+    const auto positions = positionsOf(view);
+    std::vector<std::pair<wall_time, std::string>> revocable;
+    for (auto it = record.stops.begin(); it != record.stops.end();) {
+        const bool isPending = it->second.state < stop_state::stopped;
+        const auto found = positions.find(it->first);
+        const bool isGone = found == positions.end()
+                            || view.hosts[found->second].condition == host_condition::lost
+                            || view.hosts[found->second].condition == host_condition::unknown;
+        if (isPending && isGone) {
+            it = record.stops.erase(it);
+            continue;
+        }
+        if (isPending) {
+            revocable.emplace_back(it->second.admittedAt, it->first);
+        }
+        ++it;
+    }
+    if (!settings.safeguards.revokeOnLoss || revocable.empty()) {
+        return record;
+    }
+    auto budgets = budgetsOf(record, view, settings.safeguards);
+    std::sort(revocable.rbegin(), revocable.rend());
+    for (const auto &[time, id] : revocable) {
+        const std::size_t position = positions.at(id);
+        if (budgetsHold(budgets, position)) {
+            continue;
+        }
+        record.stops.erase(id);
+        setUnavailable(budgets, position, view.hosts[position].condition != host_condition::live);
+    }
+    return record;
+}
+
+stops_record advanceStops(stops_record record, const maintenance_view &view, wall_time now,
+                          const maintenance_settings &settings)
+{
+    const auto positions = positionsOf(view);
+    const auto budgets = budgetsOf(record, view, settings.safeguards);
+    for (auto it = record.stops.begin(); it != record.stops.end();) {
+        auto &[id, stop] = *it;
+        const auto found = positions.find(std::string_view(id));
+        if (found == positions.end()) {
+            // Without a host record there is nothing left to return.
+            it = record.stops.erase(it);
+            continue;
+        }
+        const auto &host = view.hosts[found->second];
+        switch (stop.state) {
+        case stop_state::admitted:
+            stop.state = stop_state::draining;
+            stop.drainingAt = now;
+            break;
+        case stop_state::draining: {
+            // A report from before the drain does not show work that was started in between.
+            const bool isDrained = host.runningWork == 0 && host.workAsOf > stop.drainingAt;
+            const bool allowed =
+                !settings.safeguards.revokeOnLoss || budgetsHold(budgets, found->second);
+            if ((isDrained || !settings.safeguards.awaitDrained) && allowed) {
+                stop.state = stop_state::stopped;
+                stop.stoppedAt = now;
+            }
+            break;
+        }
+        case stop_state::stopped:
+            if (mayReturn(host, stop, now, settings)) {
+                noteReturn(record, stop, now);
+            } else if (stop.reason == stop_reason::maintenance && !stop.failed
+                       && stop.stoppedAt + settings.rebootLimit < now) {
+                noteFailure(record, stop, settings);
+            }
+            break;
+        case stop_state::returned:
+            break;
+        }
+        const bool isNoted = stop.reason != stop_reason::maintenance
+                             || (host.lastMaintenance && *host.lastMaintenance >= stop.stoppedAt);
+        if (stop.state == stop_state::returned && isNoted) {
+            ++record.hostChanges;
+            it = record.stops.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    if (!record.waves.empty()) {
+        endWaves(record, view, now, settings);
+    }
+    return record;
+}
+
+stops_record admitStops(stops_record record, const maintenance_view &view, wall_time now,
+                        std::string_view planner, const std::vector<wanted_move> &moves,
+                        const maintenance_settings &settings)
+{
+    if (settings.safeguards.fenceViews && !isFresh(record, view)) {
+        return record;
+    }
+    auto budgets = budgetsOf(record, view, settings.safeguards);
+    for (std::size_t i = 0; i < view.hosts.size(); ++i) {
+        const auto &host = view.hosts[i];
+        if (host.drainRequested
+            && admitOne(record, budgets, view, i,
+                        newStop(host, stop_reason::drain, planner, now))) {
+            ++record.hostChanges;
+        }
+    }
+    if (!moves.empty()) {
+        const auto positions = positionsOf(view);
+        for (const auto &move : moves) {
+            const auto found = positions.find(std::string_view(move.host));
+            if (found == positions.end() || view.hosts[found->second].pool == move.toPool
+                || findPool(*view.config, move.toPool) == nullptr) {
+                continue;
+            }
+            auto stop = newStop(view.hosts[found->second], stop_reason::move, planner, now);
+            stop.toPool = move.toPool;
+            (void)admitOne(record, budgets, view, found->second, std::move(stop));
+        }
+    }
+    admitMaintenance(record, budgets, view, now, planner, settings);
+    return record;
+}
+
+stops_record nextStops(const stops_record &record, const maintenance_view &view, wall_time now,
+                       std::string_view planner, const std::vector<wanted_move> &moves,
+                       const maintenance_settings &settings)
+{
+    if (settings.safeguards.fenceViews && !isFresh(record, view)) {
+        return record;
+    }
+    auto next = revokeStops(record, view, settings);
+    next = advanceStops(std::move(next), view, now, settings);
+    next = admitStops(std::move(next), view, now, planner, moves, settings);
+    next.catalogueVersion = std::max(next.catalogueVersion, view.catalogueVersion);
+    next.hostListVersion = std::max(next.hostListVersion, view.hostListVersion);
+    return next;
+}
+
+stops_record resumeWave(stops_record record, std::string_view wave)
+{
+    if (const auto found = record.waves.find(std::string(wave)); found != record.waves.end()) {
+        found->second = {};
+    }
+    return record;
+}
+
+std::vector<std::string> hostsToCheckpoint(const stops_record &record, const maintenance_view &view,
+                                           wall_time now, const maintenance_settings &settings)
+{
+    std::vector<std::string> hosts;
+    for (const auto &host : view.hosts) {
+        const planned_stop *stop = activeStop(record, host.id);
+        if (stop != nullptr && stop->state == stop_state::draining && host.runningWork > 0
+            && stop->drainingAt + settings.maxDrain <= now) {
+            hosts.push_back(host.id);
+        }
+    }
+    return hosts;
+}
+
+wall_time deadlineOf(const host_view &host, const catalogue &config)
+{
+    return deadlineOf(host, findPool(config, host.pool));
+}
+
+wait_explanation explainWait(const stops_record &record, const maintenance_view &view,
+                             std::string_view host, wall_time now,
+                             const maintenance_settings &settings)
+{
+    const auto positions = positionsOf(view);
+    const auto known = positions.find(host);
+    if (known == positions.end()) {
+        return {wait_reason::unknown_host, std::string(host)};
+    }
+    const std::size_t position = known->second;
+    const auto &seen = view.hosts[position];
+    if (const planned_stop *stop = activeStop(record, seen.id)) {
+        if (stop->failed) {
+            return {wait_reason::reboot_failed, stop->wave};
+        }
+        constexpr std::array reasons {wait_reason::stop_admitted, wait_reason::stop_draining,
+                                      wait_reason::stop_stopped};
+        return {reasons.at(static_cast<std::size_t>(stop->state)),
+                std::string(nameOf(stop->reason))};
+    }
+    if (seen.condition != host_condition::live) {
+        return {wait_reason::not_available, std::string(nameOf(seen.condition))};
+    }
+    if (!isFresh(record, view)) {
+        return {wait_reason::stale_view, ""};
+    }
+    if (!isDue(seen, findPool(*view.config, seen.pool), now, settings)) {
+        return {wait_reason::not_due, ""};
+    }
+    const auto budgets = budgetsOf(record, view);
+    if (const auto *account = neverAllows(budgets, position)) {
+        return {wait_reason::budget_never_allows, account->label};
+    }
+    const auto agenda = agendaOf(record, view, budgets, now, settings);
+    const auto found = std::find_if(agenda.candidates.begin(), agenda.candidates.end(),
+                                    [&](const candidate &c) { return c.host == position; });
+    if (found == agenda.candidates.end()) {
+        return {};
+    }
+    const auto &wave = found->wave->name;
+    const auto active = agenda.active.find(wave);
+    if (isHalted(record, wave, settings)) {
+        return {wait_reason::wave_halted, wave};
+    }
+    if (isBehindEarlierWave(agenda, *found)) {
+        return {wait_reason::earlier_wave,
+                "order " + std::to_string(agenda.openByOrder.begin()->first)};
+    }
+    if (agenda.unproved.contains({wave, rackKey(seen.domains)})) {
+        return {wait_reason::domain_not_healthy, rackKey(seen.domains)};
+    }
+    if (const auto *account = brokenBy(budgets, position)) {
+        return {wait_reason::budget, account->label + ": " + std::to_string(account->unavailable)
+                                         + " unavailable, " + std::to_string(account->allowed)
+                                         + " allowed"};
+    }
+    if (found->longWork && !found->pressing) {
+        return {wait_reason::long_work, ""};
+    }
+    const auto limits = waveLimits(agenda, view, now, settings);
+    if (active != agenda.active.end() && active->second >= limits.at(wave)) {
+        return {wait_reason::concurrency, wave};
+    }
+    return {};
+}
+
+} // namespace ibishinge
