Decide moves between pools by accumulated shortage

A move is made once the shortage it relieves has cost as much as the move, on a mean over minutes, so that peaks of seconds move nothing. Spare hosts cover losses first and return when their pool can do without them.

--- /dev/null
+++ b/src/decision/pool_moves.cpp
@@ -0,0 +1,259 @@
+#include <ibishinge/decision/pool_moves.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <string_view>
+#include <tuple>
+
+namespace ibishinge {
+
+namespace {
+
+struct pool_state
+{
+    const pool_entry *entry = nullptr;
+    std::int64_t total = 0;
+    std::int64_t available = 0;
+    std::int64_t incoming = 0; ///< hosts on their way by admitted moves
+    bool isMoving = false; ///< takes part in a move that has not returned
+    std::vector<const host_view *> idleFirst; ///< hosts that can be moved
+};
+
+using pool_states = std::map<std::string, pool_state>;
+
+pool_states statesOf(const stops_record &record, const maintenance_view &view)
+{
+    pool_states states;
+    for (const auto &pool : view.config->pools) {
+        states[pool.name].entry = &pool;
+    }
+    for (const auto &host : view.hosts) {
+        const auto found = states.find(host.pool);
+        if (found == states.end()) {
+            continue;
+        }
+        auto &pool = found->second;
+        ++pool.total;
+        const bool isStopped = record.stops.contains(host.id);
+        if (host.condition == host_condition::live && !isStopped) {
+            ++pool.available;
+            if (!host.drainRequested) {
+                pool.idleFirst.push_back(&host);
+            }
+        }
+    }
+    for (const auto &[host, stop] : record.stops) {
+        if (stop.reason == stop_reason::move) {
+            ++states[stop.toPool].incoming;
+            states[stop.toPool].isMoving = true;
+            states[stop.pool].isMoving = true;
+        }
+    }
+    std::erase_if(states, [](const auto &state) { return state.second.entry == nullptr; });
+    for (auto &[name, pool] : states) {
+        // The host that was maintained last stays undisturbed for the longest time.
+        std::sort(pool.idleFirst.begin(), pool.idleFirst.end(), [](const auto *a, const auto *b) {
+            const auto rank = [](const host_view &host) {
+                return std::tuple(host.runningWork,
+                                  -host.lastMaintenance.value_or(wall_time {}).time_since_epoch(),
+                                  std::string_view(host.id));
+            };
+            return rank(*a) < rank(*b);
+        });
+    }
+    return states;
+}
+
+bool mayChange(const stops_record &record, const std::string &pool, bool grow, wall_time now,
+               const move_settings &settings)
+{
+    const auto found = record.poolChanges.find(pool);
+    return !settings.safeguards.holdDirection || found == record.poolChanges.end()
+           || found->second.grew == grow || found->second.at + settings.reverseHold <= now;
+}
+
+/// Accumulated host-minutes that justify a move.
+double price(const move_settings &settings)
+{
+    return settings.safeguards.payForMove
+               ? double(settings.moveCost.count()) * settings.weights.moves / settings.weights.share
+               : 0;
+}
+
+/// Chooses hosts while the moves of one tick are planned.
+class move_planner
+{
+public:
+    move_planner(const stops_record &record, const maintenance_view &view,
+                 const pool_estimates &estimates, wall_time now, const move_settings &settings)
+        : m_record(record)
+        , m_estimates(estimates)
+        , m_now(now)
+        , m_settings(settings)
+        , m_pools(statesOf(record, view))
+    {
+    }
+
+    std::vector<wanted_move> plan()
+    {
+        for (const auto &name : shortPools()) {
+            help(name);
+        }
+        for (auto &[name, pool] : m_pools) {
+            giveBack(name, pool);
+        }
+        return std::move(m_moves);
+    }
+
+private:
+    [[nodiscard]] std::int64_t missing(const std::string &name, const pool_state &pool) const
+    {
+        const auto found = m_estimates.find(name);
+        if (pool.entry->spare || found == m_estimates.end()
+            || found->second.shortage < price(m_settings) || found->second.shortage <= 0) {
+            return 0;
+        }
+        const auto wanted = std::int64_t(std::ceil(found->second.mean / m_settings.highUse));
+        return std::min(wanted - pool.available - pool.incoming,
+                        pool.entry->maxHosts - pool.total - pool.incoming);
+    }
+
+    /// Pools with unavailable hosts come first, then the one that lacks most.
+    [[nodiscard]] std::vector<std::string> shortPools() const
+    {
+        std::vector<std::tuple<bool, std::int64_t, std::string>> found;
+        for (const auto &[name, pool] : m_pools) {
+            const bool covers = pool.available < pool.total;
+            const auto lacking = missing(name, pool);
+            // A loss is covered at once, whatever the last change was.
+            if (lacking > 0 && (covers || mayChange(m_record, name, true, m_now, m_settings))) {
+                found.emplace_back(!covers, -lacking, name);
+            }
+        }
+        std::sort(found.begin(), found.end());
+        std::vector<std::string> names;
+        for (auto &[covers, lacking, name] : found) {
+            names.push_back(std::move(name));
+        }
+        return names;
+    }
+
+    /// Hosts that pool `name` can spare.
+    [[nodiscard]] bool hasSurplus(const std::string &name, const pool_state &pool) const
+    {
+        const auto found = m_estimates.find(name);
+        return !pool.isMoving && found != m_estimates.end()
+               && found->second.surplus > price(m_settings) * m_settings.surplusFactor
+               && found->second.mean <= double(pool.available - 1) * m_settings.lowUse
+               && mayChange(m_record, name, false, m_now, m_settings);
+    }
+
+    void help(const std::string &name)
+    {
+        auto &pool = m_pools.at(name);
+        std::int64_t lacking = missing(name, pool);
+        for (auto &[donorName, donor] : m_pools) {
+            while (lacking > 0 && donor.entry->spare && move(donorName, donor, name)) {
+                --lacking;
+            }
+        }
+        // Pools that run work lend one host at a time, and only where nothing moves yet.
+        for (auto &[donorName, donor] : m_pools) {
+            if (lacking > 0 && !pool.isMoving && donorName != name && !donor.entry->spare
+                && hasSurplus(donorName, donor) && move(donorName, donor, name)) {
+                donor.isMoving = true;
+                pool.isMoving = true;
+            }
+        }
+    }
+
+    void giveBack(const std::string &name, pool_state &pool)
+    {
+        if (pool.entry->spare || !hasSurplus(name, pool)) {
+            return;
+        }
+        const auto lent =
+            std::find_if(pool.idleFirst.begin(), pool.idleFirst.end(), [&](const host_view *host) {
+                return !host->homePool.empty() && host->homePool != name
+                       && m_pools.contains(host->homePool) && !m_chosen.contains(host->id);
+            });
+        if (lent != pool.idleFirst.end()) {
+            m_chosen.insert((*lent)->id);
+            m_moves.push_back({(*lent)->id, (*lent)->homePool});
+        }
+    }
+
+    bool move(const std::string &fromName, pool_state &from, const std::string &to)
+    {
+        for (const host_view *host : from.idleFirst) {
+            if (host->pool == fromName && m_chosen.insert(host->id).second) {
+                m_moves.push_back({host->id, to});
+                return true;
+            }
+        }
+        return false;
+    }
+
+    const stops_record &m_record;
+    const pool_estimates &m_estimates;
+    wall_time m_now;
+    const move_settings &m_settings;
+    pool_states m_pools;
+    std::set<std::string> m_chosen;
+    std::vector<wanted_move> m_moves;
+};
+
+} // namespace
+
+maintenance_settings maintenanceSettingsFor(const profile_weights &weights)
+{
+    maintenance_settings settings;
+    settings.paced = weights.rollOut < weights.share;
+    return settings;
+}
+
+void noteDemand(pool_estimates &estimates, const std::map<std::string, double> &hostsWanted,
+                const stops_record &record, const maintenance_view &view, wall_time now,
+                const move_settings &settings)
+{
+    const auto pools = statesOf(record, view);
+    for (const auto &[name, wanted] : hostsWanted) {
+        const auto pool = pools.find(name);
+        if (pool == pools.end()) {
+            continue;
+        }
+        const auto [known, isNew] = estimates.try_emplace(name);
+        auto &estimate = known->second;
+        if (isNew) {
+            // The first sample may be a peak, which must not count as the mean.
+            estimate.mean = settings.safeguards.smoothDemand
+                                ? std::min(wanted, double(pool->second.total) * settings.lowUse)
+                                : wanted;
+            estimate.at = now;
+            continue;
+        }
+        const auto passed = std::chrono::duration<double>(std::max(now, estimate.at) - estimate.at);
+        const double kept =
+            settings.safeguards.smoothDemand
+                ? std::exp(-passed / std::chrono::duration<double>(settings.meanTime))
+                : 0;
+        estimate.mean = kept * estimate.mean + (1 - kept) * wanted;
+        estimate.at = std::max(now, estimate.at);
+        const double minutes = passed.count() / 60;
+        const auto available = double(pool->second.available);
+        const double lack = estimate.mean / settings.highUse - available;
+        estimate.shortage = lack > 0 ? estimate.shortage + lack * minutes : 0;
+        const bool canSpare = estimate.mean <= (available - 1) * settings.lowUse;
+        estimate.surplus = canSpare ? estimate.surplus + minutes : 0;
+    }
+}
+
+std::vector<wanted_move> planMoves(const stops_record &record, const maintenance_view &view,
+                                   const pool_estimates &estimates, wall_time now,
+                                   const move_settings &settings)
+{
+    return move_planner(record, view, estimates, now, settings).plan();
+}
+
+} // namespace ibishinge
