--- a/include/ibishinge/decision/maintenance.h
+++ b/include/ibishinge/decision/maintenance.h
@@ -184,6 +184,7 @@
     std::int64_t total = 0;
     std::int64_t unavailable = 0;
     std::int64_t allowed = 0; ///< largest `unavailable` within the budget; may be negative
+    bool shrinks = false; ///< `allowed` falls with each host that is moved away
 };
 
 /// All budgets of the catalogue, filled from one view and record.
@@ -232,6 +233,8 @@
                                         wall_time now, const maintenance_settings &settings = {});
 
 /// Admits operators' drains, then `moves`, then maintenance, as far as every budget stays intact.
+/// A move must also leave the old pool room for one more stop, since a pool at its least number of
+/// hosts could never be maintained.
 /// `planner` is noted in the new stops. Thread-safe.
 [[nodiscard]] stops_record admitStops(stops_record record, const maintenance_view &view,
                                       wall_time now, std::string_view planner,
--- a/src/decision/maintenance.cpp
+++ b/src/decision/maintenance.cpp
@@ -59,7 +59,7 @@
     {
         const auto [found, isNew] = m_positions.emplace(label, m_table.accounts.size());
         if (isNew) {
-            m_table.accounts.push_back({label, 0, 0, 0});
+            m_table.accounts.push_back({label, 0, 0, 0, false});
             m_budgets.push_back(budget);
         }
         auto &account = m_table.accounts[found->second];
@@ -73,6 +73,7 @@
             auto &account = m_table.accounts[i];
             if (m_budgets[i] != nullptr) {
                 account.allowed = allowedBy(*m_budgets[i], account.total);
+                account.shrinks = m_budgets[i]->minAvailable.has_value();
             }
         }
     }
@@ -124,6 +125,16 @@
     return nullptr;
 }
 
+/// True if the host's pool can still be maintained after the host has moved away.
+bool leavesRoom(const budget_table &budgets, std::size_t host) noexcept
+{
+    return std::none_of(budgets.sharesOf[host].begin(), budgets.sharesOf[host].end(),
+                        [&](const auto &share) {
+                            const auto &account = budgets.accounts[share.account];
+                            return account.shrinks && account.unavailable + 2 > account.allowed;
+                        });
+}
+
 using position_map = std::unordered_map<std::string_view, std::size_t>;
 
 position_map positionsOf(const maintenance_view &view)
@@ -223,11 +234,12 @@
         const auto &wave = waves.of(host.pool);
         const auto stop = record.stops.find(host.id);
         if (stop != record.stops.end()) {
-            if (isActive(stop->second) && stop->second.reason == stop_reason::maintenance
-                && !stop->second.failed) {
-                ++agenda.active[stop->second.wave];
+            if (isActive(stop->second) && stop->second.reason == stop_reason::maintenance) {
                 agenda.unproved.emplace(stop->second.wave, rackKey(host.domains));
-                ++agenda.openByOrder[wave.order];
+                if (!stop->second.failed) {
+                    ++agenda.active[stop->second.wave];
+                    ++agenda.openByOrder[wave.order];
+                }
             }
             continue;
         }
@@ -688,6 +700,9 @@
                 || findPool(*view.config, move.toPool) == nullptr) {
                 continue;
             }
+            if (!leavesRoom(budgets, found->second)) {
+                continue;
+            }
             auto stop = newStop(view.hosts[found->second], stop_reason::move, planner, now);
             stop.toPool = move.toPool;
             (void)admitOne(record, budgets, view, found->second, std::move(stop));
