--- a/src/service/control_service.cpp
+++ b/src/service/control_service.cpp
@@ -130,7 +130,7 @@
     m_nextHostRecords = now + m_options.hostRecordInterval;
     m_hostRecords.clear();
     for (const auto &entry : read->entries) {
-        const auto record = decodeHostRecord(entry.value);
+        const auto record = decodeHost(entry.value);
         if (record) {
             m_hostRecords[entry.key.substr(hostPrefix.size())] = *record;
         } else {
