Count requests against their objectives; show status, hosts and burn to operators

Entry processes count good, slow and failed requests in rings of time intervals in memory. The operators' API gains GET /v1/status, /v1/hosts and /v1/burn.

Quantiles above the highest bound of a histogram were reported as that bound, which is not the upper bound that the interface promises; they are infinite now.

--- a/include/ibishinge/base/metrics.h
+++ b/include/ibishinge/base/metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -24,11 +25,19 @@
 
     [[nodiscard]] std::uint64_t total() const noexcept;
 
-    /// Returns an upper bound of the given quantile, in seconds; 0 if empty.
+    /// Returns an upper bound of the given quantile, in seconds; 0 if empty, infinity if the
+    /// quantile lies above the highest bound.
     /// Precondition: 0 <= quantile <= 1.
     [[nodiscard]] double quantileSeconds(double quantile) const noexcept;
 };
 
+/// Returns the upper bounds of the buckets of all duration histograms, in ascending order; the last
+/// bucket is unbounded and not listed. Thread-safe.
+[[nodiscard]] const std::vector<double> &durationBoundsSeconds();
+
+/// Returns the bucket that a duration is counted in. Thread-safe.
+[[nodiscard]] std::size_t durationBucket(std::chrono::nanoseconds duration);
+
 /// Counters, gauges and duration histograms of one process. All functions are thread-safe.
 ///
 /// \code
--- a/include/ibishinge/service/entry_service.h
+++ b/include/ibishinge/service/entry_service.h
@@ -4,6 +4,7 @@
 #include <ibishinge/base/time.h>
 #include <ibishinge/outside/http_message.h>
 #include <ibishinge/outside/target_client.h>
+#include <ibishinge/service/burn_log.h>
 #include <ibishinge/service/request_dispatcher.h>
 #include <ibishinge/service/request_parser.h>
 #include <ibishinge/state/configuration_cache.h>
@@ -25,6 +26,7 @@
     target_client &targets;
     metrics_registry &metrics;
     const clock_source &clock;
+    burn_log *burn = nullptr; ///< counts requests against their objectives; may be null
 };
 
 /// The request path of an entry process: from a caller's HTTP request to its response.
@@ -58,6 +60,9 @@
 
     [[nodiscard]] http_response handleServiceRequest(const http_request &request);
     [[nodiscard]] http_response readiness() const;
+    void countAgainstObjective(const service_entry &service, const http_response &response,
+                               std::chrono::nanoseconds duration) const;
+    void countRefusal(const http_request &request, const http_response &response) const;
     [[nodiscard]] result<request_context> accept(const http_request &request);
     [[nodiscard]] result<void> checkAuthorized(const request_context &context) const;
     [[nodiscard]] http_response run(request_context &context);
--- a/include/ibishinge/service/operators_api.h
+++ b/include/ibishinge/service/operators_api.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include <ibishinge/base/listed_host.h>
 #include <ibishinge/base/time.h>
 #include <ibishinge/outside/http_message.h>
 #include <ibishinge/outside/kv_store.h>
 #include <ibishinge/outside/peer_client.h>
+#include <ibishinge/service/burn_log.h>
 #include <ibishinge/state/configuration_cache.h>
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,13 +41,22 @@
 /// Precondition: `cache` and `peers` outlive it.
 [[nodiscard]] configuration_publisher makePublisher(configuration_cache &cache, peer_client &peers);
 
+/// The host list as the process last read it.
+struct host_list_view
+{
+    host_list_snapshot list;
+    std::optional<monotonic_time> readAt; ///< none: it was never read
+};
+
 struct operators_api_options
 {
     std::string token; ///< secret that operators present as `Authorization: Bearer <token>`
     configuration_publisher publish; ///< may be empty
+    std::function<host_list_view()> hosts {}; ///< may be empty
+    const burn_log *burn = nullptr; ///< may be null
 };
 
-/// The operators' HTTP API: the catalogue and the keys.
+/// The operators' HTTP API: the catalogue, the keys, and what this process knows of the system.
 ///
 /// Each change is one conditional write to the store. If its response is lost, the store is read
 /// back until it is certain whether the change was accepted. Thread-safe; blocks.
@@ -87,6 +99,9 @@
     [[nodiscard]] http_response listKeys();
     [[nodiscard]] http_response createKey(const http_request &request);
     [[nodiscard]] http_response withdrawKey(std::string_view id);
+    [[nodiscard]] http_response getStatus() const;
+    [[nodiscard]] http_response getHosts() const;
+    [[nodiscard]] http_response getBurn() const;
 
     [[nodiscard]] result<stored_catalogue> readCatalogue(const std::string &key);
     [[nodiscard]] result<stored_keys> readKeys();
--- a/include/ibishinge/state/configuration_cache.h
+++ b/include/ibishinge/state/configuration_cache.h
@@ -76,6 +76,11 @@
 
     /// Returns the configuration with the verdict as of now.
     [[nodiscard]] configuration_view view() const;
+    /// Returns this process as the other members see it.
+    [[nodiscard]] const member_info &self() const noexcept
+    {
+        return m_options.self;
+    }
     /// Returns the other members known.
     [[nodiscard]] std::vector<member_info> members() const;
 
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -3,6 +3,7 @@
 #include <boost/histogram.hpp>
 
 #include <cmath>
+#include <limits>
 #include <mutex>
 #include <set>
 #include <sstream>
@@ -54,10 +55,14 @@
     return labels.empty() ? "" : "{" + labels + "}";
 }
 
+duration_axis makeDurationAxis()
+{
+    return {bucketCount, lowestBoundSeconds, highestBoundSeconds, "seconds"};
+}
+
 struct duration_series
 {
-    duration_histogram histogram = bh::make_histogram(
-        duration_axis(bucketCount, lowestBoundSeconds, highestBoundSeconds, "seconds"));
+    duration_histogram histogram = bh::make_histogram(makeDurationAxis());
     double sumSeconds = 0;
 };
 
@@ -123,7 +128,21 @@
             return upperBoundsSeconds[i];
         }
     }
-    return upperBoundsSeconds.empty() ? 0 : upperBoundsSeconds.back();
+    return cumulative == total() ? 0 : std::numeric_limits<double>::infinity();
+}
+
+const std::vector<double> &durationBoundsSeconds()
+{
+    static const std::vector<double> bounds = summarize({}).upperBoundsSeconds;
+    return bounds;
+}
+
+std::size_t durationBucket(std::chrono::nanoseconds duration)
+{
+    static const duration_axis axis = makeDurationAxis();
+    // The axis numbers the bucket below the lowest bound -1. Negative durations have no logarithm.
+    const double seconds = std::chrono::duration<double>(duration).count();
+    return seconds < lowestBoundSeconds ? 0 : static_cast<std::size_t>(axis.index(seconds) + 1);
 }
 
 struct metrics_registry::impl
--- /dev/null
+++ b/src/decision/burn.cpp
@@ -0,0 +1,185 @@
+#include <ibishinge/decision/burn.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace ibishinge {
+
+namespace {
+
+constexpr auto fineCount =
+    static_cast<std::size_t>(std::chrono::seconds(std::chrono::hours(1)) / fineBucket);
+constexpr auto coarseCount =
+    static_cast<std::size_t>(std::chrono::seconds(std::chrono::hours(72)) / coarseBucket);
+
+// Burn rates at which 2% of the budget of 30 days is used in 1 h, 5% in 6 h and 10% in 3 d.
+constexpr double hourLimit = 14.4;
+constexpr double sixHoursLimit = 6;
+constexpr double threeDaysLimit = 1;
+
+bool isFine(const burn_window &window) noexcept
+{
+    return window.length <= fineBucket * static_cast<std::int64_t>(fineCount);
+}
+
+void count(burn_counts &to, request_verdict verdict, std::size_t bucket)
+{
+    switch (verdict) {
+    case request_verdict::good:
+        ++to.good;
+        break;
+    case request_verdict::slow:
+        ++to.slow;
+        break;
+    case request_verdict::failed:
+        ++to.failed;
+        break;
+    case request_verdict::ignored:
+        return;
+    }
+    to.durations.resize(durationBoundsSeconds().size() + 1);
+    ++to.durations[bucket];
+}
+
+} // namespace
+
+request_verdict judgeRequest(int status, bool ran, std::chrono::nanoseconds duration,
+                             milliseconds latencyObjective) noexcept
+{
+    constexpr int firstClientError = 400;
+    constexpr int firstServerError = 500;
+    if (status >= firstServerError) {
+        return request_verdict::failed;
+    }
+    if (!ran && status >= firstClientError) {
+        return request_verdict::ignored;
+    }
+    return duration > latencyObjective ? request_verdict::slow : request_verdict::good;
+}
+
+void merge(burn_counts &to, const burn_counts &from)
+{
+    to.good += from.good;
+    to.slow += from.slow;
+    to.failed += from.failed;
+    to.durations.resize(std::max(to.durations.size(), from.durations.size()));
+    for (std::size_t i = 0; i < from.durations.size(); ++i) {
+        to.durations[i] += from.durations[i];
+    }
+}
+
+void merge(service_history &to, const service_history &from)
+{
+    for (std::size_t i = 0; i < burnWindows.size(); ++i) {
+        merge(to.windows[i], from.windows[i]);
+    }
+    for (const auto &point : from.points) {
+        const auto at =
+            std::lower_bound(to.points.begin(), to.points.end(), point,
+                             [](const auto &a, const auto &b) { return a.start < b.start; });
+        if (at != to.points.end() && at->start == point.start) {
+            merge(at->counts, point.counts);
+        } else {
+            to.points.insert(at, point);
+        }
+    }
+}
+
+void burn_recorder::record(const std::string &service, std::chrono::seconds now,
+                           request_verdict verdict, std::chrono::nanoseconds duration)
+{
+    if (verdict == request_verdict::ignored) {
+        return;
+    }
+    m_newest = std::max(m_newest, now);
+    auto &of = m_services[service];
+    of.fine.resize(fineCount);
+    of.coarse.resize(coarseCount);
+    const std::size_t bucket = durationBucket(duration);
+    const auto countIn = [&](std::vector<interval> &ring, std::chrono::seconds width) {
+        const std::int64_t index = m_newest / width;
+        auto &slot = ring[static_cast<std::size_t>(index) % ring.size()];
+        if (slot.index != index) {
+            slot = {index, {}};
+        }
+        count(slot.counts, verdict, bucket);
+    };
+    countIn(of.fine, fineBucket);
+    countIn(of.coarse, coarseBucket);
+}
+
+std::map<std::string, service_history> burn_recorder::history(std::chrono::seconds now) const
+{
+    now = std::max(now, m_newest);
+    std::map<std::string, service_history> all;
+    for (const auto &[name, of] : m_services) {
+        service_history found;
+        for (std::size_t i = 0; i < burnWindows.size(); ++i) {
+            const bool fine = isFine(burnWindows[i]);
+            const auto width = fine ? fineBucket : coarseBucket;
+            const std::int64_t first = (now - burnWindows[i].length) / width + 1;
+            for (const auto &slot : fine ? of.fine : of.coarse) {
+                if (slot.index >= first) {
+                    merge(found.windows[i], slot.counts);
+                }
+            }
+        }
+        const std::int64_t oldest = (now - burnWindows.back().length) / coarseBucket + 1;
+        for (const auto &slot : of.coarse) {
+            if (slot.index >= oldest) {
+                found.points.push_back({coarseBucket * slot.index, slot.counts});
+            }
+        }
+        std::sort(found.points.begin(), found.points.end(),
+                  [](const auto &a, const auto &b) { return a.start < b.start; });
+        if (!found.points.empty()) {
+            all.emplace(name, std::move(found));
+        }
+    }
+    return all;
+}
+
+double burnRate(const burn_counts &counts, double availability) noexcept
+{
+    if (counts.total() == 0) {
+        return 0;
+    }
+    const double badShare = static_cast<double>(counts.bad()) / static_cast<double>(counts.total());
+    return badShare / (1 - availability);
+}
+
+double budgetLeft(const burn_counts &counts, double availability) noexcept
+{
+    return 1 - burnRate(counts, availability);
+}
+
+double durationQuantile(const burn_counts &counts, double quantile)
+{
+    duration_summary summary {durationBoundsSeconds(), counts.durations, 0};
+    if (counts.durations.size() != summary.upperBoundsSeconds.size() + 1) {
+        return 0;
+    }
+    return summary.quantileSeconds(quantile);
+}
+
+std::string_view nameOf(burn_state state) noexcept
+{
+    constexpr std::array<std::string_view, 3> names {"ok", "slow_burn", "fast_burn"};
+    return names[static_cast<std::size_t>(state)];
+}
+
+burn_state judgeBurn(const windowed_counts &windows, double availability) noexcept
+{
+    std::array<double, burnWindows.size()> rates {};
+    std::transform(windows.begin(), windows.end(), rates.begin(),
+                   [&](const auto &counts) { return burnRate(counts, availability); });
+    const auto [fiveMinutes, hour, sixHours, threeDays] = rates;
+    if ((hour >= hourLimit && fiveMinutes >= hourLimit)
+        || (sixHours >= sixHoursLimit && hour >= sixHoursLimit)) {
+        return burn_state::fast_burn;
+    }
+    return threeDays >= threeDaysLimit && sixHours >= threeDaysLimit ? burn_state::slow_burn
+                                                                     : burn_state::ok;
+}
+
+} // namespace ibishinge
--- a/src/service/entry_process.cpp
+++ b/src/service/entry_process.cpp
@@ -75,6 +75,7 @@
     holder_id self;
     system_clock_source clock;
     metrics_registry metrics;
+    burn_log burn {clock};
     std::unique_ptr<http_client> client = http_client::create({});
     std::unique_ptr<kv_store> store;
     std::unique_ptr<host_list> hosts;
@@ -94,6 +95,9 @@
     std::mutex sightingsMutex;
     host_sightings sightings;
 
+    std::mutex hostListMutex;
+    host_list_view hostListView;
+
     bool configurationUsable = false; ///< as last logged
     outage_log allowanceLog {"allowance"};
     outage_log hostListLog {"host_list"};
@@ -111,6 +115,7 @@
     void applyConfiguration();
     void adjustAllowances();
     void readHostList();
+    [[nodiscard]] host_list_view currentHosts();
     http_response handleCaller(const http_request &request);
     [[nodiscard]] milliseconds sinceLastRequest() const;
 };
@@ -144,10 +149,11 @@
         {.seed = static_cast<std::uint32_t>(std::hash<std::string> {}(self.incarnation))});
     ledger = request_ledger::create(*committer, *store, clock);
     service = entry_service::create(
-        self.incarnation, {*configuration, *dispatcher, *ledger, *targets, metrics, clock});
+        self.incarnation, {*configuration, *dispatcher, *ledger, *targets, metrics, clock, &burn});
     operators =
         operators_api::create(*store, clock, *configuration,
-                              {options.operatorsToken, makePublisher(*configuration, *peers)});
+                              {options.operatorsToken, makePublisher(*configuration, *peers),
+                               [this] { return currentHosts(); }, &burn});
     peerServer = jsonrpc_peer_server::create(*configuration, options.peerSecret);
 }
 
@@ -253,6 +259,12 @@
     allowanceLog.note(allowances->adjust(clock.wallNow()));
 }
 
+host_list_view entry_process::impl::currentHosts()
+{
+    const std::lock_guard lock(hostListMutex);
+    return hostListView;
+}
+
 void entry_process::impl::readHostList()
 {
     const auto list = hosts->fetch(hostListTimeout);
@@ -261,6 +273,10 @@
         return;
     }
     dispatcher->updateHosts(*list);
+    {
+        const std::lock_guard lock(hostListMutex);
+        hostListView = {*list, clock.now()};
+    }
     std::set<std::string> absent;
     {
         const std::lock_guard lock(sightingsMutex);
--- a/src/service/entry_service.cpp
+++ b/src/service/entry_service.cpp
@@ -117,7 +117,9 @@
         const auto id = findHeader(request.headers, "Ibishinge-Request-Id").value_or("");
         m_with.metrics.add("ibishinge_rejected_total",
                            {{"error", std::string(nameOf(context.error().kind))}});
-        return errorAnswer(context.error(), run_state::attempt_not_run, std::string(id));
+        auto refusal = errorAnswer(context.error(), run_state::attempt_not_run, std::string(id));
+        countRefusal(request, refusal);
+        return refusal;
     }
     http_response response = run(*context);
     const metric_labels labels {{"team", context->request.team},
@@ -127,9 +129,35 @@
     m_with.metrics.observe("ibishinge_request_seconds",
                            {{"team", context->request.team}, {"service", context->request.service}},
                            m_with.clock.now() - context->arrival);
+    countAgainstObjective(*context->service, response, m_with.clock.now() - context->arrival);
     return response;
 }
 
+void entry_service::countAgainstObjective(const service_entry &service,
+                                          const http_response &response,
+                                          std::chrono::nanoseconds duration) const
+{
+    if (m_with.burn == nullptr) {
+        return;
+    }
+    const bool ran = findHeader(response.headers, "Ibishinge-Run") == nameOf(run_state::ran);
+    m_with.burn->record(service.name,
+                        judgeRequest(response.status, ran, duration, service.latencyObjective),
+                        duration);
+}
+
+void entry_service::countRefusal(const http_request &request, const http_response &response) const
+{
+    // Only a refusal for a state of the system, such as a configuration that is not fresh, counts.
+    const auto parsed = parseServiceRequest(request);
+    const auto config = m_with.configuration.view().current;
+    const service_entry *service =
+        parsed ? findService(config->catalogue.value, parsed->service) : nullptr;
+    if (service != nullptr) {
+        countAgainstObjective(*service, response, std::chrono::nanoseconds(0));
+    }
+}
+
 result<entry_service::request_context> entry_service::accept(const http_request &request)
 {
     request_context context;
--- a/src/service/operators_api.cpp
+++ b/src/service/operators_api.cpp
@@ -120,6 +120,20 @@
     return e;
 }
 
+json memberJson(const member_info &member)
+{
+    return {{"incarnation", member.incarnation},
+            {"address", toString(member.address)},
+            {"host", member.host},
+            {"role", nameOf(member.role)},
+            {"data_centre", member.dataCentre}};
+}
+
+std::int64_t ageMs(monotonic_time now, monotonic_time then)
+{
+    return std::chrono::duration_cast<milliseconds>(now - then).count();
+}
+
 error unreadable(const std::string &key, const std::vector<document_problem> &problems)
 {
     return {error_kind::internal, key, describe(problems), milliseconds {0}, 0};
@@ -210,6 +224,15 @@
     if (request.method == "DELETE" && path.starts_with(keyPath)) {
         return withdrawKey(path.substr(keyPath.size()));
     }
+    if (is("GET", "/v1/status")) {
+        return getStatus();
+    }
+    if (is("GET", "/v1/hosts")) {
+        return getHosts();
+    }
+    if (is("GET", "/v1/burn")) {
+        return getBurn();
+    }
     return answerError({error_kind::unknown_entity, request.method + " " + request.path,
                         "no such resource", milliseconds {0}, 0});
 }
@@ -573,4 +596,82 @@
     return answerJson(200, answer);
 }
 
+http_response operators_api::getStatus() const
+{
+    const auto view = m_cache.view();
+    json freshness {{"state", nameOf(view.freshness.state)}, {"reason", view.freshness.reason}};
+    if (view.freshness.contact) {
+        freshness["contact_age_ms"] = ageMs(m_clock.now(), *view.freshness.contact);
+    }
+    json members = json::array();
+    for (const auto &member : m_cache.members()) {
+        members.push_back(memberJson(member));
+    }
+    return answerJson(200, {{"self", memberJson(m_cache.self())},
+                            {"revisions",
+                             {{"catalogue", view.current->revisions.catalogue},
+                              {"keys", view.current->revisions.keys}}},
+                            {"catalogue_version", view.current->catalogue.version},
+                            {"freshness", std::move(freshness)},
+                            {"members", std::move(members)}});
+}
+
+http_response operators_api::getHosts() const
+{
+    const auto view = m_options.hosts ? m_options.hosts() : host_list_view {};
+    if (!view.readAt) {
+        return answerError({error_kind::not_ready, "host list",
+                            "not read since the process started", milliseconds {0}, 0});
+    }
+    json hosts = json::array();
+    for (const auto &host : view.list.hosts) {
+        json services = json::array();
+        for (const auto &service : host.services) {
+            services.push_back({{"name", service.name},
+                                {"endpoint", toString(service.where)},
+                                {"slots", service.slots},
+                                {"connections", service.connections}});
+        }
+        hosts.push_back({{"id", host.id},
+                         {"address", host.address},
+                         {"data_centre", host.dataCentre},
+                         {"rack", host.rack},
+                         {"state", host.state == listed_host_state::live ? "live" : "leaving"},
+                         {"services", std::move(services)}});
+    }
+    return answerJson(200, {{"version", view.list.version},
+                            {"age_ms", ageMs(m_clock.now(), *view.readAt)},
+                            {"hosts", std::move(hosts)}});
+}
+
+http_response operators_api::getBurn() const
+{
+    if (m_options.burn == nullptr) {
+        return answerError({error_kind::unknown_entity, "burn", "not counted by this process",
+                            milliseconds {0}, 0});
+    }
+    const auto config = m_cache.view().current;
+    const auto histories = m_options.burn->history();
+    json services = json::object();
+    for (const auto &service : config->catalogue.value.services) {
+        const auto found = histories.find(service.name);
+        json item = toJson(found == histories.end() ? service_history {} : found->second);
+        item["latency_objective_ms"] = service.latencyObjective.count();
+        item["availability_objective"] = service.availabilityObjective;
+        services[service.name] = std::move(item);
+    }
+    json entries = json::array();
+    for (const auto &member : m_cache.members()) {
+        if (member.role == member_role::entry) {
+            entries.push_back(member.incarnation);
+        }
+    }
+    return answerJson(200, {{"incarnation", m_cache.self().incarnation},
+                            {"other_entries", std::move(entries)},
+                            {"catalogue_revision", config->revisions.catalogue},
+                            {"since_ms", m_options.burn->since().count()},
+                            {"now_ms", sinceEpoch(m_clock.wallNow()).count()},
+                            {"services", std::move(services)}});
+}
+
 } // namespace ibishinge
--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -2,7 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <cmath>
 #include <string>
+#include <vector>
 
 using namespace ibishinge;
 using namespace std::chrono_literals;
@@ -13,6 +16,8 @@
     CPPUNIT_TEST_SUITE(metrics_test);
     CPPUNIT_TEST(textHoldsEverySeries);
     CPPUNIT_TEST(quantileIsAnUpperBound);
+    CPPUNIT_TEST(quantileAboveTheHighestBoundIsInfinite);
+    CPPUNIT_TEST(bucketsAreThoseOfTheHistograms);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -41,6 +46,28 @@
         CPPUNIT_ASSERT(summary.quantileSeconds(0.5) < 0.050 * 1.6);
         CPPUNIT_ASSERT(summary.quantileSeconds(0.99) >= 0.099);
     }
+
+    void quantileAboveTheHighestBoundIsInfinite()
+    {
+        metrics_registry metrics;
+        metrics.observe("s", {}, 1ms);
+        metrics.observe("s", {}, 2000s);
+        CPPUNIT_ASSERT(metrics.durations("s", {}).quantileSeconds(0.5) < 0.01);
+        CPPUNIT_ASSERT(std::isinf(metrics.durations("s", {}).quantileSeconds(1)));
+        CPPUNIT_ASSERT_EQUAL(0.0, duration_summary {}.quantileSeconds(1));
+    }
+
+    void bucketsAreThoseOfTheHistograms()
+    {
+        for (const auto duration : std::vector<std::chrono::nanoseconds> {
+                 -1s, 0s, 1ns, 99us, 100us, 101us, 7ms, 1s, 999s, 1000s, 1001s, 100h}) {
+            metrics_registry metrics;
+            metrics.observe("s", {}, std::max(duration, std::chrono::nanoseconds(0)));
+            const auto summary = metrics.durations("s", {});
+            CPPUNIT_ASSERT(summary.upperBoundsSeconds == durationBoundsSeconds());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), summary.counts.at(durationBucket(duration)));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(metrics_test);
--- a/tests/operators_api_test.cpp
+++ b/tests/operators_api_test.cpp
@@ -176,6 +176,9 @@
             {"GET", "/v1/keys"},
             {"POST", "/v1/keys"},
             {"DELETE", "/v1/keys/a"},
+            {"GET", "/v1/status"},
+            {"GET", "/v1/hosts"},
+            {"GET", "/v1/burn"},
             {"GET", "/none"},
         };
         for (const auto &[method, path] : resources) {
