--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -62,9 +62,15 @@
     case setting_type::address:
         return "ADDRESS:PORT";
     case setting_type::address_list:
+        return "ADDRESS:PORT, separated by commas";
+    case setting_type::choice:
         break;
     }
-    return "ADDRESS:PORT, separated by commas";
+    std::string choices;
+    for (const auto &choice : s.choices) {
+        choices += (choices.empty() ? "" : ", ") + choice;
+    }
+    return "one of " + choices;
 }
 
 bool isAllowed(const setting &s, const std::string &value)
@@ -84,6 +90,9 @@
         return std::all_of(parts.begin(), parts.end(),
                            [](const auto &part) { return parseEndpoint(part).has_value(); });
     }
+    if (s.type == setting_type::choice) {
+        return std::find(s.choices.begin(), s.choices.end(), value) != s.choices.end();
+    }
     return true;
 }
 
@@ -118,13 +127,7 @@
 {
     std::cout << "Usage: " << program << " [--SETTING=VALUE ...]\n"
               << summary << "\n\nEach setting can also be given as an environment variable.\n\n";
-    for (const auto &s : declared) {
-        std::cout << "  --" << s.name << "  (" << environmentVariable(s.name) << ")\n      "
-                  << s.help << "; " << allowedFor(s)
-                  << (s.defaultValue.empty() ? (s.required ? "; required" : "")
-                                             : "; default " + s.defaultValue)
-                  << "\n";
-    }
+    std::cout << describeSettings(declared);
     std::cout << "  --help\n  --version\n";
 }
 
@@ -154,9 +157,26 @@
     return variable;
 }
 
+std::string describeSettings(const std::vector<setting> &declared)
+{
+    std::string text;
+    for (const auto &s : declared) {
+        text += "  --" + s.name + "  (" + environmentVariable(s.name) + ")\n      " + s.help + "; "
+                + allowedFor(s);
+        if (!s.defaultValue.empty()) {
+            text += "; default " + s.defaultValue;
+        } else if (s.required) {
+            text += "; required";
+        }
+        text += "\n";
+    }
+    return text;
+}
+
 result<settings> readSettings(int argc, const char *const *argv,
-                              const std::vector<setting> &declared)
+                              const std::vector<setting> &declared, argument_use use)
 {
+    settings read;
     std::string problems;
     std::map<std::string, std::string> flags;
     const auto table = optionTable(declared);
@@ -175,10 +195,13 @@
         }
     }
     for (const char *extra = nullptr; (extra = poptGetArg(context.get())) != nullptr;) {
-        problems += std::string(extra) + ": unexpected argument\n";
+        if (use == argument_use::accepted) {
+            read.arguments.emplace_back(extra);
+        } else {
+            problems += std::string(extra) + ": unexpected argument\n";
+        }
     }
 
-    settings read;
     for (const auto &s : declared) {
         std::string value = valueFor(s, flags);
         if (!isAllowed(s, value)) {
