Read only what changed of the allowance records and of the host list

Each process read all allowance records and the whole host list every second: at 69 teams, 16 processes and 2,500 hosts that is far above the 16 KB/s that control may use. Allowances are now read from the revision after the last read on, and the list is asked for with If-None-Match.

--- a/include/ibishinge/outside/http_host_list.h
+++ b/include/ibishinge/outside/http_host_list.h
@@ -12,7 +12,9 @@
 ///
 /// The response is `{"version": V, "hosts": [{"id", "address", "data_centre", "rack", "state":
 /// "live"|"leaving", "services": [{"name", "endpoint": "ADDRESS:PORT", "slots",
-/// "connections"}]}]}`.
+/// "connections"}]}]}`. If the server gives an `ETag`, later requests carry it as `If-None-Match`,
+/// and a 304 stands for the last list: at 2,500 hosts a body is 460 KB. Calls of `fetch` wait for
+/// each other.
 ///
 /// Precondition: `client` outlives the returned object.
 [[nodiscard]] std::unique_ptr<host_list> makeHttpHostList(http_client &client, endpoint server);
--- a/include/ibishinge/outside/kv_store.h
+++ b/include/ibishinge/outside/kv_store.h
@@ -40,6 +40,8 @@
     std::string key; ///< a key, or the common prefix of keys
     bool prefix = false;
     bool keysOnly = false; ///< leave the values out, to poll revisions cheaply
+    /// Only entries whose modRevision is at least this. Deleted entries are not told of.
+    store_revision minModRevision = 0;
 };
 
 /// Requires another key to have a given revision, for example the ownership record of the writer.
--- a/include/ibishinge/state/allowance_manager.h
+++ b/include/ibishinge/state/allowance_manager.h
@@ -63,10 +63,10 @@
 
     [[nodiscard]] team_allowance stateOf(const std::string &team) const;
 
-    /// Reads all allowance records and writes those that should change: one read, and one batch for
-    /// each 128 changed records; records that another holder changed in between are tried once
-    /// more. Errors: those of the store, and `invalid_request` for a record that cannot be read;
-    /// grants then stay as they are.
+    /// Reads the allowance records that changed since the last call and writes those that should
+    /// change: one read, and one batch for each 128 written records; records that another holder
+    /// changed in between are tried once more. Errors: those of the store, and `invalid_request`
+    /// for a record that cannot be read; grants then stay as they are.
     [[nodiscard]] result<void> adjust(wall_time now);
 
     /// Stops all starts and gives the grants back. What still runs stays reserved for the run time.
@@ -77,7 +77,7 @@
     allowance_manager(std::string holder, kv_store &store, allowance_settings settings);
 
     allowance_holder &holderOf(const std::string &team);
-    [[nodiscard]] result<void> readAll();
+    [[nodiscard]] result<void> readChanged();
     [[nodiscard]] std::vector<std::string>
     planAll(wall_time now, std::vector<conditional_write> &writes, bool &resends);
     [[nodiscard]] result<bool> writeSome(std::span<const std::string> teams,
@@ -91,6 +91,8 @@
     death_proofs m_proofs;
     std::int64_t m_limitVersion = 0;
     bool m_stopping = false;
+    store_revision m_readFrom = 0; ///< records below this revision were read
+    bool m_readAll = true; ///< the next read covers all records, whatever their revision
 };
 
 } // namespace ibishinge
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -12,7 +12,9 @@
 import json
 import math
 import os
+import random
 import re
+import socket
 import subprocess
 import threading
 import time
@@ -31,6 +33,19 @@
 BOUND_CPU_PERCENT, BOUND_MB, BOUND_BYTES = 2.8, 256, 16 * 1024
 
 
+def listening_port():
+    """Returns a free port below the range that the kernel gives to outgoing connections, which
+    could otherwise take it before the daemon listens."""
+    while True:
+        port = random.randrange(15000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
+
+
 class Relay:
     """Forwards TCP connections to one address and counts bytes and calls by name."""
 
@@ -156,7 +171,6 @@
 
     def _peer_bytes(self):
         """Payload bytes of the open peer connections, as client and as server."""
-        owner = {}
         pids = {str(self.processes[name].child.pid): name for name in self.names("entry")}
         listeners = {self.ports[name]["peers-listen"] for name in self.names("entry")}
         text = subprocess.run(["ss", "-tinpOH", "state", "established"], capture_output=True,
@@ -264,7 +278,7 @@
     parser.add_argument("--settle", type=float, default=5, help="seconds before a measurement")
     parser.add_argument("--seconds", type=float, default=8, help="seconds of a measurement")
     options = parser.parse_args()
-    fleet.START_TIMEOUT_S = 60
+    fleet.free_port = listening_port
     measured = {}
 
     def idle(size):
@@ -279,6 +293,10 @@
     for name in options.sweeps.split(","):
         if name in SWEEPS:
             print_sweep(name, [(x, idle({**BASE, name: x})) for x in SWEEPS[name]])
+            if name == "entries":
+                print("\nBy pairs: peers = a + b * entries * (entries - 1): b = {1:.3g} ± {2:.1g} "
+                      "B/s".format(*fit([(x * (x - 1), idle({**BASE, name: x})["peers"])
+                                         for x in SWEEPS[name]])))
         elif name == "target":
             print_sweep("entries at the target's sizes", [(TARGET["entries"], idle(TARGET))])
             got = idle(TARGET)
--- a/src/outside/etcd_kv_store.cpp
+++ b/src/outside/etcd_kv_store.cpp
@@ -189,6 +189,9 @@
     if (query.keysOnly) {
         request["keys_only"] = true;
     }
+    if (query.minModRevision > 0) {
+        request["min_mod_revision"] = std::to_string(query.minModRevision);
+    }
     return request;
 }
 
--- a/src/outside/http_host_list.cpp
+++ b/src/outside/http_host_list.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <mutex>
 #include <optional>
 #include <set>
 #include <utility>
@@ -133,11 +134,18 @@
     {
         http_request request;
         request.path = "/hosts";
+        const std::lock_guard lock(m_mutex);
+        if (!m_tag.empty()) {
+            request.headers.push_back({"If-None-Match", m_tag});
+        }
         auto response = m_client.send(m_server, request, timeout, connection_use::reuse_allowed);
         if (!response) {
             return tl::unexpected(response.error());
         }
         const std::string place = toString(m_server) + "/hosts";
+        if (response->status == 304 && !m_tag.empty()) {
+            return m_last;
+        }
         if (response->status != 200) {
             return makeError(error_kind::target_failed, place,
                              "status " + std::to_string(response->status));
@@ -146,12 +154,19 @@
         if (!list) {
             return makeError(error_kind::target_failed, place, describe(list.error()));
         }
+        m_tag = findHeader(response->headers, "ETag").value_or("");
+        if (!m_tag.empty()) {
+            m_last = *list;
+        }
         return list;
     }
 
 private:
     http_client &m_client;
     endpoint m_server;
+    std::mutex m_mutex;
+    std::string m_tag; ///< of `m_last`; empty: the server gave none
+    host_list_snapshot m_last;
 };
 
 } // namespace
--- a/src/service/entry_process.cpp
+++ b/src/service/entry_process.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -93,6 +94,7 @@
 
     std::mutex sightingsMutex;
     host_sightings sightings;
+    std::optional<std::uint64_t> hostListVersion; ///< last one taken over
 
     bool configurationUsable = false; ///< as last logged
     outage_log allowanceLog {"allowance"};
@@ -260,11 +262,18 @@
     if (!list) {
         return;
     }
-    dispatcher->updateHosts(*list);
+    // Taking over 2,500 hosts costs more than the whole second's control work should.
+    const bool isChanged = hostListVersion != list->version;
+    hostListVersion = list->version;
+    if (isChanged) {
+        dispatcher->updateHosts(*list);
+    }
     std::set<std::string> absent;
     {
         const std::lock_guard lock(sightingsMutex);
-        noteHosts(sightings, *list);
+        if (isChanged) {
+            noteHosts(sightings, *list);
+        }
         for (const auto &member : configuration->members()) {
             if (!sightings.present.contains(member.host)) {
                 absent.insert(member.host);
--- a/src/state/allowance_manager.cpp
+++ b/src/state/allowance_manager.cpp
@@ -39,6 +39,9 @@
     }
     m_limitVersion = version;
     for (const auto &[team, limit] : limits) {
+        if (!m_teams.contains(team)) {
+            m_readAll = true; // Earlier reads passed over its record.
+        }
         (void)holderOf(team);
     }
     for (auto &[team, holder] : m_teams) {
@@ -107,20 +110,28 @@
             useOfOthers(holder.known, m_id)};
 }
 
-result<void> allowance_manager::readAll()
+result<void> allowance_manager::readChanged()
 {
-    const auto read = m_store.range({std::string(allowancePrefix), true, false});
-    if (!read) {
-        return tl::unexpected(read.error());
+    store_revision from = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        from = std::exchange(m_readAll, false) ? 0 : m_readFrom;
     }
+    const auto read = m_store.range({std::string(allowancePrefix), true, false, from});
     result<void> outcome;
     const std::lock_guard lock(m_mutex);
+    if (!read) {
+        m_readAll = m_readAll || from == 0;
+        return tl::unexpected(read.error());
+    }
+    m_readFrom = read->revision + 1;
     for (const auto &entry : read->entries) {
         const auto team = entry.key.substr(allowancePrefix.size());
         auto record = decodeAllowance(entry.value);
         if (!record) {
             record.error().place = entry.key + record.error().place;
             outcome = tl::unexpected(record.error());
+            m_readAll = true; // Reported until it can be read.
             continue;
         }
         if (const auto found = m_teams.find(team); found != m_teams.end()) {
@@ -190,7 +201,7 @@
 
 result<void> allowance_manager::adjust(wall_time now)
 {
-    auto read = readAll();
+    auto read = readChanged();
     // A record that cannot be read concerns one team only; the others go on.
     if (!read && read.error().kind != error_kind::invalid_request) {
         return read;
--- a/standins/host_list_standin.h
+++ b/standins/host_list_standin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <ibishinge/base/incarnation.h>
 #include <ibishinge/base/time.h>
 #include <ibishinge/outside/http_host_list.h>
 #include <ibishinge/outside/http_message.h>
@@ -15,7 +16,7 @@
 /// Stand-in for the platform's host list, which shows a change only after a lag. Thread-safe.
 ///
 /// `POST /admin/hosts` replaces the list: `{"hosts": [...], "lag_ms": N}`; `lag_ms` is optional.
-/// `GET /hosts` returns the newest list whose lag has passed.
+/// `GET /hosts` returns the newest list whose lag has passed, with an `ETag`, or 304.
 class host_list_standin
 {
 public:
@@ -29,7 +30,15 @@
     [[nodiscard]] http_response handle(const http_request &request)
     {
         if (request.method == "GET" && request.path == "/hosts") {
-            return jsonResponse(200, formatHostList(shown()));
+            const auto list = shown();
+            // Versions start again with each run, so the tag names the run too.
+            const std::string tag = "\"" + m_run + "-" + std::to_string(list.version) + "\"";
+            if (findHeader(request.headers, "If-None-Match") == tag) {
+                return http_response {304, {{"ETag", tag}}, {}};
+            }
+            auto response = jsonResponse(200, formatHostList(list));
+            response.headers.push_back({"ETag", tag});
+            return response;
         }
         if (request.method == "POST" && request.path == "/admin/hosts") {
             return post(request.body);
@@ -83,6 +92,7 @@
     const clock_source &m_clock;
     milliseconds m_lag;
     std::mutex m_mutex;
+    const std::string m_run = makeIncarnation();
     std::uint64_t m_posted = 0;
     std::deque<pending_list> m_pending;
     host_list_snapshot m_shown;
--- a/standins/kv_store_service.h
+++ b/standins/kv_store_service.h
@@ -384,7 +384,8 @@
         if (first.empty()) {
             return errorResponse(400, invalidArgument, "etcdserver: key is not provided");
         }
-        range_query query {first, false, body.value("keys_only", false)};
+        range_query query {first, false, body.value("keys_only", false),
+                           number(body, "min_mod_revision")};
         if (!end.empty()) {
             // The common prefix of the bounds covers the range.
             const auto differ =
--- a/standins/memory_kv_store.h
+++ b/standins/memory_kv_store.h
@@ -110,6 +110,9 @@
             if (!matches) {
                 break;
             }
+            if (it->second.modRevision < query.minModRevision) {
+                continue;
+            }
             found.entries.push_back(it->second);
             if (query.keysOnly) {
                 found.entries.back().value.clear();
--- a/tests/allowance_test.cpp
+++ b/tests/allowance_test.cpp
@@ -25,6 +25,46 @@
 constexpr auto skew = 1s;
 const std::string team = "search";
 
+/// Counts the entries of the last read and the batches.
+class recording_store final : public kv_store
+{
+public:
+    explicit recording_store(memory_kv_store &inner)
+        : m_inner(inner)
+    {
+    }
+
+    std::size_t entriesRead = 0;
+    std::size_t writes = 0;
+
+    result<range_result> range(const range_query &query) override
+    {
+        auto found = m_inner.range(query);
+        entriesRead = found ? found->entries.size() : 0;
+        return found;
+    }
+    result<batch_result> applyBatch(std::span<const conditional_write> given) override
+    {
+        ++writes;
+        return m_inner.applyBatch(given);
+    }
+    result<lease_id> grantLease(std::chrono::seconds ttl) override
+    {
+        return m_inner.grantLease(ttl);
+    }
+    result<void> keepAlive(lease_id lease) override
+    {
+        return m_inner.keepAlive(lease);
+    }
+    result<void> revokeLease(lease_id lease) override
+    {
+        return m_inner.revokeLease(lease);
+    }
+
+private:
+    memory_kv_store &m_inner;
+};
+
 /// One holder's connection to the store: loses calls and responses, delivers calls late, and lets
 /// others act between the holder's read and its write.
 class faulty_store final : public kv_store
@@ -389,6 +429,7 @@
     CPPUNIT_TEST(fixedSeedHasNoViolation);
     CPPUNIT_TEST(eachSafeguardIsNeeded);
     CPPUNIT_TEST(smallLimitReachesEveryHolder);
+    CPPUNIT_TEST(onlyChangedRecordsAreRead);
     CPPUNIT_TEST(loweredLimitStopsStartsAtOnce);
     CPPUNIT_TEST(idleHolderGivesUpItsGrant);
     CPPUNIT_TEST(alternatingLoadCausesFewWrites);
@@ -482,6 +523,38 @@
         CPPUNIT_ASSERT(*std::min_element(started.begin(), started.end()) >= 10);
     }
 
+    /// Guards against reading all records each second, and against missing those of other holders
+    /// and of teams that are added later.
+    void onlyChangedRecordsAreRead()
+    {
+        recording_store store(m_store);
+        const auto reader = allowance_manager::create("a", store);
+        const auto writer = allowance_manager::create("b", m_store);
+        writer->setLimits({{team, 10}, {"render", 10}}, 1);
+        CPPUNIT_ASSERT(writer->adjust(m_clock.wallNow()).has_value());
+        reader->setLimits({{team, 10}}, 1);
+        for (int i = 0; i < 3; ++i) {
+            CPPUNIT_ASSERT(reader->adjust(m_clock.wallNow()).has_value());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), store.entriesRead);
+
+        writer->setQueued(team, 5);
+        CPPUNIT_ASSERT(writer->adjust(m_clock.wallNow()).has_value());
+        for (int i = 0; i < 5; ++i) {
+            CPPUNIT_ASSERT(writer->tryStart(team));
+        }
+        CPPUNIT_ASSERT(writer->adjust(m_clock.wallNow()).has_value());
+        CPPUNIT_ASSERT(reader->adjust(m_clock.wallNow()).has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), store.entriesRead);
+        CPPUNIT_ASSERT_EQUAL(5, reader->stateOf(team).useOfOthers);
+
+        store.writes = 0;
+        reader->setLimits({{team, 10}, {"render", 10}}, 2);
+        CPPUNIT_ASSERT(reader->adjust(m_clock.wallNow()).has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), store.entriesRead);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), store.writes); // No conflict with an unread record.
+    }
+
     void loweredLimitStopsStartsAtOnce()
     {
         const auto manager = allowance_manager::create("a", m_store);
--- a/tests/host_list_test.cpp
+++ b/tests/host_list_test.cpp
@@ -7,6 +7,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <array>
+#include <vector>
 
 using namespace ibishinge;
 using namespace std::chrono_literals;
@@ -33,6 +34,7 @@
     CPPUNIT_TEST(validListSurvivesFormatting);
     CPPUNIT_TEST(invalidListIsRejectedAsAWhole);
     CPPUNIT_TEST(changeIsShownAfterTheLag);
+    CPPUNIT_TEST(unchangedListCostsNoBody);
     CPPUNIT_TEST(failedResponsesAreErrors);
     CPPUNIT_TEST_SUITE_END();
 
@@ -115,6 +117,38 @@
         CPPUNIT_ASSERT(list->hosts.empty());
     }
 
+    /// Guards against polls that transfer the whole list each second, and against a 304 that is
+    /// taken for an empty list, which would count all hosts as gone.
+    void unchangedListCostsNoBody()
+    {
+        manual_clock clock;
+        host_list_standin standin(clock, 0s);
+        std::vector<int> statuses;
+        const auto server = http_server::start({}, [&](const http_request &request) {
+            auto response = standin.handle(request);
+            statuses.push_back(response.status);
+            return response;
+        });
+        const auto client = http_client::create({});
+        const endpoint where {"127.0.0.1", (*server)->port()};
+        const auto hosts = makeHttpHostList(*client, where);
+        http_request post;
+        post.method = "POST";
+        post.path = "/admin/hosts";
+        post.body = R"({"hosts":[)" + validHost + "]}";
+        CPPUNIT_ASSERT_EQUAL(200, client->send(where, post, 10s)->status);
+        for (int i = 0; i < 3; ++i) {
+            const auto list = hosts->fetch(10s);
+            CPPUNIT_ASSERT(list.has_value());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), list->hosts.size());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), list->version);
+        }
+        post.body = R"({"hosts":[]})";
+        CPPUNIT_ASSERT_EQUAL(200, client->send(where, post, 10s)->status);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), hosts->fetch(10s)->version);
+        CPPUNIT_ASSERT(statuses == (std::vector<int> {200, 200, 304, 304, 200, 200}));
+    }
+
     void failedResponsesAreErrors()
     {
         struct row
@@ -122,7 +156,8 @@
             int status;
             const char *body;
         };
-        const std::array<row, 3> rows {{{500, R"({"version":1,"hosts":[]})"},
+        const std::array<row, 4> rows {{{304, ""}, // Nothing was asked that it could answer.
+                                        {500, R"({"version":1,"hosts":[]})"},
                                         {200, "<html>"},
                                         {200, R"({"version":1,"hosts":[{}]})"}}};
         for (const auto &row : rows) {
--- a/tests/kv_store_contract_test.cpp
+++ b/tests/kv_store_contract_test.cpp
@@ -315,6 +315,15 @@
     const auto keys = store.range({"p/", true, true});
     CPPUNIT_ASSERT_EQUAL(std::string(), keys->entries.at(0).value);
     CPPUNIT_ASSERT_EQUAL(written->revision, keys->entries[0].modRevision);
+
+    // Guards against a reader of changes that misses one or is sent unchanged entries.
+    const auto later = applyAll(store, {put("p/a", "6")});
+    const auto changed = store.range({"p/", true, false, written->revision + 1});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), changed->entries.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("6"), changed->entries[0].value);
+    CPPUNIT_ASSERT_EQUAL(later->revision, changed->revision);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), store.range({"p/", true, false, 1})->entries.size());
+    CPPUNIT_ASSERT(store.range({"p/", true, false, later->revision + 1})->entries.empty());
 }
 
 void enforcesBounds(kv_store &store, manual_clock & /*clock*/)
