Exchange with two members in turn while the proof of the configuration is young

Exchanges of all members with all each second, each with the full list of members, took 124 KB/s at 16 processes. A round now asks two members in turn, and all of them as soon as a poll has failed, so the freshness rule sees the same reports as before. The list of members is sent only in answers and only if the digests of the addresses differ. The store's list of members is read only if a revision in it changed. The simulation uses the same rounds and 6 processes instead of 4.

--- a/include/ibishinge/decision/freshness.h
+++ b/include/ibishinge/decision/freshness.h
@@ -24,6 +24,14 @@
 /// Time from one poll of the store, and from one round of exchanges, to the next.
 inline constexpr std::chrono::milliseconds pollInterval {1000};
 
+/// Age of the proof above which every member is asked in each round. One poll has then failed, and
+/// the round after it still ends within `maxContactAge`.
+inline constexpr std::chrono::milliseconds fullRoundAge {1250};
+
+/// Members asked in a round while the proof is younger. Each is also asked by as many others, and
+/// both sides learn from an exchange, so that news is with all of 16 members within 3 rounds.
+inline constexpr std::size_t roundMembers = 2;
+
 /// Time within which a member has to answer an exchange. Not longer than `pollInterval`, so that
 /// rounds do not overlap.
 inline constexpr std::chrono::milliseconds exchangeTimeout {1000};
--- a/include/ibishinge/outside/peer_client.h
+++ b/include/ibishinge/outside/peer_client.h
@@ -21,7 +21,10 @@
     std::int64_t storeRevision = 0; ///< highest revision of the store that the sender knows of
     std::optional<std::chrono::milliseconds> contactAge; ///< of the proof that they are current
     std::vector<std::string> leavingTargets; ///< targets that receive no new work
-    std::vector<member_info> members; ///< other members known to the sender
+    /// Other members known to the sender. Only in answers, and only if the digests differ: the full
+    /// list in each message would grow a member's traffic with the square of their number.
+    std::vector<member_info> members;
+    std::string membersDigest; ///< of the addresses known to the sender, with its own
 };
 
 /// A document of the configuration as stored. Revision 0: there is none.
--- a/include/ibishinge/service/configuration_agent.h
+++ b/include/ibishinge/service/configuration_agent.h
@@ -46,7 +46,8 @@
 /// Errors: those of `membership::renew` and `configuration_cache::poll`. Thread-safe.
 [[nodiscard]] result<void> runStoreRound(membership &members, configuration_cache &cache);
 
-/// One round with all members, at once. Takes at most twice `exchangeTimeout`. Thread-safe.
+/// One round with the members whose turn it is, at once. Takes at most twice `exchangeTimeout`.
+/// Thread-safe.
 void runMemberRound(configuration_cache &cache, peer_client &peers);
 
 } // namespace ibishinge
--- a/include/ibishinge/state/configuration_cache.h
+++ b/include/ibishinge/state/configuration_cache.h
@@ -60,8 +60,13 @@
     /// seen before; `invalid_request` for a document that cannot be read.
     [[nodiscard]] result<void> poll();
 
+    /// Returns the members to exchange with now, every `pollInterval`: some in turn while the proof
+    /// is young, and all as soon as a poll has failed. Asking all each second would take more than
+    /// the 16 KB/s of a daemon at 16 members.
+    [[nodiscard]] std::vector<member_info> membersOfRound();
+
     /// Exchanges state with one member and fetches its configuration if that is newer. Call for
-    /// each of `members()` every `pollInterval`, for several at once.
+    /// each of `membersOfRound()`, for several at once.
     /// Errors: those of `peer_client`.
     [[nodiscard]] result<void> exchangeWith(const member_info &member, peer_client &peers);
 
--- a/include/ibishinge/state/membership.h
+++ b/include/ibishinge/state/membership.h
@@ -6,6 +6,7 @@
 #include <ibishinge/state/document_reader.h>
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -33,8 +34,9 @@
     /// Precondition: `store` outlives the object.
     [[nodiscard]] static std::unique_ptr<membership> create(kv_store &store, member_info self);
 
-    /// Renews the lease, creates the record if it is missing, and reads the other records. Call
-    /// once a second. Two calls to the store; two more if the record has to be created.
+    /// Renews the lease, creates the record if it is missing, and reads the other records if their
+    /// revisions changed. Call once a second. Two calls to the store; one more if a record changed,
+    /// and two more if the own one has to be created.
     /// Errors: those of the store; the next call goes on from there.
     [[nodiscard]] result<void> renew();
 
@@ -61,6 +63,7 @@
     mutable std::mutex m_mutex;
     lease_id m_lease = 0;
     std::vector<member_info> m_others;
+    std::map<std::string, store_revision> m_revisions; ///< of `m_others`; guarded by m_renewing
 };
 
 } // namespace ibishinge
--- a/include/ibishinge/state/peer_directory.h
+++ b/include/ibishinge/state/peer_directory.h
@@ -46,6 +46,11 @@
 
     /// Returns all known members.
     [[nodiscard]] std::vector<member_info> members() const;
+    /// Returns the members to exchange with in a round in which `count` are enough; the following
+    /// calls go on from there, in the order of addresses that starts behind the own one.
+    [[nodiscard]] std::vector<member_info> nextMembers(std::size_t count);
+    /// Returns a digest of the addresses of all known members and the own one.
+    [[nodiscard]] std::string digest() const;
     /// Returns all known members as the freshness rule sees them.
     [[nodiscard]] std::vector<member_report> reports() const;
 
@@ -63,6 +68,7 @@
     member_info m_self;
     std::map<std::string, peer> m_peers; ///< by address
     std::set<std::string> m_absentHosts;
+    std::string m_lastAsked; ///< address after which `nextMembers` goes on
 };
 
 } // namespace ibishinge
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -2,7 +2,7 @@
 
 Store and host list are reached through a relay in this process that counts TCP payload bytes and
 HTTP calls of each entry process. Bytes between entry processes are read from the kernel's counters
-of their persistent connections (ss -ti).
+of their connections (ss -ti).
 """
 
 import argparse
@@ -111,6 +111,7 @@
         super().__init__(binaries, entries=size["entries"], controls=0, targets_per_service=0,
                          workers=0)
         self.size = size
+        self.closed = threading.Event()
         self.relay = Relay()
         self.catalogue = scaled_catalogue(size["teams"], size["pools"])
 
@@ -169,19 +170,40 @@
                                          for part in ("store", "host_list", "peers"))
         return counted
 
+    def _start_all(self):
+        self.connections = {}
+        self.sampled = threading.Lock()
+        threading.Thread(target=self._sample, daemon=True).start()
+        super()._start_all()
+
+    def _sample(self):
+        # An idle connection is closed after 2 s and takes its counters with it.
+        while not self.closed.wait(0.5):
+            self._peer_bytes()
+
+    def close(self):
+        self.closed.set()
+        super().close()
+
     def _peer_bytes(self):
-        """Payload bytes of the open peer connections, as client and as server."""
+        """Payload bytes of the peer connections seen so far, as client and as server."""
         pids = {str(self.processes[name].child.pid): name for name in self.names("entry")}
         listeners = {self.ports[name]["peers-listen"] for name in self.names("entry")}
         text = subprocess.run(["ss", "-tinpOH", "state", "established"], capture_output=True,
                               text=True, check=True).stdout
-        owner = Counter()
+        found = []
         for line in text.splitlines():
             ports = [int(port) for port in re.findall(r"127\.0\.0\.1\]?:(\d+)", line)[:2]]
             pid = re.search(r"pid=(\d+)", line)
             if pid and pid[1] in pids and listeners & set(ports):
-                owner[pids[pid[1]]] += sum(
-                    int(count) for count in re.findall(r"bytes_(?:sent|received):(\d+)", line))
+                found.append(((pids[pid[1]], *ports), sum(
+                    int(count) for count in re.findall(r"bytes_(?:sent|received):(\d+)", line))))
+        owner = Counter()
+        with self.sampled:
+            for connection, count in found:
+                self.connections[connection] = max(count, self.connections.get(connection, 0))
+            for (name, *_), count in self.connections.items():
+                owner[name] += count
         return owner
 
     def memory_mb(self):
--- a/src/outside/jsonrpc_peer_client.cpp
+++ b/src/outside/jsonrpc_peer_client.cpp
@@ -38,11 +38,10 @@
     for (const auto &member : message.members) {
         members.push_back(toJson(member));
     }
-    json value {{"sender", toJson(message.sender)},
-                {"revisions", toJson(message.revisions)},
-                {"store_revision", message.storeRevision},
-                {"leaving_targets", message.leavingTargets},
-                {"members", std::move(members)}};
+    json value {
+        {"sender", toJson(message.sender)},        {"revisions", toJson(message.revisions)},
+        {"store_revision", message.storeRevision}, {"leaving_targets", message.leavingTargets},
+        {"members", std::move(members)},           {"members_digest", message.membersDigest}};
     if (message.contactAge) {
         value["contact_age_ms"] = message.contactAge->count();
     }
@@ -106,6 +105,7 @@
     for (const auto &member : value.at("members")) {
         message.members.push_back(readMember(member));
     }
+    message.membersDigest = value.value("members_digest", "");
     return message;
 }
 
--- a/src/service/configuration_agent.cpp
+++ b/src/service/configuration_agent.cpp
@@ -20,7 +20,7 @@
 void runMemberRound(configuration_cache &cache, peer_client &peers)
 {
     std::vector<std::future<void>> exchanges;
-    for (const auto &member : cache.members()) {
+    for (const auto &member : cache.membersOfRound()) {
         exchanges.push_back(std::async(std::launch::async, [&cache, &peers, member] {
             // A failure shows in the freshness verdict.
             static_cast<void>(cache.exchangeWith(member, peers));
--- a/src/state/configuration_cache.cpp
+++ b/src/state/configuration_cache.cpp
@@ -178,13 +178,16 @@
         message.contactAge = std::chrono::ceil<milliseconds>(m_clock.now() - *m_contact);
     }
     message.members = m_directory.members();
+    message.membersDigest = m_directory.digest();
     return message;
 }
 
 result<void> configuration_cache::exchangeWith(const member_info &member, peer_client &peers)
 {
     const auto startedAt = m_clock.now();
-    const auto answer = peers.exchange(member.address, ownMessage(), exchangeTimeout);
+    auto message = ownMessage();
+    message.members.clear(); // The member takes them from the answer when it asks in its turn.
+    const auto answer = peers.exchange(member.address, message, exchangeTimeout);
     if (!answer) {
         if (isConnectionRefused(answer.error())) {
             const std::lock_guard lock(m_mutex);
@@ -243,6 +246,15 @@
     return m_directory.members();
 }
 
+std::vector<member_info> configuration_cache::membersOfRound()
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_contact || m_clock.now() - *m_contact > fullRoundAge) {
+        return m_directory.members();
+    }
+    return m_directory.nextMembers(roundMembers);
+}
+
 exchange_message configuration_cache::exchange(const exchange_message &message)
 {
     if (m_options.learnLeavingTargets) {
@@ -255,7 +267,11 @@
         m_directory.noteCaller(message.sender, now);
         m_directory.noteNamed(message.members, now);
     }
-    return ownMessage();
+    auto answer = ownMessage();
+    if (answer.membersDigest == message.membersDigest) {
+        answer.members.clear();
+    }
+    return answer;
 }
 
 configuration_documents configuration_cache::fetchConfiguration()
--- a/src/state/membership.cpp
+++ b/src/state/membership.cpp
@@ -10,6 +10,15 @@
 
 constexpr std::size_t maxTextLength = 255;
 
+std::map<std::string, store_revision> revisionsOf(const range_result &read)
+{
+    std::map<std::string, store_revision> revisions;
+    for (const auto &entry : read.entries) {
+        revisions.emplace(entry.key, entry.modRevision);
+    }
+    return revisions;
+}
+
 } // namespace
 
 nlohmann::json toJson(const member_info &value)
@@ -79,15 +88,25 @@
 
 result<void> membership::list()
 {
+    const auto polled = m_store.range({std::string(memberPrefix), true, true});
+    if (!polled) {
+        return tl::unexpected(polled.error());
+    }
+    auto revisions = revisionsOf(*polled);
+    if (!revisions.contains(m_key)) {
+        const std::lock_guard lock(m_mutex);
+        m_lease = 0; // The record is created again by the next renewal.
+    }
+    if (revisions == m_revisions) {
+        return {};
+    }
     const auto read = m_store.range({std::string(memberPrefix), true, false});
     if (!read) {
         return tl::unexpected(read.error());
     }
     std::vector<member_info> others;
-    bool listed = false;
     for (const auto &entry : read->entries) {
         if (entry.key == m_key) {
-            listed = true;
             continue;
         }
         const auto document = parseDocument(entry.value);
@@ -103,9 +122,7 @@
     }
     const std::lock_guard lock(m_mutex);
     m_others = std::move(others);
-    if (!listed) {
-        m_lease = 0; // The record is created again by the next renewal.
-    }
+    m_revisions = revisionsOf(*read);
     return {};
 }
 
--- a/src/state/peer_directory.cpp
+++ b/src/state/peer_directory.cpp
@@ -1,11 +1,21 @@
 #include <ibishinge/state/peer_directory.h>
 
+#include <ibishinge/base/secret.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace ibishinge {
 
+namespace {
+
+constexpr std::size_t digestDigits = 16; ///< 64 bits: equal digests of different sets do not occur
+
+} // namespace
+
 peer_directory::peer_directory(member_info self)
     : m_self(std::move(self))
+    , m_lastAsked(toString(m_self.address))
 {
 }
 
@@ -99,6 +109,33 @@
     return all;
 }
 
+std::vector<member_info> peer_directory::nextMembers(std::size_t count)
+{
+    std::vector<member_info> next;
+    for (std::size_t i = 0; i < std::min(count, m_peers.size()); ++i) {
+        auto found = m_peers.upper_bound(m_lastAsked);
+        if (found == m_peers.end()) {
+            found = m_peers.begin();
+        }
+        m_lastAsked = found->first;
+        next.push_back(found->second.info);
+    }
+    return next;
+}
+
+std::string peer_directory::digest() const
+{
+    std::set<std::string> addresses {toString(m_self.address)};
+    for (const auto &[address, known] : m_peers) {
+        addresses.insert(address);
+    }
+    std::string text;
+    for (const auto &address : addresses) {
+        text += address + "\n";
+    }
+    return toHex(sha256(text, {})).substr(0, digestDigits);
+}
+
 std::vector<member_report> peer_directory::reports() const
 {
     std::vector<member_report> all;
--- a/tests/configuration_cache_test.cpp
+++ b/tests/configuration_cache_test.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,7 +17,7 @@
 
 namespace {
 
-constexpr std::size_t processCount = 4;
+constexpr std::size_t processCount = 6;
 constexpr std::size_t keyCount = 4;
 
 enum class action {
@@ -279,6 +280,8 @@
     CPPUNIT_TEST(frozenMemberStopsTheOthersInAnOutage);
     CPPUNIT_TEST(goneMemberStopsNobodyInAnOutage);
     CPPUNIT_TEST(cutFromTheStoreAPeerKeepsItCurrent);
+    CPPUNIT_TEST(newsSpreadsAmongSixteenMembers);
+    CPPUNIT_TEST(membersAreListedAgainOnlyAfterAChange);
     CPPUNIT_TEST(startInAnOutageTakesOverFromAPeer);
     CPPUNIT_TEST(staleReadIsNoProof);
     CPPUNIT_TEST(malformedDocumentKeepsTheOldOneAndProvesNothing);
@@ -430,6 +433,64 @@
         CPPUNIT_ASSERT(s.accepts(0, s.key(1)));
     }
 
+    /// Guards against a traffic that grows with the number of members, and against news that then
+    /// spreads too slowly for the 6 s in which a configuration is in effect.
+    void newsSpreadsAmongSixteenMembers()
+    {
+        member_simulation fleet(16, {});
+        fleet.run(4s);
+        const auto keys = [](int n) {
+            key_list list;
+            list.keys.push_back(
+                makeKey("amber", {"k" + std::to_string(n), "salt", "secret"}, 1ms).record);
+            return conditional_write {std::string(keysKey), {}, {}, encodeKeys(list), 0};
+        };
+        for (std::size_t reached = 0; reached < fleet.size(); ++reached) {
+            CPPUNIT_ASSERT_EQUAL(fleet.size() - 1, fleet.at(reached).cache->members().size());
+            // Only one process reaches the store.
+            for (std::size_t i = 0; i < fleet.size(); ++i) {
+                fleet.at(i).store->isCut = i != reached;
+            }
+            const auto write = keys(static_cast<int>(reached));
+            const auto written = fleet.store().applyBatch(std::array {write});
+            CPPUNIT_ASSERT(written.has_value());
+            fleet.run(4s);
+            for (std::size_t i = 0; i < fleet.size(); ++i) {
+                const auto view = fleet.at(i).cache->view();
+                CPPUNIT_ASSERT_EQUAL(written->revision, view.current->revisions.keys);
+                CPPUNIT_ASSERT(view.freshness.state == freshness_state::usable);
+            }
+            fleet.heal();
+            fleet.run(2s);
+            std::set<std::string> asked;
+            for (int round = 0; round < 8; ++round) {
+                const auto some = fleet.at(reached).cache->membersOfRound();
+                CPPUNIT_ASSERT_EQUAL(roundMembers, some.size());
+                for (const auto &member : some) {
+                    asked.insert(toString(member.address));
+                }
+            }
+            CPPUNIT_ASSERT_EQUAL(fleet.size() - 1, asked.size());
+        }
+    }
+
+    /// Guards against reading all member records each second, and against missing a member that
+    /// came or went.
+    void membersAreListedAgainOnlyAfterAChange()
+    {
+        member_simulation fleet(3, {});
+        fleet.run(3s);
+        const auto before = fleet.store().readCalls();
+        CPPUNIT_ASSERT(fleet.at(0).members->renew().has_value());
+        CPPUNIT_ASSERT_EQUAL(before + 1, fleet.store().readCalls());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fleet.at(0).members->others().size());
+        CPPUNIT_ASSERT(fleet.at(1).members->leave().has_value());
+        CPPUNIT_ASSERT(fleet.at(0).members->renew().has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.at(0).members->others().size());
+        fleet.run(2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fleet.at(0).members->others().size());
+    }
+
     void startInAnOutageTakesOverFromAPeer()
     {
         scenario s({});
--- a/tests/support/member_simulation.h
+++ b/tests/support/member_simulation.h
@@ -72,7 +72,7 @@
 };
 
 /// Several processes on one store in virtual time, with cuts between any two of them. Each runs
-/// the same round as the daemon: renew, list, poll, exchange with every member.
+/// the same round as the daemon: renew, list, poll, exchange with the members of the round.
 class member_simulation
 {
 public:
@@ -249,7 +249,7 @@
             static_cast<void>(p.cache->poll());
         }
         network peers(*this, index);
-        for (const auto &member : p.cache->members()) {
+        for (const auto &member : p.cache->membersOfRound()) {
             static_cast<void>(p.cache->exchangeWith(member, peers));
         }
     }
