Pass over the targets ten times a second instead of fifty

The dispatcher updated the health of all targets and counted free slots at each tick of 20 ms. At 2,500 targets this took most of the 8% of a core that an idle entry process used.

--- a/include/ibishinge/service/request_dispatcher.h
+++ b/include/ibishinge/service/request_dispatcher.h
@@ -125,7 +125,7 @@
     std::int64_t m_catalogueRevision = 0;
     std::uint64_t m_nextId = 1;
     std::size_t m_started = 0; ///< started and not completed
-    monotonic_time m_lastTick;
+    monotonic_time m_lastHealthUpdate;
 };
 
 } // namespace ibishinge
--- a/src/service/request_dispatcher.cpp
+++ b/src/service/request_dispatcher.cpp
@@ -6,6 +6,12 @@
 
 namespace ibishinge {
 
+namespace {
+
+constexpr milliseconds healthInterval {100};
+
+} // namespace
+
 /// A thread that waits in `acquire`.
 struct request_dispatcher::waiter
 {
@@ -28,7 +34,7 @@
     , m_allowances(allowances)
     , m_clock(clock)
     , m_random(m_options.seed)
-    , m_lastTick(clock.now())
+    , m_lastHealthUpdate(clock.now())
 {
     m_admission.settings = m_options.admission;
     m_targets.options = m_options.routing;
@@ -160,8 +166,8 @@
     if (slot.target.attempt != 0) {
         completeAttempt(m_targets, slot.target.attempt, report, now);
     }
-    const bool mayStillRun = report.outcome == attempt_outcome::timeout
-        || report.outcome == attempt_outcome::failed;
+    const bool mayStillRun =
+        report.outcome == attempt_outcome::timeout || report.outcome == attempt_outcome::failed;
     if (mayStillRun) {
         m_lingering.push_back({slot.id, slot.request.team, now + slot.request.maxRun});
     } else {
@@ -195,15 +201,23 @@
 {
     const std::lock_guard lock(m_mutex);
     const monotonic_time now = m_clock.now();
-    updateTargetHealth(m_targets, now, std::chrono::duration_cast<milliseconds>(now - m_lastTick));
-    m_lastTick = now;
+    // A pass over 2,500 targets takes 0.5 ms; at each tick it would take 2.3% of a core.
+    const bool isHealthDue = now - m_lastHealthUpdate >= healthInterval;
+    if (isHealthDue) {
+        updateTargetHealth(m_targets, now,
+                           std::chrono::duration_cast<milliseconds>(now - m_lastHealthUpdate));
+        m_lastHealthUpdate = now;
+    }
     endLingeringRuns(now);
     refreshAllowances(now);
     for (auto &refused : expire(m_admission, now)) {
         deliver(refused.id, tl::unexpected(std::move(refused.reason)));
     }
-    for (const auto &[service, ids] : m_targets.services) {
-        startWaiting(service, now);
+    // Without waiting requests this only refreshes the count of free slots.
+    if (isHealthDue || !m_admission.waiting.empty()) {
+        for (const auto &[service, ids] : m_targets.services) {
+            startWaiting(service, now);
+        }
     }
 }
 
