--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -228,6 +228,29 @@
         mean["members_seen"] = len(self.names("entry"))
         return mean
 
+    def calls_within(self, act, seconds, condition):
+        """Runs `act`; returns reads, writes and bytes of one process in `seconds`, and the time
+        until `condition` holds."""
+        before, start = self.counters(), time.monotonic()
+        act()
+        fleet.wait_until(condition, "recovery", 60)
+        took = time.monotonic() - start
+        time.sleep(max(0, start + seconds - time.monotonic()))
+        after = self.counters()
+        mean = {part: sum(after[name][part] - before[name][part] for name in after) / len(after)
+                for part in ("reads", "writes", "store", "host_list")}
+        return {**mean, "took": took}
+
+    def all_ready(self):
+        return all(fleet.http("GET", self.url(name, "/readyz"))[0] == 200
+                   for name in self.names("entry"))
+
+    def restart_entries(self):
+        for name in self.names("entry"):
+            self.processes[name].kill()
+        for name in self.names("entry"):
+            self.processes[name].start()
+
     def revision_in_force(self, name):
         text = fleet.http("GET", self.url(name, "/metrics"))[2].decode()
         found = re.search(r"^ibishinge_configuration_revision\S* (\S+)", text, re.M)
@@ -292,11 +315,32 @@
     print("| slope | " + " | ".join(cells) + " |")
 
 
+def print_bursts(options):
+    """An outage of the store, its end, and the restart of all entry processes at once."""
+    with MeasuredFleet(options.binaries, TARGET) as run:
+        time.sleep(options.settle)
+        run.admin("store", "/admin/fault", {"mode": "down", "close": True})
+        print_sweep("store down", [(f"{TARGET['entries']} entries",
+                                    run.idle(options.settle, options.seconds))])
+        print(f"\nAll ready for work with keys during the outage: {run.all_ready()}")
+        back = run.calls_within(
+            lambda: run.admin("store", "/admin/fault", {"mode": "none"}), 5, run.all_ready)
+        restart = run.calls_within(run.restart_entries, 10, run.all_ready)
+        print("\n| burst | s until all are ready | reads of a process | writes of a process "
+              "| store, B of a process | host list, B of a process |\n" + "| --- " * 6 + "|")
+        for what, cost in (("store back, first 5 s", back),
+                           ("all entries killed and started, first 10 s", restart)):
+            print(f"| {what} | {cost['took']:.2f} | {cost['reads']:.1f} | {cost['writes']:.1f} "
+                  f"| {number(cost['store'])} | {number(cost['host_list'])} |")
+        rejected = run.admin("store", "/admin/counters")["rejected"]
+        print(f"\nCalls rejected by the store for their rate: {rejected}")
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--binaries", default="build/release")
     parser.add_argument("--sweeps", default=",".join(SWEEPS) + ",target",
-                        help="comma-separated: " + ", ".join(SWEEPS) + ", target, changes, bench")
+                        help="comma-separated: " + ", ".join(SWEEPS) + ", target, changes, bursts, bench")
     parser.add_argument("--settle", type=float, default=5, help="seconds before a measurement")
     parser.add_argument("--seconds", type=float, default=8, help="seconds of a measurement")
     options = parser.parse_args()
@@ -339,6 +383,8 @@
                       f"| {number(cost['total'])} | {number(cost['first_entry'])} "
                       f"| {cost['reads']:.2f} | {cost['writes']:.2f} "
                       f"| {10 * cost['cpu_percent']:.1f} |", flush=True)
+        elif name == "bursts":
+            print_bursts(options)
         elif name == "bench":
             print(flush=True)
             subprocess.run([f"{options.binaries}/bench-capacity"], check=True)
--- a/src/decision/routing.cpp
+++ b/src/decision/routing.cpp
@@ -359,6 +359,9 @@
         all.attempts += s.attempts;
         all.failures += s.failures;
     }
+    if (all.failures < table.options.outlierFailures) {
+        return; // No single target can have enough failures.
+    }
     std::vector<target *> outliers;
     for (const target_id id : ids) {
         target &t = table.targets.at(id);
