--- a/tests/configuration_cache_test.cpp
+++ b/tests/configuration_cache_test.cpp
@@ -321,6 +321,7 @@
         int brokenWithRule = 0;
         for (int run = 0; run < 100; ++run) {
             std::vector<command> commands;
+            commands.reserve(40);
             for (int i = 0; i < 40; ++i) {
                 commands.push_back(
                     {static_cast<action>(below(static_cast<std::size_t>(action::heal_all) + 1)),
