--- a/src/service/entry_process.cpp
+++ b/src/service/entry_process.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -99,6 +100,7 @@
 
     std::mutex sightingsMutex;
     host_sightings sightings;
+    std::optional<std::uint64_t> hostListVersion; ///< last one taken over
 
     std::mutex hostListMutex;
     host_list_view hostListView;
@@ -284,15 +286,22 @@
     if (!list) {
         return;
     }
-    dispatcher->updateHosts(*list);
     {
         const std::lock_guard lock(hostListMutex);
         hostListView = {*list, clock.now()};
     }
+    // Taking over 2,500 hosts costs more than the whole second's control work should.
+    const bool isChanged = hostListVersion != list->version;
+    hostListVersion = list->version;
+    if (isChanged) {
+        dispatcher->updateHosts(*list);
+    }
     std::set<std::string> absent;
     {
         const std::lock_guard lock(sightingsMutex);
-        noteHosts(sightings, *list);
+        if (isChanged) {
+            noteHosts(sightings, *list);
+        }
         for (const auto &member : configuration->members()) {
             if (!sightings.present.contains(member.host)) {
                 absent.insert(member.host);
