--- a/include/ibishinge/service/request_dispatcher.h
+++ b/include/ibishinge/service/request_dispatcher.h
@@ -90,6 +90,9 @@
     /// Returns the number of requests that wait or run, without those that timed out.
     [[nodiscard]] std::size_t inProgress() const;
 
+    /// Returns true if a catalogue is in effect and the host list has shown a target.
+    [[nodiscard]] bool isReady() const;
+
 private:
     struct waiter;
     struct lingering_run
--- a/src/service/entry_process.cpp
+++ b/src/service/entry_process.cpp
@@ -224,6 +224,9 @@
     if (view.current->revisions.catalogue > 0) {
         dispatcher->applyCatalogue(view.current->catalogue.value,
                                    view.current->revisions.catalogue);
+        // A process without a catalogue reports none; 0 would read as a step back at a restart.
+        metrics.set("ibishinge_configuration_revision", {},
+                    static_cast<double>(view.current->revisions.catalogue));
     }
     const bool usable = view.freshness.state == freshness_state::usable;
     if (usable != configurationUsable) {
@@ -231,8 +234,6 @@
         logEvent(usable ? log_level::info : log_level::warning, "configuration_freshness",
                  {{"state", nameOf(view.freshness.state)}, {"reason", view.freshness.reason}});
     }
-    metrics.set("ibishinge_configuration_revision", {},
-                static_cast<double>(view.current->revisions.catalogue));
     metrics.set("ibishinge_configuration_usable", {}, usable ? 1 : 0);
 
     const auto others = members->others();
--- a/src/service/entry_service.cpp
+++ b/src/service/entry_service.cpp
@@ -107,6 +107,12 @@
              {}},
             run_state::attempt_not_run, "");
     }
+    if (!m_with.dispatcher.isReady()) {
+        // Otherwise the balancer would send requests between the first poll of the store and the
+        // first answer of the host list, and all of them would be refused.
+        return errorAnswer({error_kind::not_ready, "dispatcher", "no target is known yet", {}},
+                           run_state::attempt_not_run, "");
+    }
     return jsonResponse(200, "{\"status\":\"ready\"}\n");
 }
 
--- a/src/service/request_dispatcher.cpp
+++ b/src/service/request_dispatcher.cpp
@@ -160,8 +160,8 @@
     if (slot.target.attempt != 0) {
         completeAttempt(m_targets, slot.target.attempt, report, now);
     }
-    const bool mayStillRun = report.outcome == attempt_outcome::timeout
-        || report.outcome == attempt_outcome::failed;
+    const bool mayStillRun =
+        report.outcome == attempt_outcome::timeout || report.outcome == attempt_outcome::failed;
     if (mayStillRun) {
         m_lingering.push_back({slot.id, slot.request.team, now + slot.request.maxRun});
     } else {
@@ -264,4 +264,10 @@
     return m_waiters.size() + m_started;
 }
 
+bool request_dispatcher::isReady() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_catalogueRevision > 0 && !m_targets.targets.empty();
+}
+
 } // namespace ibishinge
