Stop entry processes under load that a balancer steers

The load tool went on sending to stopping entry processes, so that a stop lasted until the load ended and the test of graceful stops stopped two of the three processes without load.

--- a/src/tools/load_main.cpp
+++ b/src/tools/load_main.cpp
@@ -10,7 +10,9 @@
 #include <fstream>
 #include <iostream>
 #include <mutex>
+#include <optional>
 #include <random>
+#include <stop_token>
 #include <thread>
 
 using namespace ibishinge;
@@ -43,9 +45,57 @@
     std::string body;
 };
 
+/// Chooses entry processes as the platform's load balancer does: among those that are ready.
+class balancer
+{
+public:
+    /// Preconditions: `client` outlives the object; `entries` is not empty.
+    balancer(http_client &client, std::vector<endpoint> entries)
+        : m_client(client)
+        , m_entries(std::move(entries))
+        , m_ready(m_entries.size())
+        , m_checks([this](const std::stop_token &stop) { check(stop); })
+    {
+    }
+
+    /// Returns any entry process if none is ready. Thread-safe.
+    [[nodiscard]] const endpoint &choose(std::mt19937_64 &random) const
+    {
+        std::uniform_int_distribution<std::size_t> any(0, m_entries.size() - 1);
+        for (std::size_t i = 0; i < 4 * m_entries.size(); ++i) {
+            const std::size_t chosen = any(random);
+            if (m_ready[chosen]) {
+                return m_entries[chosen];
+            }
+        }
+        return m_entries[any(random)];
+    }
+
+private:
+    void check(const std::stop_token &stop)
+    {
+        while (!stop.stop_requested()) {
+            for (std::size_t i = 0; i < m_entries.size(); ++i) {
+                http_request request;
+                request.method = "GET";
+                request.path = "/readyz";
+                const auto response = m_client.send(m_entries[i], request, 500ms);
+                m_ready[i] = response && response->status == 200;
+            }
+            std::this_thread::sleep_for(100ms);
+        }
+    }
+
+    http_client &m_client;
+    std::vector<endpoint> m_entries;
+    std::vector<std::atomic<bool>> m_ready;
+    std::jthread m_checks;
+};
+
 struct load_options
 {
     std::vector<endpoint> entries;
+    const balancer *balanced = nullptr; ///< none: entry processes are chosen at random
     std::vector<team_demand> teams;
     std::chrono::milliseconds deadline {0};
     int maxAttempts = 1;
@@ -207,7 +257,8 @@
         if (left <= 0ms) {
             return;
         }
-        const endpoint &entry = options.entries[anyEntry(random)];
+        const endpoint &entry = options.balanced != nullptr ? options.balanced->choose(random)
+                                                            : options.entries[anyEntry(random)];
         const http_request request = toHttp(planned, team, left);
         nlohmann::json line {{"id", planned.id},           {"team", team.name},
                              {"service", planned.service}, {"attempt", attempt},
@@ -249,6 +300,8 @@
           600000, false},
          {"attempts", setting_type::integer, "3", "Most attempts for a request", 1, 100, false},
          {"threads", setting_type::integer, "128", "Most requests in progress", 1, 2000, false},
+         {"balance", setting_type::integer, "0", "1: send to ready entry processes only", 0, 1,
+          false},
          {"log", setting_type::text, "", "File for the JSON lines", 0, 0, true}});
 
     load_options options;
@@ -263,6 +316,11 @@
     const auto requests =
         plan(options.teams, std::chrono::seconds(values.integer("seconds")), seed);
     const auto client = http_client::create({});
+    std::optional<balancer> balanced;
+    if (values.integer("balance") == 1) {
+        balanced.emplace(*client, options.entries);
+        options.balanced = &*balanced;
+    }
     attempt_log log(values.text("log"));
     std::atomic<std::size_t> next {0};
     std::atomic<std::int64_t> startedLate {0};
--- a/tests/process/graceful_stop_test.py
+++ b/tests/process/graceful_stop_test.py
@@ -8,11 +8,16 @@
     """Guards against planned stops that cut requests or lose their allowance."""
 
     def test_each_entry_process_in_turn(self):
-        """Callers of a stopped process may see refused connections, and nothing else."""
-        with small_fleet(run_ms=100) as fleet, Load(fleet, seconds=24) as load:
+        """Callers of a stopped process may see refused connections, and nothing else.
+
+        The callers choose among ready processes, as behind a load balancer; without one, a stop
+        under load lasts until --drain-limit-ms.
+        """
+        with small_fleet(run_ms=100) as fleet, Load(fleet, seconds=30, balance=True) as load:
             load.wait_answers(50)
             for name in fleet.names("entry"):
                 self.assertEqual(fleet.processes[name].stop(), 0, name)
+                self.assertIsNone(load.child.poll(), f"the load ended before {name} had stopped")
                 fleet.processes[name].start()
                 wait_until(lambda name=name:
                            support.http("GET", fleet.url(name, "/readyz"))[0] == 200,
--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -88,7 +88,7 @@
     """The load tool, its callers' log, and the audit of the run."""
 
     def __init__(self, fleet, seconds=8, seed=SEED, rate=40, non_idempotent=0.5, deadline_ms=8000,
-                 threads=128, services=("work",), entries=None):
+                 threads=128, services=("work",), balance=False):
         self.fleet = fleet
         self.seconds = seconds
         self.log = fleet.directory / f"callers-{seed}.jsonl"
@@ -98,11 +98,12 @@
              "services": list(services), "rate_per_second": rate, "urgent_fraction": 0.2,
              "non_idempotent_fraction": non_idempotent, "repeat_fraction": 0.05}
             for team in fleet.catalogue["teams"]]))
-        addresses = ",".join(fleet.address(name) for name in entries or fleet.names("entry"))
+        addresses = ",".join(fleet.address(name) for name in fleet.names("entry"))
         self.child = subprocess.Popen(
             [str(fleet.binaries / "ibishinge-load"), f"--entries={addresses}",
              f"--teams-file={demand}", f"--seconds={seconds}", f"--seed={seed}", "--attempts=20",
-             f"--deadline-ms={deadline_ms}", f"--threads={threads}", f"--log={self.log}"],
+             f"--deadline-ms={deadline_ms}", f"--threads={threads}", f"--balance={int(balance)}",
+             f"--log={self.log}"],
             stdout=subprocess.PIPE)
 
     def lines(self):
