--- a/tests/process/graceful_stop_test.py
+++ b/tests/process/graceful_stop_test.py
@@ -24,6 +24,17 @@
                            f"{name} ready", support.WAIT_S)
             self.check(audit_load(fleet, load, refused=fleet.names("entry")), least_whole=100)
 
+    def test_callers_that_still_come(self):
+        """Without a balancer, callers who come while the process stops get a clear refusal.
+
+        Fails if the process closes its listening socket while requests arrive.
+        """
+        with small_fleet(run_ms=100) as fleet, Load(fleet, seconds=12) as load:
+            load.wait_answers(50)
+            self.assertEqual(fleet.processes["entry-0"].stop(), 0)
+            fleet.processes["entry-0"].start()
+            self.check(audit_load(fleet, load, refused=("entry-0",)), least_whole=100)
+
     def test_target(self):
         """Its running requests end whole; rejected ones are not run there."""
         with small_fleet(run_ms=100) as fleet, Load(fleet) as load:
