Free a dead process's grant after the longest max_run_ms of the catalogue

Cause: the daemon left allowance_settings::maxRun at its default of 10 minutes, although design.md section 6 says the longest max_run_ms. After an entry process was killed and restarted, its part of a team's limit stayed unusable for 10 minutes. The catalogue's value is now passed on; it is only raised while a process lives, since work admitted under an earlier catalogue may still run.

process_team_limit_test covers it: a limit of 6 under demand through all entry processes, with kills, a freeze and store outages, is never exceeded over all targets' logs, and new demand has to reach 6 again.

--- a/include/ibishinge/state/allowance_manager.h
+++ b/include/ibishinge/state/allowance_manager.h
@@ -46,6 +46,11 @@
     /// versions are ignored; a team that is missing gets the limit 0.
     void setLimits(const std::map<std::string, int> &limits, std::int64_t version);
 
+    /// Sets the longest `max_run_ms` of all services, for which the grant of a dead or stopped
+    /// holder stays reserved. Once set it is only raised: work admitted under an earlier catalogue
+    /// may still be running.
+    void setLongestRun(milliseconds longest);
+
     /// Reserves one unit of the team's allowance. Returns false if none is left.
     [[nodiscard]] bool tryStart(const std::string &team);
 
@@ -85,8 +90,9 @@
 
     const std::string m_id;
     kv_store &m_store;
-    const allowance_settings m_settings;
+    allowance_settings m_settings;
     mutable std::mutex m_mutex;
+    bool m_longestRunKnown = false;
     std::map<std::string, allowance_holder> m_teams;
     death_proofs m_proofs;
     std::int64_t m_limitVersion = 0;
--- a/src/service/request_dispatcher.cpp
+++ b/src/service/request_dispatcher.cpp
@@ -213,11 +213,16 @@
     for (const auto &team : in.teams) {
         limits[team.name] = static_cast<int>(team.upperLimit);
     }
+    milliseconds longestRun {0};
+    for (const auto &service : in.services) {
+        longestRun = std::max(longestRun, service.maxRun);
+    }
     const std::lock_guard lock(m_mutex);
     if (revision <= m_catalogueRevision) {
         return;
     }
     m_catalogueRevision = revision;
+    m_allowances.setLongestRun(longestRun);
     m_allowances.setLimits(limits, revision);
     for (const auto &team : in.teams) {
         setTeam(m_admission, team.name, team.shareWeight);
--- a/src/state/allowance_manager.cpp
+++ b/src/state/allowance_manager.cpp
@@ -48,6 +48,13 @@
     }
 }
 
+void allowance_manager::setLongestRun(milliseconds longest)
+{
+    const std::lock_guard lock(m_mutex);
+    m_settings.maxRun = m_longestRunKnown ? std::max(m_settings.maxRun, longest) : longest;
+    m_longestRunKnown = true;
+}
+
 bool allowance_manager::tryStart(const std::string &team)
 {
     const std::lock_guard lock(m_mutex);
