--- a/include/ibishinge/service/request_dispatcher.h
+++ b/include/ibishinge/service/request_dispatcher.h
@@ -84,9 +84,6 @@
     /// Takes over the host list.
     void updateHosts(const host_list_snapshot &hosts);
 
-    /// Returns true if a host list with targets was read.
-    [[nodiscard]] bool hasTargets() const;
-
     void markTargetLeaving(const endpoint &where);
     [[nodiscard]] std::vector<std::string> leavingTargets() const;
 
@@ -96,6 +93,9 @@
     /// Returns the number of requests that wait or run, without those that timed out.
     [[nodiscard]] std::size_t inProgress() const;
 
+    /// Returns true if a catalogue is in effect and the host list has shown a target.
+    [[nodiscard]] bool isReady() const;
+
 private:
     struct waiter;
     struct lingering_run
--- a/src/service/request_dispatcher.cpp
+++ b/src/service/request_dispatcher.cpp
@@ -232,11 +232,16 @@
         limits[team.name] = static_cast<int>(team.upperLimit);
     }
     limits[std::string(openTeam)] = openTeamLimit;
+    milliseconds longestRun {0};
+    for (const auto &service : in.services) {
+        longestRun = std::max(longestRun, service.maxRun);
+    }
     const std::lock_guard lock(m_mutex);
     if (revision <= m_catalogueRevision) {
         return;
     }
     m_catalogueRevision = revision;
+    m_allowances.setLongestRun(longestRun);
     m_allowances.setLimits(limits, revision);
     setTeam(m_admission, std::string(openTeam), 1);
     for (const auto &team : in.teams) {
@@ -262,12 +267,6 @@
     updateTargets(m_targets, hosts, m_clock.now());
 }
 
-bool request_dispatcher::hasTargets() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_targets.listSeen && !m_targets.services.empty();
-}
-
 void request_dispatcher::markTargetLeaving(const endpoint &where)
 {
     const std::lock_guard lock(m_mutex);
@@ -301,4 +300,10 @@
     return m_waiters.size() + m_started;
 }
 
+bool request_dispatcher::isReady() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_catalogueRevision > 0 && !m_targets.targets.empty();
+}
+
 } // namespace ibishinge
