--- a/include/ibishinge/state/allowance_manager.h
+++ b/include/ibishinge/state/allowance_manager.h
@@ -58,7 +58,8 @@
     /// Returns the unit of a successful `tryStart`.
     void finished(const std::string &team);
 
-    /// Sets what is running, for a holder whose use is known from records instead of its own starts.
+    /// Sets what is running, for a holder whose use is known from records instead of its own
+    /// starts.
     void setRunning(const std::string &team, int running);
 
     /// Makes all later writes depend on another key's revision. For a durable holder, whose grants
