Run jobs in the real fleet: callers' API, control processes and workers in the demo

Entry processes check the key and hand jobs in; control processes answer the peer protocol, since entry processes account for every member when the store is down.

--- a/include/ibishinge/outside/jsonrpc_peer_client.h
+++ b/include/ibishinge/outside/jsonrpc_peer_client.h
@@ -13,6 +13,9 @@
 /// the escapes that JSON adds to a text.
 inline constexpr std::size_t maxPeerBodyBytes = 6U << 20U;
 
+/// Path of the peer protocol.
+inline constexpr auto peerPath = "/v1/peer";
+
 /// Calls other members by JSON-RPC 2.0 as `POST /v1/peer` over HTTP.
 ///
 /// Preconditions: `client` outlives the returned object; `secret` is not empty.
--- a/include/ibishinge/service/entry_service.h
+++ b/include/ibishinge/service/entry_service.h
@@ -4,6 +4,7 @@
 #include <ibishinge/base/time.h>
 #include <ibishinge/outside/http_message.h>
 #include <ibishinge/outside/target_client.h>
+#include <ibishinge/service/job_api.h>
 #include <ibishinge/service/burn_log.h>
 #include <ibishinge/service/request_dispatcher.h>
 #include <ibishinge/service/request_parser.h>
@@ -26,6 +27,7 @@
     target_client &targets;
     metrics_registry &metrics;
     const clock_source &clock;
+    job_api &jobs;
     burn_log *burn = nullptr; ///< counts requests against their objectives; may be null
 };
 
@@ -58,6 +60,10 @@
 
     entry_service(std::string incarnation, const entry_dependencies &dependencies);
 
+    [[nodiscard]] http_response handleJobRequest(const http_request &request);
+    [[nodiscard]] result<std::string> authorizeJobRequest(const http_request &request) const;
+    [[nodiscard]] result<void> checkAccess(const access_rule &access, const std::string &team,
+                                           const std::string &key) const;
     [[nodiscard]] http_response handleServiceRequest(const http_request &request);
     [[nodiscard]] http_response readiness() const;
     void countAgainstObjective(const service_entry &service, const http_response &response,
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -8,6 +8,7 @@
 import time
 
 import audit
+from jobs import JobLoad
 from fleet import Fleet, wait_until
 
 LEAVING_GRACE_MS = 6000
@@ -40,7 +41,7 @@
 
 
 def inject_faults(fleet, killed, left):
-    """One entry process is killed, one target leaves, the store is down for a while."""
+    """Kills an entry, a worker and a control process, lets a target leave, stops the store a while."""
     time.sleep(2)
     victim = fleet.names("entry")[-1]
     killed.append(fleet.address(victim))
@@ -49,6 +50,8 @@
     target = fleet.names("target-")[0]
     fleet.admin(target, "/admin/fault", {"mode": "leave"})
     left.append((target, time.time() * 1000))
+    fleet.processes[fleet.names("worker-")[0]].kill()
+    fleet.processes[fleet.names("control-")[0]].kill()
     time.sleep(1)
     fleet.admin("store", "/admin/fault", {"mode": "down"})
     time.sleep(3)
@@ -70,8 +73,11 @@
     parser.add_argument("--seed", type=int, default=1)
     arguments = parser.parse_args()
 
-    with Fleet(arguments.binaries) as fleet:
+    with Fleet(arguments.binaries, controls=2, workers=4) as fleet:
         print(f"{len(fleet.processes)} processes, logs in {fleet.directory}")
+        jobs = JobLoad(fleet, fleet.catalogue["queues"][0], jobs_per_team=6)
+        jobs.submit()
+        jobs.cancel([name for name in jobs.jobs if name.endswith("-5")])
         load, log = start_load(fleet, arguments.seconds, arguments.seed)
         killed, left = [], []
         faults = threading.Thread(target=inject_faults, args=(fleet, killed, left))
@@ -84,11 +90,17 @@
         limits = {team["name"]: team["upper_limit"] for team in fleet.catalogue["teams"]}
         result = audit.audit_run(audit.read_attempts(log), logs, limits, killed)
         audit_leaving(result, logs, left)
+        wait_until(jobs.all_final, "all jobs ended", timeout=180)
+        workers = [name for name in fleet.names("worker-") if fleet.processes[name].alive()]
+        jobs.audit(result, {name: fleet.admin(name, "/admin/log") for name in workers},
+                   any_worker_died=True)
         audit.check_counts(result, json.loads(out)["requests"])
         counters = fleet.admin("store", "/admin/counters")
         exit_statuses = {name: fleet.processes[name].stop() for name in fleet.names("entry")
                          if fleet.processes[name].alive()}
     audit.print_table(result)
+    print()
+    jobs.print_table()
     print(f"store calls: {counters}")
     for name, status in exit_statuses.items():
         if status != 0:
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -3,6 +3,7 @@
 Every process started here is stopped by its id, also when the script fails.
 """
 
+import base64
 import json
 import os
 import signal
@@ -16,6 +17,9 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 60
+# Shorter than the default, so that the jobs of a lost worker start again sooner; longer than the
+# outage of the store in the demo, so that tasks outlive it.
+TASK_LEASE_MS = 15000
 STOP_TIMEOUT_S = 60
 OPERATORS_TOKEN = "demo-operators-token"
 PEER_SECRET = "demo-peer-secret"
@@ -98,7 +102,7 @@
     With `configure=False` no catalogue is applied and no key is given, so no entry process is ready.
     """
 
-    def __init__(self, binaries, entries=3, controls=2, targets_per_service=3, workers=4,
+    def __init__(self, binaries, entries=3, controls=0, targets_per_service=3, workers=0,
                  catalogue=ROOT / "examples/catalogue.json", target_run_ms=20, configure=True):
         self.binaries = Path(binaries)
         self.directory = Path(tempfile.mkdtemp(prefix="ibishinge-"))
@@ -178,6 +182,7 @@
         self.peer_file = self._secret_file("peer-secret", PEER_SECRET)
         self.launch("store", "standin-kv-store", [])
         self.launch("hosts", "standin-host-list", [])
+        wait_until(lambda: http("GET", self.url("store", "/healthz"))[0] > 0, "store listening")
         services = [service["name"] for service in self.catalogue["services"]]
         for service in services:
             for number in range(targets_per_service):
@@ -214,10 +219,35 @@
         return self.directory / f"{name}.runs.jsonl"
 
     def launch_worker(self, name, number):
-        """Workers take part once the control processes exist; see launch_control."""
+        """Starts a worker of the pool that runs the first queue's jobs."""
+        self.launch(name, "standin-worker", ["--run-ms=1500", "--drain-ms=2000"])
+        host = f"host-{name}"
+        self.hosts.append({
+            "id": host, "address": "127.0.0.1", "data_centre": f"dc{number % 2 + 1}",
+            "rack": f"rack{number // 4}", "state": "live",
+            "services": [{"name": "worker", "endpoint": self.address(name), "slots": 8,
+                          "connections": 64}]})
+        self.put_record(f"host/{host}", {
+            "pool": self.catalogue["queues"][0]["pool"], "state": "in_service",
+            "rack": f"rack{number // 4}", "data_centre": f"dc{number % 2 + 1}", "region": "r1"})
 
     def launch_control(self, name, number):
-        """Starts a control process."""
+        return self.launch(
+            name, "ibishinge-control",
+            [f"--store={self.address('store')}", f"--host-list={self.address('hosts')}",
+             f"--data-centre=dc{number % 2 + 1}", f"--host=entry-{number}",
+             f"--peer-secret-file={self.peer_file}",
+             f"--task-lease-ms={TASK_LEASE_MS}"])
+
+    def put_record(self, key, value):
+        """Writes a record that the platform's provisioning would write, such as a host's pool."""
+        def text(part):
+            return base64.b64encode(part.encode()).decode()
+        put = {"request_put": {"key": text(key), "value": text(json.dumps(value))}}
+        write = {"compare": [], "success": [put],
+                 "failure": [{"request_range": {"key": text(key)}}]}
+        self.admin("store", "/v3/kv/txn", {"compare": [], "success": [{"request_txn": write}],
+                                           "failure": []})
 
     def launch_entry(self, name, number, store=None, peer_file=None):
         return self.launch(
--- a/src/daemons/control_main.cpp
+++ b/src/daemons/control_main.cpp
@@ -1,6 +1,7 @@
 #include <ibishinge/base/incarnation.h>
 #include <ibishinge/base/logging.h>
 #include <ibishinge/base/metrics.h>
+#include <ibishinge/base/secret.h>
 #include <ibishinge/base/settings.h>
 #include <ibishinge/base/shutdown_signal.h>
 #include <ibishinge/outside/etcd_kv_store.h>
@@ -8,9 +9,12 @@
 #include <ibishinge/outside/http_host_list.h>
 #include <ibishinge/outside/http_server.h>
 #include <ibishinge/outside/http_worker_client.h>
+#include <ibishinge/outside/jsonrpc_peer_client.h>
 #include <ibishinge/service/control_service.h>
 #include <ibishinge/service/tick_thread.h>
 
+#include <iostream>
+
 using namespace ibishinge;
 
 namespace {
@@ -18,9 +22,12 @@
 std::vector<setting> declaredSettings()
 {
     return {
-        {"listen", setting_type::address, "", "Address of health, status and metrics", 0, 0, true},
+        {"listen", setting_type::address, "", "Health, status, metrics and peer protocol", 0, 0,
+         true},
         {"store", setting_type::address_list, "", "Addresses of the store", 0, 0, true},
         {"host-list", setting_type::address, "", "Address of the host list", 0, 0, true},
+        {"peer-secret-file", setting_type::text, "", "File with the secret shared by all processes",
+         0, 0, true},
         {"host", setting_type::text, "", "Name of this host in the host list", 0, 0, true},
         {"data-centre", setting_type::text, "", "Data centre of this host", 0, 0, true},
         {"task-lease-ms", setting_type::integer, "60000",
@@ -37,6 +44,12 @@
 {
     const settings values = readSettingsOrExit(
         argc, argv, "Owns pools: placement of jobs and leases of tasks.", declaredSettings());
+    const auto secret = readSecretFile(values.text("peer-secret-file"));
+    if (!secret) {
+        std::cerr << "--peer-secret-file (" << environmentVariable("peer-secret-file")
+                  << "): " << describe(secret.error()) << "\n";
+        return 2;
+    }
     startLogging("ibishinge-control", log_level::info);
     blockShutdownSignals();
 
@@ -64,8 +77,14 @@
     http_server_options serverOptions;
     serverOptions.address = listen.address;
     serverOptions.port = listen.port;
-    serverOptions.threads = 4;
+    serverOptions.threads = 16;
+    // Entry processes account for every member when the store is down, so control processes answer
+    // their exchanges too.
+    const auto peerServer = jsonrpc_peer_server::create(*cache, *secret);
     auto server = http_server::start(serverOptions, [&](const http_request &request) {
+        if (request.path == peerPath) {
+            return peerServer->handle(request);
+        }
         if (request.path == "/metrics") {
             return http_response {
                 200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.text()};
--- a/src/outside/jsonrpc_peer_client.cpp
+++ b/src/outside/jsonrpc_peer_client.cpp
@@ -15,7 +15,6 @@
 
 using nlohmann::json;
 
-constexpr auto peerPath = "/v1/peer";
 constexpr auto secretHeader = "Ibishinge-Peer-Secret";
 
 json toJson(const member_info &member)
--- a/src/service/entry_process.cpp
+++ b/src/service/entry_process.cpp
@@ -93,6 +93,7 @@
     std::unique_ptr<membership> members;
     std::unique_ptr<group_committer> committer;
     std::unique_ptr<request_ledger> ledger;
+    std::unique_ptr<job_api> jobs;
     std::unique_ptr<entry_service> service;
     std::unique_ptr<operators_api> operators;
     std::unique_ptr<jsonrpc_peer_server> peerServer;
@@ -157,8 +158,15 @@
         {.burst = ledgerBurst,
          .seed = static_cast<std::uint32_t>(std::hash<std::string> {}(self.incarnation))});
     ledger = request_ledger::create(*committer, *store, clock);
-    service = entry_service::create(
-        self.incarnation, {*configuration, *dispatcher, *ledger, *targets, metrics, clock, &burn});
+    // Submissions and cancellations share the batches of the ledger.
+    jobs = job_api::create(
+        *store, clock,
+        [this](conditional_write write, monotonic_time deadline) {
+            return committer->submit(std::move(write), deadline);
+        },
+        [this] { return configuration->view().current; });
+    service = entry_service::create(self.incarnation, {*configuration, *dispatcher, *ledger,
+                                                       *targets, metrics, clock, *jobs, &burn});
     operators =
         operators_api::create(*store, clock, *configuration,
                               {options.operatorsToken, makePublisher(*configuration, *peers),
--- a/src/service/entry_service.cpp
+++ b/src/service/entry_service.cpp
@@ -86,7 +86,45 @@
     if (request.path == "/metrics") {
         return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_with.metrics.text()};
     }
-    return handleServiceRequest(request);
+    return job_api::isJobPath(request.path) ? handleJobRequest(request)
+                                            : handleServiceRequest(request);
+}
+
+http_response entry_service::handleJobRequest(const http_request &request)
+{
+    const auto team = authorizeJobRequest(request);
+    if (!team) {
+        m_with.metrics.add("ibishinge_rejected_total",
+                           {{"error", std::string(nameOf(team.error().kind))}});
+        return errorAnswer(team.error(), run_state::attempt_not_run, "");
+    }
+    http_response response = m_with.jobs.handle(request, *team);
+    m_with.metrics.add("ibishinge_job_requests_total",
+                       {{"team", *team}, {"status", std::to_string(response.status)}});
+    return response;
+}
+
+result<std::string> entry_service::authorizeJobRequest(const http_request &request) const
+{
+    if (m_stopping) {
+        return makeError(error_kind::shutting_down, "entry process", "shutting down");
+    }
+    const auto name = job_api::queueOf(request.path);
+    const auto view = m_with.configuration.view();
+    const queue_entry *queue = name ? findQueue(view.current->catalogue.value, *name) : nullptr;
+    if (queue == nullptr) {
+        return makeError(error_kind::unknown_entity, request.path, "no such queue");
+    }
+    const std::string team(findHeader(request.headers, "Ibishinge-Team").value_or(""));
+    if (!isValidName(team)) {
+        return makeError(error_kind::invalid_request, "header Ibishinge-Team",
+                         "expected 1 to 64 characters of [A-Za-z0-9_-]");
+    }
+    const std::string key(findHeader(request.headers, "Ibishinge-Key").value_or(""));
+    if (auto allowed = checkAccess(queue->access, team, key); !allowed) {
+        return tl::unexpected(std::move(allowed.error()));
+    }
+    return team;
 }
 
 http_response entry_service::readiness() const
@@ -194,14 +232,18 @@
 }
 
 result<void> entry_service::checkAuthorized(const request_context &context) const
+{
+    return checkAccess(context.service->access, context.request.team, context.request.key);
+}
+
+result<void> entry_service::checkAccess(const access_rule &access, const std::string &team,
+                                        const std::string &key) const
 {
     const auto view = m_with.configuration.view();
-    const bool open = context.service->access.openToAll;
-    if (!open && view.freshness.state != freshness_state::usable) {
+    if (!access.openToAll && view.freshness.state != freshness_state::usable) {
         return makeError(error_kind::not_ready, "configuration", view.freshness.reason);
     }
-    return authorize(view.current->keys, view.current->catalogue.value, context.service->access,
-                     context.request.team, context.request.key);
+    return authorize(view.current->keys, view.current->catalogue.value, access, team, key);
 }
 
 http_response entry_service::run(request_context &context)
