Replay the answer of a request that finished a moment ago

Cause: since responses are recorded without waiting, a repetition within 100 ms was told in_progress (readme_walk got 409 for its second request). Ruled out: a lost record, which is written within the next batch.

--- a/include/ibishinge/service/entry_service.h
+++ b/include/ibishinge/service/entry_service.h
@@ -4,11 +4,12 @@
 #include <ibishinge/base/time.h>
 #include <ibishinge/outside/http_message.h>
 #include <ibishinge/outside/target_client.h>
-#include <ibishinge/service/job_api.h>
 #include <ibishinge/service/burn_log.h>
+#include <ibishinge/service/job_api.h>
 #include <ibishinge/service/request_dispatcher.h>
 #include <ibishinge/service/request_parser.h>
 #include <ibishinge/state/configuration_cache.h>
+#include <ibishinge/state/recent_answers.h>
 #include <ibishinge/state/request_ledger.h>
 
 #include <atomic>
@@ -81,6 +82,7 @@
 
     const std::string m_incarnation;
     entry_dependencies m_with;
+    recent_answers m_recent;
     std::atomic<std::uint64_t> m_nextAttempt {0};
     std::atomic<bool> m_stopping {false};
 };
--- a/src/service/entry_service.cpp
+++ b/src/service/entry_service.cpp
@@ -3,6 +3,7 @@
 #include <ibishinge/base/logging.h>
 #include <ibishinge/base/secret.h>
 #include <ibishinge/service/answer.h>
+#include <ibishinge/state/ledger_record.h>
 
 #include <utility>
 
@@ -48,6 +49,16 @@
     return report;
 }
 
+/// Replays the response of an earlier attempt.
+http_response keptAnswer(const kept_answer &kept, const std::string &requestId)
+{
+    target_reply reply;
+    reply.status = kept.status;
+    reply.contentType = kept.contentType;
+    reply.body = kept.body;
+    return replyAnswer(reply, requestId);
+}
+
 /// Returns true if the target certainly did not run the request.
 bool certainlyNotRun(const attempt_report &report)
 {
@@ -250,6 +261,12 @@
 {
     // Claimed before a slot is taken, so that no slot is idle while the claim is written.
     if (!context.request.idempotent) {
+        const auto recent =
+            m_recent.find(ledgerKey(context.attempt.team, context.attempt.requestId),
+                          context.attempt.attempt.bodyHash);
+        if (recent) {
+            return keptAnswer(*recent, context.request.requestId);
+        }
         if (m_with.ledger.isStoreFailing()) {
             return refuse(context, {error_kind::not_ready, "store", "the store is failing", {}});
         }
@@ -322,8 +339,10 @@
 http_response entry_service::finishRun(request_context &context, const target_reply &reply)
 {
     if (!context.request.idempotent) {
-        m_with.ledger.finishLater(context.attempt,
-                                  kept_answer {reply.status, reply.contentType, reply.body});
+        const kept_answer answer {reply.status, reply.contentType, reply.body};
+        m_recent.note(ledgerKey(context.attempt.team, context.attempt.requestId),
+                      context.attempt.attempt.bodyHash, answer);
+        m_with.ledger.finishLater(context.attempt, answer);
     }
     return replyAnswer(reply, context.request.requestId);
 }
@@ -335,12 +354,7 @@
     switch (outcome.result) {
     case ledger_result::already_finished:
         if (outcome.found && outcome.found->record.answer) {
-            const kept_answer &kept = *outcome.found->record.answer;
-            target_reply reply;
-            reply.status = kept.status;
-            reply.contentType = kept.contentType;
-            reply.body = kept.body;
-            return replyAnswer(reply, id);
+            return keptAnswer(*outcome.found->record.answer, id);
         }
         return errorAnswer({error_kind::outcome_unknown,
                             place,
