--- a/bench/request_path_main.cpp
+++ b/bench/request_path_main.cpp
@@ -62,6 +62,7 @@
     path_result all;
     const auto start = clock_type::now();
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(options.concurrency));
     for (int i = 0; i < options.concurrency; ++i) {
         threads.emplace_back([&] {
             std::vector<double> own;
--- a/tests/death_proof_test.cpp
+++ b/tests/death_proof_test.cpp
@@ -37,7 +37,7 @@
 public:
     void holderIdSurvivesText()
     {
-        CPPUNIT_ASSERT(parseHolderId(toString(self)) == self);
+        CPPUNIT_ASSERT(parseHolderId(toString(m_self)) == m_self);
         for (const char *text : {"jobs/pool", "", "a/b/c", "//", "h/127.0.0.1:1/"}) {
             CPPUNIT_ASSERT_MESSAGE(text, !parseHolderId(text).has_value());
         }
@@ -54,7 +54,7 @@
             bool dead;
         };
         const std::vector<row> rows {
-            {"itself", self, {"a"}, {"a"}, false},
+            {"itself", m_self, {"a"}, {"a"}, false},
             {"predecessor at its address", holder("a", 1, "old"), {"a"}, {"a"}, true},
             {"another live process", holder("b", 2, "x"), {"a", "b"}, {"a", "b"}, false},
             {"host left the list", holder("b", 2, "x"), {"a", "b"}, {"a"}, true},
@@ -65,7 +65,7 @@
             host_sightings sightings;
             noteHosts(sightings, listOf(row.listedBefore));
             noteHosts(sightings, listOf(row.listedNow));
-            const auto dead = provenDead(sightings, {toString(row.holder)}, self, start);
+            const auto dead = provenDead(sightings, {toString(row.holder)}, m_self, m_start);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.dead, !dead.empty());
         }
     }
@@ -75,15 +75,16 @@
         host_sightings sightings;
         noteHosts(sightings, listOf({"a"}));
         const std::vector<std::string> holders {toString(holder("c", 3, "x"))};
-        CPPUNIT_ASSERT(provenDead(sightings, holders, self, start).empty());
+        CPPUNIT_ASSERT(provenDead(sightings, holders, m_self, m_start).empty());
         CPPUNIT_ASSERT(
-            provenDead(sightings, holders, self, start + unlistedHostGrace - 1s).empty());
-        CPPUNIT_ASSERT(!provenDead(sightings, holders, self, start + unlistedHostGrace).empty());
+            provenDead(sightings, holders, m_self, m_start + unlistedHostGrace - 1s).empty());
+        CPPUNIT_ASSERT(
+            !provenDead(sightings, holders, m_self, m_start + unlistedHostGrace).empty());
     }
 
 private:
-    const monotonic_time start = monotonic_time {} + 1h;
-    const holder_id self = holder("a", 1, "new");
+    const monotonic_time m_start = monotonic_time {} + 1h;
+    const holder_id m_self = holder("a", 1, "new");
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(death_proof_test);
