--- a/include/ibishinge/outside/http_host_list.h
+++ b/include/ibishinge/outside/http_host_list.h
@@ -3,6 +3,8 @@
 #include <ibishinge/outside/host_list.h>
 #include <ibishinge/outside/http_client.h>
 
+#include <nlohmann/json.hpp>
+
 #include <memory>
 #include <string>
 
@@ -23,6 +25,9 @@
 /// an absent host counts as gone. Errors: `invalid_request`, with the JSON pointer. Thread-safe.
 [[nodiscard]] result<host_list_snapshot> parseHostList(const std::string &body);
 
+/// Returns one host as the list shows it. Thread-safe.
+[[nodiscard]] nlohmann::json toJson(const listed_host &host);
+
 /// Returns the body that `parseHostList` reads. Thread-safe.
 [[nodiscard]] std::string formatHostList(const host_list_snapshot &list);
 
--- a/include/ibishinge/outside/kv_store.h
+++ b/include/ibishinge/outside/kv_store.h
@@ -86,6 +86,9 @@
 /// request is 1.5 MiB; the rest is left for the encoding of the conditions.
 inline constexpr std::size_t maxBatchBytes = (3U << 19U) - (64U << 10U);
 
+/// Checks a batch against the bounds of the store. Errors: `too_large`. Thread-safe.
+[[nodiscard]] result<void> checkBatchBounds(std::span<const conditional_write> writes);
+
 /// The platform's key-value service.
 ///
 /// Each member function is one call to the service. Implementations are thread-safe and block until
--- a/src/outside/etcd_kv_store.cpp
+++ b/src/outside/etcd_kv_store.cpp
@@ -195,25 +195,6 @@
     return request;
 }
 
-result<void> checkBounds(std::span<const conditional_write> writes)
-{
-    if (writes.size() > maxBatchWrites) {
-        return makeError(error_kind::too_large, "batch", "more than 128 writes");
-    }
-    std::size_t bytes = 0;
-    for (const auto &write : writes) {
-        const std::size_t valueBytes = write.value ? write.value->size() : 0;
-        if (valueBytes > maxValueBytes) {
-            return makeError(error_kind::too_large, write.key, "value above 1 MiB");
-        }
-        bytes += write.key.size() + valueBytes;
-    }
-    if (bytes > maxBatchBytes) {
-        return makeError(error_kind::too_large, "batch", "keys and values above the bound");
-    }
-    return {};
-}
-
 /// How a failed attempt is treated.
 struct attempt_failure
 {
@@ -341,7 +322,7 @@
 
     result<batch_result> applyBatch(std::span<const conditional_write> writes) override
     {
-        if (auto checked = checkBounds(writes); !checked) {
+        if (auto checked = checkBatchBounds(writes); !checked) {
             return tl::unexpected(std::move(checked).error());
         }
         json operations = json::array();
--- a/src/outside/http_host_list.cpp
+++ b/src/outside/http_host_list.cpp
@@ -205,23 +205,28 @@
     return list;
 }
 
+nlohmann::json toJson(const listed_host &host)
+{
+    json services = json::array();
+    for (const auto &service : host.services) {
+        services.push_back({{"name", service.name},
+                            {"endpoint", toString(service.where)},
+                            {"slots", service.slots},
+                            {"connections", service.connections}});
+    }
+    return {{"id", host.id},
+            {"address", host.address},
+            {"data_centre", host.dataCentre},
+            {"rack", host.rack},
+            {"services", std::move(services)},
+            {"state", host.state == listed_host_state::live ? "live" : "leaving"}};
+}
+
 std::string formatHostList(const host_list_snapshot &list)
 {
     json hosts = json::array();
     for (const auto &host : list.hosts) {
-        json services = json::array();
-        for (const auto &service : host.services) {
-            services.push_back({{"name", service.name},
-                                {"endpoint", toString(service.where)},
-                                {"slots", service.slots},
-                                {"connections", service.connections}});
-        }
-        hosts.push_back({{"id", host.id},
-                         {"address", host.address},
-                         {"data_centre", host.dataCentre},
-                         {"rack", host.rack},
-                         {"services", std::move(services)},
-                         {"state", host.state == listed_host_state::live ? "live" : "leaving"}});
+        hosts.push_back(toJson(host));
     }
     return json {{"version", list.version}, {"hosts", std::move(hosts)}}.dump() + "\n";
 }
--- a/src/service/entry_process.cpp
+++ b/src/service/entry_process.cpp
@@ -27,12 +27,16 @@
 constexpr milliseconds tickInterval {20};
 constexpr milliseconds configurationInterval {100};
 constexpr milliseconds allowanceInterval {1000};
-/// A burst waits for a larger grant for this time instead of the interval above. Costs two calls to
-/// the store each time.
+/// A burst waits for a larger grant for this time instead of the interval above. Longer with more
+/// than 8 processes, so that all together write at most 40 times a second for this.
 constexpr milliseconds urgentAllowanceInterval {200};
+constexpr milliseconds urgentAllowanceShare {25}; ///< of the interval, for each process
 constexpr milliseconds hostListInterval {1000};
 constexpr milliseconds hostListTimeout {1000};
 constexpr milliseconds drainPoll {20};
+/// Of all processes together. The store takes several hundred writes a second (400 in tests); the
+/// rest is for allowances, leases, jobs and operators.
+constexpr std::int64_t ledgerCallsPerSecond = 280;
 constexpr std::size_t ledgerBurst = 8; ///< batches that a process may send in a row
 constexpr milliseconds flushLimit {2000}; ///< of the records of finished requests at a shutdown
 constexpr int controlThreads = 16; ///< connections of operators and of peers
@@ -108,6 +112,7 @@
 
     bool configurationUsable = false; ///< as last logged
     monotonic_time allowancesAdjusted; ///< used by one task only
+    std::atomic<std::int64_t> entryProcesses {1};
     outage_log allowanceLog {"allowance"};
     outage_log hostListLog {"host_list"};
 
@@ -155,7 +160,8 @@
     configuration = configuration_cache::create(*store, clock, std::move(cacheOptions));
     committer = group_committer::create(
         *store, clock,
-        {.burst = ledgerBurst,
+        {.callsPerSecond = ledgerCallsPerSecond,
+         .burst = ledgerBurst,
          .seed = static_cast<std::uint32_t>(std::hash<std::string> {}(self.incarnation))});
     ledger = request_ledger::create(*committer, *store, clock);
     // Submissions and cancellations share the batches of the ledger.
@@ -263,13 +269,17 @@
     const auto entries = std::count_if(others.begin(), others.end(), [](const auto &member) {
         return member.role == member_role::entry;
     });
+    entryProcesses = entries + 1;
     committer->setMembers(static_cast<std::size_t>(entries) + 1);
 }
 
 void entry_process::impl::adjustAllowances()
 {
     const auto now = clock.now();
-    if (now - allowancesAdjusted < allowanceInterval && !dispatcher->waitsForAllowance()) {
+    const bool isUrgent =
+        dispatcher->waitsForAllowance()
+        && now - allowancesAdjusted >= urgentAllowanceShare * entryProcesses.load();
+    if (now - allowancesAdjusted < allowanceInterval && !isUrgent) {
         return;
     }
     allowancesAdjusted = now;
--- a/src/service/operators_api.cpp
+++ b/src/service/operators_api.cpp
@@ -3,6 +3,7 @@
 #include <ibishinge/base/logging.h>
 #include <ibishinge/base/name.h>
 #include <ibishinge/base/secret.h>
+#include <ibishinge/outside/http_host_list.h>
 #include <ibishinge/state/keys_record.h>
 
 #include <algorithm>
@@ -625,19 +626,7 @@
     }
     json hosts = json::array();
     for (const auto &host : view.list.hosts) {
-        json services = json::array();
-        for (const auto &service : host.services) {
-            services.push_back({{"name", service.name},
-                                {"endpoint", toString(service.where)},
-                                {"slots", service.slots},
-                                {"connections", service.connections}});
-        }
-        hosts.push_back({{"id", host.id},
-                         {"address", host.address},
-                         {"data_centre", host.dataCentre},
-                         {"rack", host.rack},
-                         {"state", host.state == listed_host_state::live ? "live" : "leaving"},
-                         {"services", std::move(services)}});
+        hosts.push_back(toJson(host));
     }
     return answerJson(200, {{"version", view.list.version},
                             {"age_ms", ageMs(m_clock.now(), *view.readAt)},
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -11,11 +11,49 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 
 namespace ibishinge {
 
+/// A TCP socket bound to a free port of the loopback address. It refuses connections until `listen`
+/// is called on its descriptor.
+class bound_socket
+{
+public:
+    bound_socket()
+        : m_descriptor(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(m_descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address); // NOLINT
+        socklen_t length = sizeof address;
+        getsockname(m_descriptor, reinterpret_cast<sockaddr *>(&address), &length); // NOLINT
+        m_port = ntohs(address.sin_port);
+    }
+    ~bound_socket()
+    {
+        close(m_descriptor);
+    }
+    bound_socket(const bound_socket &) = delete;
+    bound_socket &operator=(const bound_socket &) = delete;
+
+    [[nodiscard]] int descriptor() const
+    {
+        return m_descriptor;
+    }
+    [[nodiscard]] endpoint where() const
+    {
+        return {"127.0.0.1", m_port};
+    }
+
+private:
+    int m_descriptor;
+    std::uint16_t m_port = 0;
+};
+
 /// A TCP connection on which tests send whatever bytes they want. Not thread-safe.
 class raw_socket
 {
