Bound the queues by the catalogue and by the server's threads

Cause: the catalogue's max_waiting was not used, and a waiting request holds one of the server's threads: with five services and 128 waiting requests each, one team's burst could hold 640 threads where there are 256, which stops every team. Ruled out: the bound of each queue alone, since it counts one service. A team's waiting requests now hold at most a quarter of the threads. boundsOfServiceAndTeamHold guards both bounds. scripts/demo, seed 1, after: 2146 requests, 0 broken promises.

--- a/include/ibishinge/decision/admission.h
+++ b/include/ibishinge/decision/admission.h
@@ -62,6 +62,9 @@
 {
     /// Waiting requests for each team and service. 128 requests of 100 ms on 10 slots wait 1.3 s.
     std::size_t queueBound = 128;
+    /// Waiting requests for each team over all services. Each one holds a thread of the server, so
+    /// that without this bound one team's burst on many services would take all threads.
+    std::size_t teamBound = 1024;
     milliseconds defaultRun {100}; ///< run time before anything was learned
     milliseconds recentUse {2000}; ///< time constant of the average of a team's use
     double recentWeight = 0.5; ///< weight of the average beside the use at present
@@ -109,6 +112,7 @@
 struct admission_service
 {
     int running = 0; ///< of this process
+    std::size_t queueBound = 0; ///< waiting requests for each team; 0: that of the settings
     int freeSlots = 0; ///< when `startNext` was last called
     run_time_estimate runTime;
 };
@@ -155,6 +159,9 @@
 /// Adds a team or changes its weight. Precondition: `weight` > 0.
 void setTeam(admission_table &table, const std::string &team, double weight);
 
+/// Sets the bound of each team's queue for `service`. Precondition: `queueBound` > 0.
+void setService(admission_table &table, const std::string &service, std::size_t queueBound);
+
 /// Updates what the team may use. Precondition: the team was added.
 void setAllowance(admission_table &table, const std::string &team,
                   const admission_allowance &allowance, monotonic_time now);
--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -272,6 +272,11 @@
     entry.useOfOthers = allowance.useOfOthers;
 }
 
+void setService(admission_table &table, const std::string &service, std::size_t queueBound)
+{
+    table.services[service].queueBound = queueBound;
+}
+
 result<void> submit(admission_table &table, const waiting_request &request, monotonic_time now)
 {
     if (table.shuttingDown) {
@@ -288,7 +293,12 @@
     const double runMs = runMsOf(table, queue, table.services[request.service], now);
     const double wait = waitMs(table, request, team, queue, runMs);
     const std::size_t queued = queue.urgent.size() + queue.normal.size();
-    if (table.settings.policy.boundQueues && queued >= table.settings.queueBound) {
+    const std::size_t ownBound = table.services[request.service].queueBound;
+    const std::size_t bound = ownBound > 0 ? ownBound : table.settings.queueBound;
+    const bool isFull =
+        queued >= bound
+        || static_cast<std::size_t>(queuedOf(table, request.team)) >= table.settings.teamBound;
+    if (table.settings.policy.boundQueues && isFull) {
         return tl::unexpected(
             makeRefusal(table, kindOfRefusal(team), request, "the queue is full", wait));
     }
--- a/src/service/entry_process.cpp
+++ b/src/service/entry_process.cpp
@@ -37,6 +37,8 @@
 /// Of all processes together. The store takes several hundred writes a second (400 in tests); the
 /// rest is for allowances, leases, jobs and operators.
 constexpr std::int64_t ledgerCallsPerSecond = 280;
+constexpr int teamThreadShare =
+    4; ///< a team's waiting requests hold at most a quarter of the threads
 constexpr std::size_t ledgerBurst = 8; ///< batches that a process may send in a row
 constexpr milliseconds flushLimit {2000}; ///< of the records of finished requests at a shutdown
 constexpr int controlThreads = 16; ///< connections of operators and of peers
@@ -141,9 +143,11 @@
     targets = makeHttpTargetClient(*client);
     peers = makeJsonrpcPeerClient(*client, options.peerSecret);
     allowances = allowance_manager::create(toString(self), *store);
+    admission_settings admission;
+    admission.teamBound = static_cast<std::size_t>(std::max(1, options.threads / teamThreadShare));
     dispatcher = request_dispatcher::create(
-        {options.dataCentre, std::hash<std::string> {}(self.incarnation), {}, {}}, *allowances,
-        clock);
+        {options.dataCentre, std::hash<std::string> {}(self.incarnation), admission, {}},
+        *allowances, clock);
 
     configuration_cache_options cacheOptions;
     cacheOptions.self = {self.incarnation, options.peersListen, options.host, options.dataCentre,
--- a/src/service/request_dispatcher.cpp
+++ b/src/service/request_dispatcher.cpp
@@ -244,6 +244,10 @@
     m_allowances.setLongestRun(longestRun);
     m_allowances.setLimits(limits, revision);
     setTeam(m_admission, std::string(openTeam), 1);
+    for (const auto &service : in.services) {
+        setService(m_admission, service.name,
+                   static_cast<std::size_t>(std::max<std::int64_t>(service.maxWaiting, 1)));
+    }
     for (const auto &team : in.teams) {
         setTeam(m_admission, team.name, team.shareWeight);
     }
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -155,6 +155,7 @@
 {
     CPPUNIT_TEST_SUITE(admission_test);
     CPPUNIT_TEST(fullQueueIsRefusedForOneTeamOnly);
+    CPPUNIT_TEST(boundsOfServiceAndTeamHold);
     CPPUNIT_TEST(limitInUseIsToldApartFromOverload);
     CPPUNIT_TEST(deadlineThatCannotBeMetIsRefused);
     CPPUNIT_TEST(requestIsAnsweredOnceItCannotBeMet);
@@ -179,6 +180,27 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Guards against one team taking all threads of a process by a burst on many services.
+    void boundsOfServiceAndTeamHold()
+    {
+        auto table = tableOf({{"a", 1}, {"b", 1}});
+        table.settings.policy.refuseByDeadline = false;
+        table.settings.teamBound = 5;
+        setService(table, "narrow", 2);
+        std::uint64_t id = 1;
+        const auto accepted = [&](const std::string &team, const std::string &service, int count) {
+            int queued = 0;
+            for (int i = 0; i < count; ++i) {
+                queued += submit(table, {id++, team, service, false, start + 60s}, start) ? 1 : 0;
+            }
+            return queued;
+        };
+        CPPUNIT_ASSERT_EQUAL(2, accepted("a", "narrow", 4));
+        CPPUNIT_ASSERT_EQUAL(3, accepted("a", "wide", 10));
+        CPPUNIT_ASSERT_EQUAL(0, accepted("a", "other", 1));
+        CPPUNIT_ASSERT_EQUAL(5, accepted("b", "wide", 10));
+    }
+
     void fullQueueIsRefusedForOneTeamOnly()
     {
         auto table = tableOf({{"a", 1}, {"b", 1}});
