Tell callers may_have_run when an earlier target may have run the request

Cause: an idempotent request whose first target cut the connection is tried at a second target; if that one refused the connection, the caller was told attempt_not_run, although the first target may have run it. Ruled out: non-idempotent requests, which are not repeated after a cut. entry_service_test reports attempt_not_run for the row 'cut, then refused' without the change and passes with it.

--- a/src/service/entry_service.cpp
+++ b/src/service/entry_service.cpp
@@ -307,6 +307,7 @@
                             context.request.requestId,  context.attempt.attempt.id,
                             context.request.idempotent, context.request.body};
     bool retried = false;
+    bool mayHaveRun = false; // At a target that was tried before.
     for (;;) {
         const auto reply = m_with.targets.call(slot.target.where, call, timeLeft(context));
         const attempt_report report = reportOf(reply);
@@ -317,6 +318,7 @@
             retried = true;
             m_with.metrics.add("ibishinge_retries_total", {{"service", context.request.service}});
             if (auto moved = m_with.dispatcher.moveToOtherTarget(slot, report); moved) {
+                mayHaveRun = !notRun;
                 continue;
             }
             m_with.dispatcher.complete(slot, report);
@@ -329,7 +331,7 @@
         error reason =
             reply ? error {error_kind::overloaded, "target", "the target is full or leaving", {}}
                   : reply.error();
-        if (notRun) {
+        if (notRun && !mayHaveRun) {
             return refuse(context, std::move(reason));
         }
         return errorAnswer(reason, run_state::may_have_run, context.request.requestId);
