--- /dev/null
+++ b/include/ibishinge/fleet/coordinator.h
@@ -0,0 +1,196 @@
+#pragma once
+
+#include <ibishinge/base/metrics.h>
+#include <ibishinge/base/scheduler.h>
+#include <ibishinge/fleet/caller.h>
+#include <ibishinge/fleet/host_care.h>
+#include <ibishinge/fleet/platform_api.h>
+#include <ibishinge/fleet/store_writer.h>
+#include <ibishinge/fleet/tables.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ibishinge::fleet {
+
+/// Bounds of the platform that the coordinator keeps.
+struct coordinator_settings
+{
+    milliseconds taskLease {4000}; ///< longer than an outage of the leader's record, see design
+    milliseconds stopTime {200}; ///< a worker ends a stopped run within this
+    milliseconds moveTime {1500}; ///< of a host between pools
+    milliseconds maintenanceTime {2000}; ///< a host is down for maintenance this long
+    milliseconds unavailableNotice {4500}; ///< a lasting task away this long counts as unavailable
+    milliseconds harmTime {4000}; ///< a serving task may be over its target this long
+};
+
+/// Who leads: what the leader's record says and proves.
+struct leadership
+{
+    store_condition record; ///< of the leader's record
+    std::int64_t term = 0;
+    std::int64_t fencingToken = 0; ///< revision at which the leader's record was written
+};
+
+/// Runs the jobs of all pools: takes submissions, places tasks, notes their ends, cares for hosts.
+///
+/// There is one at a time, in the process that holds the leader's record. It acts only while
+/// `extend` has proved the record recently; then it is suspended and resumes if the record turns
+/// out to be unchanged. Not thread-safe: everything runs on the loop's thread.
+class coordinator : public std::enable_shared_from_this<coordinator>
+{
+public:
+    /// `onDeposed` is called once, when another coordinator was seen.
+    [[nodiscard]] static std::shared_ptr<coordinator>
+    make(platform_api &platform, scheduler &timers, metrics_registry &metrics,
+         const coordinator_settings &settings, leadership lead, configuration config,
+         std::function<void()> onDeposed);
+
+    /// Reads the records and asks the workers what runs. Call once.
+    void start();
+
+    /// Ends all activity; open requests are answered.
+    void close();
+
+    /// The leader's record is proved to hold until `until`.
+    void extend(instant until);
+
+    /// Returns true once the records are read, while the leader's record is proved.
+    [[nodiscard]] bool isServing() const;
+
+    void handle(const caller_request &request, answer_handler done);
+
+    void onConfiguration(const configuration &config);
+
+    [[nodiscard]] const fleet_tables &tables() const noexcept
+    {
+        return m_tables;
+    }
+
+private:
+    struct flush_mark
+    {
+        std::string worker;
+        std::int64_t life = 0;
+        std::int64_t end = 0;
+    };
+
+    coordinator(platform_api &platform, scheduler &timers, metrics_registry &metrics,
+                const coordinator_settings &settings, leadership lead, configuration config,
+                std::function<void()> onDeposed);
+
+    /// Wraps a reply so that it is dropped once the coordinator is closed.
+    template <class T, class Function>
+    reply<T> whileOpen(Function function)
+    {
+        return [self = shared_from_this(), function](result<T> value) {
+            if (!self->m_closed) {
+                function(std::move(value));
+            }
+        };
+    }
+    void later(milliseconds delay, std::function<void()> function);
+    [[nodiscard]] bool mayAct() const;
+
+    // coordinator_takeover.cpp
+    void readRecords(const std::string &prefix, const std::string &after,
+                     std::function<void(const store_item &)> apply, std::function<void()> next);
+    void readRoster();
+    void readRegistry(const std::string &after);
+    void watchRegistry();
+    void onRegistryItem(const store_item &item);
+    void forgetMissing();
+    void writeRoster();
+    void onContact();
+    [[nodiscard]] instant inheritedUntil() const;
+    void holdInherited(job_entry &job);
+
+    // coordinator_callers.cpp
+    void submit(const caller_request &request, const queue_rule &queue, const std::string &customer,
+                const answer_handler &done);
+    void answerWaiters(const std::string &id, const caller_answer &answer);
+    void show(const std::string &id, const answer_handler &done);
+    void cancel(const std::string &id, const answer_handler &done);
+    void estimateJob(job_entry &job);
+    void endJob(job_entry &job, job_state state);
+    void markDirty(const std::string &id);
+    void flush();
+    void pruneEnded();
+
+    // coordinator_workers.cpp
+    void lookIfDue(worker_status &worker);
+    void onReport(const std::string &id, const worker_report &report, instant sentAt);
+    void onLookFailed(const std::string &id, const error &failure);
+    void onNewLife(worker_status &worker, const worker_report &report, instant sentAt);
+    void applyEnd(worker_status &worker, const run_end &end);
+    void finishTasks(job_entry &job, const task_name &name);
+    void applyFailure(worker_status &worker, job_entry &job, task_entry &task, const run_end &end);
+    void applyRunning(worker_status &worker, const running_task &seen);
+    void dropAbsentRuns(worker_status &worker, const worker_report &report, instant sentAt);
+    void releaseTask(const run_key &key);
+    void breakGang(const task_name &member);
+    void stopRunsOf(const std::string &job, std::string_view reason);
+    void orderStop(const run_key &key, std::string_view reason);
+    void sendStart(const run_key &key);
+    void onStarted(const run_key &key, const result<start_reply> &answer);
+    void onStopped(const run_key &key, const result<start_reply> &answer);
+    [[nodiscard]] std::int64_t leaseUntil(worker_status &worker);
+
+    // coordinator.cpp
+    void requestPass();
+    void pass();
+    void passPool(const std::string &pool);
+    bool startTask(job_entry &job, const task_name &name, worker_status &worker,
+                   const std::string &proof, std::int64_t run);
+    void startGang(job_entry &job, int occurrence, int step);
+    bool haveTickets(job_entry &job, const queue_rule &queue, int occurrence, int step);
+    void tick();
+    void expireWorkers();
+    void checkRuns();
+    void pace();
+
+    // coordinator_hosts.cpp
+    void readWaves();
+    void refreshHosts();
+    void careForHosts();
+    void readWaveRecord(std::int64_t number);
+    void writeWaveRecord(const wave_care &care);
+    void careForHost(wave_care &care, const std::string &host, host_care &each);
+    void orderMaintenance(wave_care &care, const std::string &host, host_care &each);
+    void clearHost(worker_status &worker, bool impatient);
+
+    platform_api &m_platform;
+    scheduler &m_timers;
+    metrics_registry &m_metrics;
+    const coordinator_settings m_settings;
+    const leadership m_lead;
+    std::function<void()> m_onDeposed;
+    std::shared_ptr<store_writer> m_writer;
+    fleet_tables m_tables;
+    host_care_state m_care;
+
+    bool m_closed = false;
+    bool m_loaded = false; ///< the records are read
+    instant m_startedAt;
+    instant m_provedUntil;
+    std::int64_t m_registryRevision = 0;
+    std::set<std::string> m_listed; ///< workers seen by the registry read in progress
+    bool m_rosterPending = false;
+    bool m_rosterAgain = false;
+    std::map<std::string, std::vector<answer_handler>> m_waiters; ///< of jobs being stored
+    std::map<std::string, std::vector<answer_handler>> m_cancelWaiters;
+    std::set<std::string> m_dirty; ///< jobs with progress to write
+    bool m_flushPending = false;
+    bool m_passPending = false;
+    bool m_hostsPending = false;
+    instant m_hostsReadAt; ///< when the list of hosts was asked for
+    instant m_nextHosts;
+    instant m_nextWaves;
+    instant m_nextPrune;
+};
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/include/ibishinge/fleet/host_care.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <ibishinge/fleet/tables.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ibishinge::fleet {
+
+enum class care_step : std::uint8_t {
+    waiting, ///< not yet chosen
+    emptying, ///< its tasks end or move away
+    ordered, ///< the order was sent, its outcome is not known
+    away, ///< accepted; the host is down
+    finished,
+};
+
+/// Maintenance of one host in a wave.
+struct host_care
+{
+    care_step step = care_step::waiting;
+    instant since; ///< of the step
+};
+
+struct wave_care
+{
+    maintenance_wave wave;
+    instant dueAt;
+    std::map<std::string, host_care> hosts;
+    bool known = false; ///< what an earlier coordinator did was read
+    bool completed = false;
+};
+
+struct host_care_state
+{
+    std::map<std::int64_t, wave_care> waves;
+};
+
+/// Returns the next hosts of a wave to empty, at most as many as may be away at once and one ahead.
+/// Prefers hosts whose workers hold least, so that little work has to move.
+[[nodiscard]] std::vector<std::string> hostsToEmpty(fleet_tables &tables, const wave_care &care,
+                                                    instant now);
+
+/// Returns the worker that runs on a host, or null.
+[[nodiscard]] worker_status *workerOf(fleet_tables &tables, const std::string &host);
+
+/// Returns how many hosts of the wave are or may be down for their maintenance.
+[[nodiscard]] int awayHosts(const wave_care &care);
+
+/// Marks the workers whose hosts are due for maintenance or being emptied.
+void markMaintenance(fleet_tables &tables, const host_care_state &state);
+
+/// Returns how many lasting tasks of a step are not at work: waiting, starting, or not at full
+/// percentage.
+[[nodiscard]] int awayTasks(const fleet_tables &tables, const job_entry &job, int occurrence,
+                            int step);
+
+/// Returns true if planned work may end this run now without breaking the bound of its step.
+[[nodiscard]] bool mayDisturb(const fleet_tables &tables, const run_entry &run);
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/include/ibishinge/fleet/node.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <ibishinge/base/metrics.h>
+#include <ibishinge/base/scheduler.h>
+#include <ibishinge/fleet/caller.h>
+#include <ibishinge/fleet/coordinator.h>
+#include <ibishinge/fleet/platform_api.h>
+#include <ibishinge/fleet/record_codec.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace ibishinge::fleet {
+
+/// Passes requests to the process that coordinates; an interface so that tests need no network.
+class peer_link
+{
+public:
+    virtual ~peer_link() = default;
+    /// Errors: `unavailable` if no connection was made, with the system's error if it was refused;
+    /// `outcome_unknown` if the request may have been received.
+    virtual void forward(const std::string &address, const std::string &request,
+                         milliseconds timeout, reply<std::string> done) = 0;
+};
+
+struct node_settings
+{
+    std::string name; ///< of this process
+    std::string incarnation; ///< of this run of it
+    std::string peerAddress; ///< where it takes forwarded requests, "ip:port"
+    std::uint64_t seed = 0;
+    milliseconds leaderTtl {3000}; ///< lease of the leader's record
+    milliseconds configurationLimit {3000}; ///< older proof of the configuration stops service
+    coordinator_settings coordination;
+};
+
+/// One process of the system: follows the configuration and the leader's record, coordinates if it
+/// holds the record, and passes callers' requests to whichever process does.
+///
+/// Not thread-safe: everything runs on the loop's thread.
+class fleet_node
+{
+public:
+    /// The references must outlive the node.
+    fleet_node(platform_api &platform, peer_link &peers, scheduler &timers,
+               metrics_registry &metrics, node_settings settings);
+    ~fleet_node();
+    fleet_node(const fleet_node &) = delete;
+    fleet_node &operator=(const fleet_node &) = delete;
+
+    void start();
+
+    /// Gives up the leader's record and never takes it again; requests are still passed on.
+    void resign();
+
+    /// Handles a caller's request, here or through the coordinator. `done` is called exactly once.
+    void handle(const caller_request &request, answer_handler done);
+
+    /// Handles a request that another process passed on. Answers `not_ready` if this one does not
+    /// coordinate.
+    void handleForwarded(const caller_request &request, answer_handler done);
+
+    /// Returns true if requests can be served: the configuration is fresh and there is a
+    /// coordinator.
+    [[nodiscard]] bool isReady() const;
+
+private:
+    struct attempt;
+
+    void later(milliseconds delay, std::function<void()> function);
+    template <class T, class Function>
+    reply<T> whileAlive(Function function)
+    {
+        return [alive = std::weak_ptr<int>(m_alive), function](result<T> value) {
+            if (!alive.expired()) {
+                function(std::move(value));
+            }
+        };
+    }
+
+    void pollConfiguration();
+    void watchConfiguration();
+    void applyConfiguration(const store_item &item);
+    void readLeader();
+    void watchLeader();
+    void applyLeader(const store_item &item);
+    void considerCampaign(milliseconds delay);
+    void campaign();
+    void campaignWithLease(const store_lease &lease, instant sentAt);
+    void commitCampaign(const store_lease &lease, instant sentAt, const store_item &termItem);
+    void lead(const store_lease &lease, instant sentAt, std::int64_t revision, std::int64_t term);
+    void renew();
+    void stopLeading(std::string_view reason);
+    void tryRequest(const std::shared_ptr<attempt> &request);
+    void retryRequest(const std::shared_ptr<attempt> &request, milliseconds delay);
+    void finishRequest(const std::shared_ptr<attempt> &request, caller_answer answer);
+    void onForwardFailed(const std::string &address, const error &failure);
+
+    platform_api &m_platform;
+    peer_link &m_peers;
+    scheduler &m_timers;
+    metrics_registry &m_metrics;
+    const node_settings m_settings;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+    std::mt19937_64 m_random;
+
+    std::optional<configuration> m_config;
+    std::int64_t m_configRevision = 0;
+    std::int64_t m_shownVersion = 0; ///< newest configuration that an answer was based on
+    instant m_configProvedAt;
+    bool m_configReadable = true;
+
+    std::optional<leader_record> m_leader;
+    std::int64_t m_leaderRevision = 0; ///< 0: there is none
+    std::int64_t m_leaderSeenAt = 0; ///< store revision up to which the record is known
+    bool m_leaderKnown = false;
+    instant m_noLeaderSince;
+    int m_refusals = 0; ///< connections that the leader's machine refused, in a row
+    instant m_storeAnsweredAt;
+
+    std::shared_ptr<coordinator> m_coordinator;
+    std::int64_t m_lease = 0;
+    bool m_campaigning = false;
+    bool m_campaignPlanned = false;
+    bool m_resigned = false;
+};
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/include/ibishinge/fleet/store_writer.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <ibishinge/base/scheduler.h>
+#include <ibishinge/fleet/platform_api.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ibishinge::fleet {
+
+/// New value of a key; none deletes it.
+struct key_change
+{
+    std::string key;
+    std::optional<std::string> value;
+};
+
+/// Changes that become visible together.
+struct write_unit
+{
+    std::vector<key_change> changes;
+    /// Given up if the store certainly did not take it; others are repeated until they are stored.
+    bool droppable = false;
+    std::function<void(result<void>)> done;
+};
+
+/// Writes the records of one coordinator, in order and in batches.
+///
+/// Every transaction requires that the leader's record is unchanged, so that writes of a deposed
+/// coordinator fail, and that each key has the revision last known, so that a write that is carried
+/// out late cannot undo a newer one. A transaction without an answer is repeated unchanged; the
+/// condition of the second tells whether the first took effect. Not thread-safe.
+class store_writer : public std::enable_shared_from_this<store_writer>
+{
+public:
+    /// `onDeposed` is called once, when the leader's record has changed.
+    [[nodiscard]] static std::shared_ptr<store_writer> make(platform_api &platform,
+                                                            scheduler &timers,
+                                                            store_condition leader,
+                                                            std::function<void()> onDeposed);
+
+    /// Precondition: at most `maxUnitChanges` changes.
+    void add(write_unit unit);
+
+    /// Calls `done` once everything added before is stored; at once if nothing is open.
+    void addMark(std::function<void(result<void>)> done);
+
+    /// Tells the revision of a key that was read. Keys not told of are expected not to exist.
+    void learnRevision(const std::string &key, std::int64_t revision);
+
+    /// Returns true if the key exists as far as is known.
+    [[nodiscard]] bool exists(const std::string &key) const;
+
+    /// Returns how long the oldest transaction has been without success; 0 if none is open.
+    [[nodiscard]] milliseconds stalledFor() const;
+
+    /// Stops writing; open units are answered with `outcome_unknown`.
+    void close();
+
+private:
+    store_writer(platform_api &platform, scheduler &timers, store_condition leader,
+                 std::function<void()> onDeposed);
+    void sendNext();
+    void sendCurrent();
+    void onReply(const result<transaction_reply> &answer);
+    void onConflict(const std::vector<store_item> &current);
+    void finishCurrent(std::int64_t revision);
+    void retryLater();
+
+    platform_api &m_platform;
+    scheduler &m_timers;
+    store_condition m_leader;
+    std::function<void()> m_onDeposed;
+    std::map<std::string, std::int64_t> m_revisions;
+    std::deque<write_unit> m_waiting;
+    std::vector<write_unit> m_current;
+    bool m_closed = false;
+    bool m_outcomeUnknown = false; ///< an attempt of the current transaction may still land
+    instant m_currentSince;
+    milliseconds m_backoff {0};
+};
+
+/// Largest number of changes of one unit: each takes a condition and a put or delete.
+inline constexpr std::size_t maxUnitChanges = (maxTransactionEntries - 1) / 2;
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/include/ibishinge/outside/io_loop.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <ibishinge/base/error.h>
+#include <ibishinge/base/scheduler.h>
+#include <ibishinge/outside/http_message.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ibishinge {
+
+/// One HTTP request to another process.
+struct outgoing_request
+{
+    std::string method = "GET";
+    std::string address; ///< "ip:port"
+    std::string target = "/"; ///< path and query
+    std::vector<http_header> headers;
+    std::string body;
+    std::chrono::milliseconds timeout {1000}; ///< for the whole exchange
+};
+
+using response_handler = std::function<void(result<http_response>)>;
+
+/// Event loop with timers and an HTTP client for many requests at once, on libcurl.
+///
+/// All functions but `post` and `stop` are called on the loop's thread. Responses arrive on that
+/// thread. A connection on which a request timed out is not used again, and for some seconds
+/// further requests to its address use new connections, because idle ones may have gone silent with
+/// it.
+class io_loop final : public scheduler
+{
+public:
+    /// Errors: `internal` if libcurl cannot be set up.
+    [[nodiscard]] static result<std::unique_ptr<io_loop>> make();
+    ~io_loop() override;
+    io_loop(const io_loop &) = delete;
+    io_loop &operator=(const io_loop &) = delete;
+
+    [[nodiscard]] instant now() const override;
+    [[nodiscard]] std::int64_t wallMs() const override;
+    void after(std::chrono::milliseconds delay, std::function<void()> function) override;
+
+    /// Errors passed to `done`: `unavailable` if no connection was made, `outcome_unknown` if the
+    /// request may have been received.
+    void send(outgoing_request request, response_handler done);
+
+    /// Calls `function` on the loop's thread. Thread-safe.
+    void post(std::function<void()> function);
+
+    /// Runs until `stop` is called.
+    void run();
+
+    /// Makes `run` return. Thread-safe.
+    void stop();
+
+private:
+    struct impl;
+    explicit io_loop(std::unique_ptr<impl> state) noexcept;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace ibishinge
--- /dev/null
+++ b/src/fleet/caller.cpp
@@ -0,0 +1,119 @@
+#include <ibishinge/fleet/caller.h>
+
+#include <ibishinge/fleet/record_codec.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<std::pair<answer_kind, std::string_view>, 11> answerNames {{
+    {answer_kind::accepted, "accepted"},
+    {answer_kind::shown, "shown"},
+    {answer_kind::counted, "counted"},
+    {answer_kind::cancelled, "cancelled"},
+    {answer_kind::no_such_queue, "no_such_queue"},
+    {answer_kind::no_such_job, "no_such_job"},
+    {answer_kind::unauthorized, "unauthorized"},
+    {answer_kind::invalid, "invalid"},
+    {answer_kind::overloaded, "overloaded"},
+    {answer_kind::not_ready, "not_ready"},
+    {answer_kind::outcome_unknown, "outcome_unknown"},
+}};
+
+} // namespace
+
+std::string_view nameOf(answer_kind kind) noexcept
+{
+    return std::find_if(answerNames.begin(), answerNames.end(),
+                        [kind](const auto &row) { return row.first == kind; })
+        ->second;
+}
+
+std::string encodeRequest(const caller_request &request)
+{
+    json out = {{"operation", static_cast<int>(request.operation)},
+                {"host", request.host},
+                {"path", request.path},
+                {"key", request.key},
+                {"patience", request.patience.count()},
+                {"version", request.seenVersion}};
+    if (request.spec) {
+        out["spec"] = encodeSpec(*request.spec);
+    }
+    return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+result<caller_request> decodeRequest(const std::string &text)
+{
+    try {
+        const json in = json::parse(text);
+        caller_request request;
+        request.operation = static_cast<caller_operation>(in.at("operation").get<int>());
+        request.host = in.at("host").get<std::string>();
+        request.path = in.at("path").get<std::string>();
+        request.key = in.at("key").get<std::string>();
+        request.patience = milliseconds(in.at("patience").get<std::int64_t>());
+        request.seenVersion = in.at("version").get<std::int64_t>();
+        if (in.contains("spec")) {
+            auto spec = decodeSpec(in.at("spec"));
+            if (!spec) {
+                return tl::unexpected(spec.error());
+            }
+            request.spec = std::move(*spec);
+        }
+        return request;
+    } catch (const json::exception &problem) {
+        return makeError(error_kind::invalid_request, "forwarded request", problem.what());
+    }
+}
+
+std::string encodeAnswer(const caller_answer &answer)
+{
+    json out = {{"kind", nameOf(answer.kind)}, {"version", answer.version}};
+    if (answer.kind == answer_kind::shown) {
+        out["state"] = nameOf(answer.state);
+    }
+    if (answer.kind == answer_kind::counted) {
+        out["waiting"] = answer.waiting;
+    }
+    if (!answer.message.empty()) {
+        out["message"] = answer.message;
+    }
+    if (answer.retryAfter.count() > 0) {
+        out["retry_after"] = answer.retryAfter.count();
+    }
+    return out.dump();
+}
+
+result<caller_answer> decodeAnswer(const std::string &text)
+{
+    try {
+        const json in = json::parse(text);
+        caller_answer answer;
+        const auto name = in.at("kind").get<std::string>();
+        const auto *const row = std::find_if(answerNames.begin(), answerNames.end(),
+                                             [&](const auto &each) { return each.second == name; });
+        if (row == answerNames.end()) {
+            return makeError(error_kind::invalid_request, "answer", "unknown kind " + name);
+        }
+        answer.kind = row->first;
+        answer.state =
+            parseJobState(in.value("state", std::string("queued"))).value_or(job_state::queued);
+        answer.waiting = in.value("waiting", 0);
+        answer.message = in.value("message", std::string());
+        answer.retryAfter = milliseconds(in.value("retry_after", std::int64_t {0}));
+        answer.version = in.value("version", std::int64_t {0});
+        return answer;
+    } catch (const json::exception &problem) {
+        return makeError(error_kind::invalid_request, "answer", problem.what());
+    }
+}
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/src/fleet/coordinator.cpp
@@ -0,0 +1,392 @@
+#include <ibishinge/fleet/coordinator.h>
+
+#include <ibishinge/base/logging.h>
+#include <ibishinge/fleet/placement.h>
+#include <ibishinge/fleet/record_codec.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+constexpr milliseconds tickInterval {100};
+
+/// Starts a pass makes before it lets replies in, so that one burst does not delay lease renewals.
+constexpr int startsPerPass = 64;
+
+/// Runs of one term are numbered below this, so that a later term's numbers are higher.
+constexpr std::int64_t runsPerTerm = 100000;
+
+/// Workers named in one call for advice; each costs time before the answer.
+constexpr std::size_t advisedWorkers = 24;
+constexpr milliseconds adviceRetry {150};
+
+} // namespace
+
+std::shared_ptr<coordinator> coordinator::make(platform_api &platform, scheduler &timers,
+                                               metrics_registry &metrics,
+                                               const coordinator_settings &settings,
+                                               leadership lead, configuration config,
+                                               std::function<void()> onDeposed)
+{
+    return std::shared_ptr<coordinator>(new coordinator(platform, timers, metrics, settings,
+                                                        std::move(lead), std::move(config),
+                                                        std::move(onDeposed)));
+}
+
+coordinator::coordinator(platform_api &platform, scheduler &timers, metrics_registry &metrics,
+                         const coordinator_settings &settings, leadership lead,
+                         configuration config, std::function<void()> onDeposed)
+    : m_platform(platform)
+    , m_timers(timers)
+    , m_metrics(metrics)
+    , m_settings(settings)
+    , m_lead(std::move(lead))
+    , m_onDeposed(std::move(onDeposed))
+    , m_startedAt(timers.now())
+{
+    setConfiguration(m_tables, std::move(config));
+}
+
+void coordinator::start()
+{
+    m_writer = store_writer::make(m_platform, m_timers, m_lead.record, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->close();
+            self->m_onDeposed();
+        }
+    });
+    readRoster();
+    later(tickInterval, [this] { tick(); });
+}
+
+void coordinator::close()
+{
+    if (m_closed) {
+        return;
+    }
+    m_closed = true;
+    m_writer->close();
+    for (auto &[id, handlers] : std::exchange(m_waiters, {})) {
+        for (const auto &done : handlers) {
+            done({answer_kind::outcome_unknown, {}, 0, "the coordinator was replaced", {}, 0});
+        }
+    }
+}
+
+void coordinator::extend(instant until)
+{
+    const bool wasSuspended = !mayAct();
+    m_provedUntil = std::max(m_provedUntil, until);
+    if (wasSuspended && mayAct() && m_loaded) {
+        logEvent(log_level::info, "coordinator_resumed", {{"term", m_lead.term}});
+        requestPass();
+    }
+}
+
+bool coordinator::mayAct() const
+{
+    return !m_closed && m_timers.now() < m_provedUntil;
+}
+
+bool coordinator::isServing() const
+{
+    return m_loaded && mayAct();
+}
+
+void coordinator::later(milliseconds delay, std::function<void()> function)
+{
+    m_timers.after(delay, [weak = weak_from_this(), function = std::move(function)] {
+        const auto self = weak.lock();
+        if (self && !self->m_closed) {
+            function();
+        }
+    });
+}
+
+void coordinator::onConfiguration(const configuration &config)
+{
+    if (config.version <= m_tables.config.version) {
+        return;
+    }
+    setConfiguration(m_tables, config);
+    requestPass();
+}
+
+void coordinator::tick()
+{
+    later(tickInterval, [this] { tick(); });
+    if (!mayAct()) {
+        return;
+    }
+    const auto now = m_timers.now();
+    for (auto &[id, worker] : m_tables.workers) {
+        lookIfDue(worker);
+    }
+    expireWorkers();
+    if (!m_loaded) {
+        return;
+    }
+    checkRuns();
+    pace();
+    const auto wall = m_timers.wallMs();
+    for (auto &[id, job] : m_tables.jobs) {
+        if (job.stored && openDueOccurrences(job, wall)) {
+            requestPass();
+        }
+    }
+    if (now >= m_nextWaves) {
+        readWaves();
+    }
+    careForHosts();
+    if (now >= m_nextPrune) {
+        pruneEnded();
+    }
+    requestPass();
+}
+
+void coordinator::requestPass()
+{
+    if (m_passPending) {
+        return;
+    }
+    m_passPending = true;
+    later(milliseconds(0), [this] {
+        m_passPending = false;
+        pass();
+    });
+}
+
+void coordinator::pass()
+{
+    if (!isServing()) {
+        return;
+    }
+    for (const auto &[name, pool] : m_tables.config.pools) {
+        if (!pool.spare) {
+            passPool(name);
+        }
+    }
+}
+
+void coordinator::passPool(const std::string &pool)
+{
+    const auto now = m_timers.now();
+    int starts = 0;
+    for (const auto &where : waitingSteps(m_tables, pool, now)) {
+        auto &job = m_tables.jobs.at(where.job);
+        const auto &queue = *m_tables.queues.at(job.queue);
+        const auto &step = job.spec.steps[static_cast<std::size_t>(where.step)];
+        if (!haveTickets(job, queue, where.occurrence, where.step)) {
+            continue;
+        }
+        if (step.gang) {
+            startGang(job, where.occurrence, where.step);
+            continue;
+        }
+        const step_tickets *tickets =
+            queue.advice ? &job.tickets.at({where.occurrence, where.step}) : nullptr;
+        auto &tasks =
+            job.occurrences.at(where.occurrence).steps[static_cast<std::size_t>(where.step)];
+        for (std::size_t index = 0; index < tasks.size(); ++index) {
+            auto &task = tasks[index];
+            if (task.phase != task_phase::waiting || task.notBefore > now) {
+                continue;
+            }
+            if (!isWithinLimit(m_tables, job.customer, heldBy(step))) {
+                break;
+            }
+            auto *worker = chooseWorker(m_tables, job, queue, where, task, tickets, now);
+            if (worker == nullptr) {
+                break;
+            }
+            const auto proof =
+                tickets != nullptr ? tickets->proofByWorker.at(worker->entry.id) : std::string();
+            const auto run = (m_lead.term - 1) * runsPerTerm + ++task.startsInTerm;
+            startTask(job, {job.id, where.occurrence, where.step, static_cast<int>(index)}, *worker,
+                      proof, run);
+            if (++starts >= startsPerPass) {
+                requestPass();
+                return;
+            }
+        }
+    }
+}
+
+bool coordinator::startTask(job_entry &job, const task_name &name, worker_status &worker,
+                            const std::string &proof, std::int64_t run)
+{
+    const auto &step = job.spec.steps[static_cast<std::size_t>(name.step)];
+    auto &task = *findTask(m_tables, name);
+    const auto now = m_timers.now();
+    run_entry entry;
+    entry.key = {name, run};
+    entry.worker = worker.entry.id;
+    entry.orderedAt = now;
+    entry.progressAt = now;
+    entry.held = heldBy(step);
+    entry.customer = job.customer;
+    entry.checkpoint = task.checkpoint;
+    entry.lasting = step.lasting;
+    entry.serving = step.tailTarget.count() > 0;
+    entry.tailTarget = step.tailTarget;
+    entry.fills = step.fills;
+    entry.ticket = proof;
+    addRun(m_tables, std::move(entry));
+    task.phase = task_phase::placed;
+    task.currentRun = run;
+    job.begun = true;
+    job.state = job_state::running;
+    sendStart({name, run});
+    return true;
+}
+
+void coordinator::startGang(job_entry &job, int occurrence, int stepNumber)
+{
+    const auto now = m_timers.now();
+    const auto &step = job.spec.steps[static_cast<std::size_t>(stepNumber)];
+    const auto &queue = *m_tables.queues.at(job.queue);
+    auto &tasks = job.occurrences.at(occurrence).steps[static_cast<std::size_t>(stepNumber)];
+    std::int64_t starts = 0;
+    for (const auto &task : tasks) {
+        if (task.phase != task_phase::waiting || task.notBefore > now) {
+            return;
+        }
+        starts = std::max(starts, task.startsInTerm);
+    }
+    resources all;
+    for (int i = 0; i < step.count; ++i) {
+        all = all + heldBy(step);
+    }
+    if (!isWithinLimit(m_tables, job.customer, all)) {
+        return;
+    }
+    const step_tickets *tickets =
+        queue.advice ? &job.tickets.at({occurrence, stepNumber}) : nullptr;
+    const auto run = (m_lead.term - 1) * runsPerTerm + starts + 1;
+    // The members are entered as runs first, so that each choice sees the ones before it.
+    std::vector<run_key> placed;
+    const waiting_step where {job.id, occurrence, stepNumber};
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        auto *worker = chooseWorker(m_tables, job, queue, where, tasks[index], tickets, now);
+        if (worker == nullptr) {
+            for (const auto &key : placed) {
+                removeRun(m_tables, key);
+            }
+            return;
+        }
+        run_entry entry;
+        entry.key = {{job.id, occurrence, stepNumber, static_cast<int>(index)}, run};
+        entry.worker = worker->entry.id;
+        entry.held = heldBy(step);
+        entry.customer = job.customer;
+        placed.push_back(entry.key);
+        addRun(m_tables, std::move(entry));
+    }
+    for (const auto &key : placed) {
+        auto &worker = m_tables.workers.at(m_tables.runs.at(key).worker);
+        const auto proof =
+            tickets != nullptr ? tickets->proofByWorker.at(worker.entry.id) : std::string();
+        removeRun(m_tables, key);
+        tasks[static_cast<std::size_t>(key.task.index)].startsInTerm = starts + 1;
+        startTask(job, key.task, worker, proof, run);
+    }
+}
+
+bool coordinator::haveTickets(job_entry &job, const queue_rule &queue, int occurrence, int step)
+{
+    if (!queue.advice) {
+        return true;
+    }
+    const auto now = m_timers.now();
+    auto &tickets = job.tickets[{occurrence, step}];
+    if (tickets.validUntil > now && !tickets.proofByWorker.empty()) {
+        return true;
+    }
+    if (tickets.asked || tickets.nextAsk > now) {
+        return false;
+    }
+    std::vector<std::pair<std::int64_t, std::string>> byLoad;
+    for (const auto &[id, worker] : m_tables.workers) {
+        if (worker.entry.pool == queue.pool && isUsable(worker, now)) {
+            byLoad.emplace_back(worker.held.cpuMillis, id);
+        }
+    }
+    std::sort(byLoad.begin(), byLoad.end());
+    std::vector<std::string> ids;
+    for (const auto &[load, id] : byLoad) {
+        if (ids.size() < advisedWorkers) {
+            ids.push_back(id);
+        }
+    }
+    if (ids.empty()) {
+        return false;
+    }
+    tickets.asked = true;
+    m_platform.advise(job.id, occurrence, step, ids,
+                      whileOpen<advice_reply>([this, id = job.id, occurrence, step,
+                                               sentAt = now](const result<advice_reply> &answer) {
+                          const auto found = m_tables.jobs.find(id);
+                          if (found == m_tables.jobs.end()) {
+                              return;
+                          }
+                          auto &known = found->second.tickets[{occurrence, step}];
+                          known.asked = false;
+                          known.nextAsk = m_timers.now() + adviceRetry;
+                          if (!answer) {
+                              logEvent(log_level::warning, "advice_failed",
+                                       {{"job", id}, {"error", describe(answer.error())}});
+                              return;
+                          }
+                          known.proofByWorker.clear();
+                          for (const auto &each : answer->good) {
+                              known.proofByWorker[each.worker] = each.proof;
+                          }
+                          known.validUntil = sentAt + answer->validity;
+                          requestPass();
+                      }));
+    return false;
+}
+
+void coordinator::expireWorkers()
+{
+    const auto now = m_timers.now();
+    std::vector<run_key> lapsed;
+    std::vector<std::string> gone;
+    for (auto &[id, worker] : m_tables.workers) {
+        if (worker.leasesEndBy > now) {
+            continue;
+        }
+        for (const auto &key : worker.runs) {
+            lapsed.push_back(key);
+        }
+        if (!worker.registered && m_loaded) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto &key : lapsed) {
+        const auto run = m_tables.runs.at(key);
+        logEvent(log_level::warning, "run_lapsed",
+                 {{"job", key.task.job},
+                  {"step", key.task.step},
+                  {"index", key.task.index},
+                  {"run", key.run},
+                  {"worker", run.worker}});
+        removeRun(m_tables, key);
+        releaseTask(key);
+    }
+    for (const auto &id : gone) {
+        logEvent(log_level::info, "worker_forgotten", {{"worker", id}});
+        m_tables.workers.erase(id);
+    }
+    if (!gone.empty()) {
+        writeRoster();
+    }
+    if (!lapsed.empty()) {
+        requestPass();
+    }
+}
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/src/fleet/coordinator_callers.cpp
@@ -0,0 +1,378 @@
+#include <ibishinge/fleet/admission.h>
+#include <ibishinge/fleet/coordinator.h>
+
+#include <ibishinge/base/logging.h>
+#include <ibishinge/fleet/record_codec.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+/// A store that has not answered a write for this long counts as away: a few times its response
+/// time when it is slow.
+constexpr milliseconds storeAway {900};
+
+/// When callers are told to come back while the store is away or the coordinator is not ready.
+constexpr milliseconds comeBack {1000};
+
+/// Progress is written at most this often, so that ends close together share one write.
+constexpr milliseconds flushDelay {12};
+
+/// Final states are kept this long; callers may ask for two minutes.
+constexpr std::int64_t keepEndedMs = 240'000;
+constexpr milliseconds pruneInterval {5000};
+
+/// Length of a job's id, in hexadecimal digits. From the callers' protocol.
+constexpr std::size_t jobIdLength = 16;
+
+bool isJobId(std::string_view text)
+{
+    return text.size() == jobIdLength
+           && text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
+}
+
+caller_answer answerOf(answer_kind kind, std::string message = {}, milliseconds retryAfter = {})
+{
+    caller_answer answer;
+    answer.kind = kind;
+    answer.message = std::move(message);
+    answer.retryAfter = retryAfter;
+    return answer;
+}
+
+} // namespace
+
+void coordinator::handle(const caller_request &request, answer_handler done)
+{
+    const auto version = m_tables.config.version;
+    const auto finish = [version, done = std::move(done)](caller_answer answer) {
+        answer.version = version;
+        done(answer);
+    };
+    if (!isServing() || request.seenVersion > version) {
+        finish(answerOf(answer_kind::not_ready, "the coordinator is not ready", comeBack));
+        return;
+    }
+    const auto *const queue = findQueue(m_tables.config, request.host, request.path);
+    if (queue == nullptr) {
+        finish(answerOf(answer_kind::no_such_queue, "no queue has this host and path"));
+        return;
+    }
+    std::string customer;
+    const auto owner = m_tables.config.customerOfKey.find(request.key);
+    if (owner != m_tables.config.customerOfKey.end()) {
+        customer = owner->second;
+    } else if (!queue->openToAll) {
+        finish(answerOf(answer_kind::unauthorized, "the key is not known"));
+        return;
+    }
+    const auto id = request.path.substr(queue->prefix.size());
+    if (request.operation == caller_operation::count_waiting || id.empty()) {
+        auto answer = answerOf(answer_kind::counted);
+        for (const auto &[name, job] : m_tables.jobs) {
+            answer.waiting += job.stored && !job.begun && job.queue == queue->name ? 1 : 0;
+        }
+        finish(std::move(answer));
+        return;
+    }
+    if (!isJobId(id)) {
+        finish(answerOf(answer_kind::invalid, "a job's id has 16 hexadecimal digits"));
+        return;
+    }
+    switch (request.operation) {
+    case caller_operation::submit:
+        submit(request, *queue, customer, finish);
+        break;
+    case caller_operation::show:
+        show(id, finish);
+        break;
+    case caller_operation::cancel:
+        cancel(id, finish);
+        break;
+    case caller_operation::count_waiting:
+        break;
+    }
+}
+
+void coordinator::submit(const caller_request &request, const queue_rule &queue,
+                         const std::string &customer, const answer_handler &done)
+{
+    const auto id = request.path.substr(queue.prefix.size());
+    const auto known = m_tables.jobs.find(id);
+    if (known != m_tables.jobs.end()) {
+        if (known->second.stored) {
+            done(answerOf(answer_kind::accepted));
+        } else {
+            m_waiters[id].push_back(done);
+        }
+        return;
+    }
+    if (m_tables.ended.count(id) > 0) {
+        done(answerOf(answer_kind::accepted));
+        return;
+    }
+    if (!request.spec) {
+        done(answerOf(answer_kind::invalid, "a submission needs a description of the job"));
+        return;
+    }
+    if (const auto problem = findProblem(*request.spec)) {
+        done(answerOf(answer_kind::invalid, *problem));
+        return;
+    }
+    const auto reject = [&](const caller_answer &answer, const admission_decision &decision) {
+        logEvent(log_level::info, "job_refused",
+                 {{"job", id},
+                  {"queue", queue.name},
+                  {"customer", customer},
+                  {"answer", nameOf(answer.kind)},
+                  {"reason", answer.message},
+                  {"predicted_ms", decision.predicted.count()},
+                  {"objective_ms", decision.objective.count()},
+                  {"config", m_tables.config.version}});
+        m_metrics.add("ibishinge_jobs_refused_total", {{"reason", answer.message}});
+        done(answer);
+    };
+    if (m_writer->stalledFor() > storeAway) {
+        reject(answerOf(answer_kind::not_ready, "the store is away", comeBack), {});
+        return;
+    }
+    job_entry job;
+    job.id = id;
+    job.queue = queue.name;
+    job.pool = queue.pool;
+    job.customer = customer;
+    job.spec = *request.spec;
+    job.acceptedWallMs = m_timers.wallMs();
+    job.submittedAt = m_timers.now();
+    for (const auto &step : job.spec.steps) {
+        job.lasting = job.lasting || step.lasting;
+    }
+    estimateJob(job);
+    const auto decision = decideAdmission(m_tables, job, queue, m_timers.now());
+    if (decision.verdict != admission_verdict::accept) {
+        reject(answerOf(decision.verdict == admission_verdict::never ? answer_kind::invalid
+                                                                     : answer_kind::overloaded,
+                        decision.reason, decision.retryAfter),
+               decision);
+        return;
+    }
+    logEvent(log_level::info, "job_admitted",
+             {{"job", id},
+              {"queue", queue.name},
+              {"customer", customer},
+              {"predicted_ms", decision.predicted.count()},
+              {"objective_ms", decision.objective.count()},
+              {"config", m_tables.config.version}});
+    m_waiters[id].push_back(done);
+    write_unit unit;
+    unit.changes.push_back({std::string(jobPrefix) + id, encodeJob(job)});
+    unit.droppable = true;
+    unit.done = [this, id, since = m_timers.now()](const result<void> &stored) {
+        const auto found = m_tables.jobs.find(id);
+        if (m_closed || found == m_tables.jobs.end()) {
+            return;
+        }
+        if (!stored) {
+            m_tables.jobs.erase(found);
+            answerWaiters(id, answerOf(answer_kind::not_ready, "the store is away", comeBack));
+            return;
+        }
+        found->second.stored = true;
+        m_metrics.observe("ibishinge_store_job_seconds", {}, m_timers.now() - since);
+        logEvent(log_level::info, "job_accepted", {{"job", id}});
+        answerWaiters(id, answerOf(answer_kind::accepted));
+        openDueOccurrences(found->second, m_timers.wallMs());
+        requestPass();
+    };
+    m_tables.jobs.emplace(id, std::move(job));
+    m_writer->add(std::move(unit));
+    // The caller learns that the outcome is open while it can still ask again.
+    later(storeAway, [this, id] {
+        const auto found = m_tables.jobs.find(id);
+        if (found != m_tables.jobs.end() && !found->second.stored) {
+            answerWaiters(id, answerOf(answer_kind::outcome_unknown, "the store has not answered"));
+        }
+    });
+}
+
+void coordinator::answerWaiters(const std::string &id, const caller_answer &answer)
+{
+    const auto found = m_waiters.find(id);
+    if (found == m_waiters.end()) {
+        return;
+    }
+    const auto handlers = std::move(found->second);
+    m_waiters.erase(found);
+    for (const auto &done : handlers) {
+        done(answer);
+    }
+}
+
+void coordinator::show(const std::string &id, const answer_handler &done)
+{
+    auto answer = answerOf(answer_kind::shown);
+    const auto live = m_tables.jobs.find(id);
+    const auto ended = m_tables.ended.find(id);
+    if (ended != m_tables.ended.end()) {
+        answer.state = ended->second.first;
+    } else if (live != m_tables.jobs.end() && live->second.stored) {
+        answer.state = live->second.state;
+    } else if (live != m_tables.jobs.end()) {
+        answer = answerOf(answer_kind::not_ready, "the job is being stored", comeBack);
+    } else {
+        answer.kind = answer_kind::no_such_job;
+    }
+    done(answer);
+}
+
+void coordinator::cancel(const std::string &id, const answer_handler &done)
+{
+    if (m_tables.ended.count(id) > 0) {
+        done(answerOf(answer_kind::cancelled));
+        return;
+    }
+    const auto found = m_tables.jobs.find(id);
+    if (found == m_tables.jobs.end()) {
+        done(answerOf(answer_kind::no_such_job));
+        return;
+    }
+    auto &job = found->second;
+    if (!job.stored) {
+        done(answerOf(answer_kind::not_ready, "the job is being stored", comeBack));
+        return;
+    }
+    logEvent(log_level::info, "job_cancelling", {{"job", id}, {"queue", job.queue}});
+    m_cancelWaiters[id].push_back(done);
+    if (!job.ending) {
+        endJob(job, job_state::cancelled);
+    }
+}
+
+void coordinator::estimateJob(job_entry &job)
+{
+    const auto queue = m_tables.queues.find(job.queue);
+    job.work = 0;
+    for (const auto &step : job.spec.steps) {
+        job.work += expectedRunMs(m_tables, job.queue, step) * step.count
+                    * static_cast<double>(step.need.cpuMillis) / 1000;
+    }
+    const double chain = longestChain(
+        job.spec, [&](const step_spec &step) { return expectedRunMs(m_tables, job.queue, step); });
+    job.chain = milliseconds(static_cast<std::int64_t>(chain));
+    if (queue != m_tables.queues.end()) {
+        const auto stretched = static_cast<std::int64_t>(queue->second->stretch * chain);
+        job.objectiveAt = job.submittedAt + milliseconds(stretched) + queue->second->objectiveSlack;
+    }
+}
+
+void coordinator::endJob(job_entry &job, job_state state)
+{
+    job.ending = true;
+    write_unit unit;
+    unit.changes.push_back(
+        {std::string(endedPrefix) + job.id, encodeEnded(state, m_timers.wallMs())});
+    unit.changes.push_back({std::string(jobPrefix) + job.id, std::nullopt});
+    unit.changes.push_back({std::string(progressPrefix) + job.id, std::nullopt});
+    unit.done = [this, id = job.id, state](const result<void> &stored) {
+        if (m_closed) {
+            return;
+        }
+        if (!stored) {
+            // Only when the coordinator was replaced: the next one finds the job unchanged.
+            logEvent(log_level::warning, "job_end_not_stored", {{"job", id}});
+            return;
+        }
+        const auto found = m_tables.jobs.find(id);
+        m_metrics.add("ibishinge_jobs_ended_total", {{"state", std::string(nameOf(state))}});
+        if (state == job_state::completed) {
+            m_metrics.observe("ibishinge_job_seconds", {{"queue", found->second.queue}},
+                              m_timers.now() - found->second.submittedAt);
+        }
+        logEvent(log_level::info, "job_ended",
+                 {{"job", id},
+                  {"state", nameOf(state)},
+                  {"reason", found->second.failureReason},
+                  {"age_ms", since(found->second.submittedAt, m_timers.now()).count()},
+                  {"objective_ms",
+                   since(found->second.submittedAt, found->second.objectiveAt).count()}});
+        m_tables.ended[id] = {state, m_timers.wallMs()};
+        m_dirty.erase(id);
+        m_tables.jobs.erase(found);
+        stopRunsOf(id, "job_ended");
+        for (const auto &done : std::exchange(m_cancelWaiters[id], {})) {
+            done(answerOf(answer_kind::cancelled));
+        }
+        m_cancelWaiters.erase(id);
+        requestPass();
+    };
+    m_writer->add(std::move(unit));
+}
+
+void coordinator::markDirty(const std::string &id)
+{
+    m_dirty.insert(id);
+    if (!m_flushPending) {
+        m_flushPending = true;
+        later(flushDelay, [this] { flush(); });
+    }
+}
+
+void coordinator::flush()
+{
+    m_flushPending = false;
+    // What workers may forget once the records below are in the store.
+    auto marks = std::make_shared<std::vector<flush_mark>>();
+    for (const auto &[id, worker] : m_tables.workers) {
+        if (worker.processedEnd > worker.storedEnd) {
+            marks->push_back({id, worker.life, worker.processedEnd});
+        }
+    }
+    const auto onStored = [this, marks](const result<void> &stored) {
+        if (m_closed || !stored) {
+            return;
+        }
+        for (const auto &mark : *marks) {
+            const auto worker = m_tables.workers.find(mark.worker);
+            if (worker != m_tables.workers.end() && worker->second.life == mark.life) {
+                worker->second.storedEnd = std::max(worker->second.storedEnd, mark.end);
+                lookIfDue(worker->second);
+            }
+        }
+    };
+    for (const auto &id : std::exchange(m_dirty, {})) {
+        const auto found = m_tables.jobs.find(id);
+        if (found == m_tables.jobs.end() || found->second.ending) {
+            continue;
+        }
+        write_unit unit;
+        unit.changes.push_back({std::string(progressPrefix) + id, encodeProgress(found->second)});
+        m_writer->add(std::move(unit));
+    }
+    m_writer->addMark(onStored);
+}
+
+void coordinator::pruneEnded()
+{
+    m_nextPrune = m_timers.now() + pruneInterval;
+    const auto oldest = m_timers.wallMs() - keepEndedMs;
+    write_unit unit;
+    for (auto entry = m_tables.ended.begin(); entry != m_tables.ended.end();) {
+        if (entry->second.second > oldest) {
+            ++entry;
+            continue;
+        }
+        unit.changes.push_back({std::string(endedPrefix) + entry->first, std::nullopt});
+        entry = m_tables.ended.erase(entry);
+        if (unit.changes.size() == maxUnitChanges) {
+            break;
+        }
+    }
+    if (!unit.changes.empty()) {
+        m_writer->add(std::move(unit));
+    }
+}
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/src/fleet/coordinator_hosts.cpp
@@ -0,0 +1,289 @@
+#include <ibishinge/fleet/coordinator.h>
+
+#include <ibishinge/base/logging.h>
+#include <ibishinge/fleet/record_codec.h>
+#include <ibishinge/fleet/sharing.h>
+
+#include <algorithm>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+/// Waves are announced tens of seconds ahead; one read a second finds them in time.
+constexpr milliseconds waveInterval {1000};
+/// While a host is away its return is looked for this often.
+constexpr milliseconds hostInterval {400};
+/// Tasks of a host to be emptied may end by themselves for this long.
+constexpr milliseconds emptyingPatience {2500};
+/// An order for a host without an answer is repeated after this time.
+constexpr milliseconds orderRepeat {600};
+
+} // namespace
+
+void coordinator::readWaves()
+{
+    m_nextWaves = m_timers.now() + waveInterval;
+    m_platform.readRange(m_platform.wavePrefix(), "",
+                         whileOpen<store_page>([this](const result<store_page> &page) {
+                             if (!page) {
+                                 return; // read again a second later
+                             }
+                             for (const auto &item : page->items) {
+                                 const auto wave = m_platform.decodeWave(item);
+                                 if (!wave || m_care.waves.count(wave->number) > 0) {
+                                     continue;
+                                 }
+                                 auto &care = m_care.waves[wave->number];
+                                 care.wave = *wave;
+                                 care.dueAt = m_timers.now() + wave->deadline;
+                                 for (const auto &host : wave->hosts) {
+                                     care.hosts[host].since = m_timers.now();
+                                 }
+                                 logEvent(log_level::info, "wave_found",
+                                          {{"wave", wave->number},
+                                           {"hosts", wave->hosts.size()},
+                                           {"at_once", wave->atOnce},
+                                           {"deadline_ms", wave->deadline.count()}});
+                                 readWaveRecord(wave->number);
+                             }
+                         }));
+}
+
+void coordinator::readWaveRecord(std::int64_t number)
+{
+    const auto key = std::string(ibishinge::fleet::wavePrefix) + std::to_string(number);
+    m_platform.readItem(key,
+                        whileOpen<store_item>([this, key, number](const result<store_item> &item) {
+                            if (!item) {
+                                later(hostInterval, [this, number] { readWaveRecord(number); });
+                                return;
+                            }
+                            auto &care = m_care.waves.at(number);
+                            if (item->revision != 0) {
+                                m_writer->learnRevision(key, item->revision);
+                                const auto record = decodeWaveRecord(item->value);
+                                if (record) {
+                                    care.completed = record->completed;
+                                    for (const auto &host : record->hosts) {
+                                        if (care.hosts.count(host) > 0) {
+                                            care.hosts[host] = {care_step::away, m_timers.now()};
+                                        }
+                                    }
+                                }
+                            }
+                            const auto status = m_platform.encodeWaveStatus(number, care.completed);
+                            m_writer->add({{{status.key, status.value}}, false, nullptr});
+                            care.known = true;
+                            refreshHosts();
+                        }));
+}
+
+void coordinator::writeWaveRecord(const wave_care &care)
+{
+    wave_record record;
+    record.completed = care.completed;
+    for (const auto &[host, each] : care.hosts) {
+        if (each.step == care_step::away || each.step == care_step::finished) {
+            record.hosts.push_back(host);
+        }
+    }
+    const auto number = care.wave.number;
+    write_unit unit;
+    unit.changes.push_back({std::string(ibishinge::fleet::wavePrefix) + std::to_string(number),
+                            encodeWaveRecord(record)});
+    if (care.completed) {
+        const auto status = m_platform.encodeWaveStatus(number, true);
+        unit.changes.push_back({status.key, status.value});
+    }
+    m_writer->add(std::move(unit));
+}
+
+void coordinator::refreshHosts()
+{
+    if (m_hostsPending) {
+        return;
+    }
+    m_hostsPending = true;
+    m_nextHosts = m_timers.now() + hostInterval;
+    m_platform.listHosts(whileOpen<std::vector<
+                             host_entry>>([this, sentAt = m_timers.now()](
+                                              const result<std::vector<host_entry>> &hosts) {
+        m_hostsPending = false;
+        if (!hosts) {
+            logEvent(log_level::warning, "host_list_failed", {{"error", describe(hosts.error())}});
+            return;
+        }
+        m_tables.hosts.clear();
+        for (const auto &host : *hosts) {
+            m_tables.hosts[host.name] = host;
+        }
+        m_hostsReadAt = sentAt;
+        careForHosts();
+    }));
+}
+
+void coordinator::careForHosts()
+{
+    const auto now = m_timers.now();
+    bool open = false;
+    for (auto &[number, care] : m_care.waves) {
+        if (care.completed || !care.known || m_tables.hosts.empty()) {
+            open = open || (care.known && !care.completed);
+            continue;
+        }
+        open = true;
+        for (const auto &host : hostsToEmpty(m_tables, care, now)) {
+            care.hosts.at(host) = {care_step::emptying, now};
+            logEvent(log_level::info, "host_emptying", {{"host", host}, {"wave", number}});
+        }
+        for (auto &[host, each] : care.hosts) {
+            careForHost(care, host, each);
+        }
+        const bool complete =
+            std::all_of(care.hosts.begin(), care.hosts.end(),
+                        [](const auto &each) { return each.second.step == care_step::finished; });
+        if (complete) {
+            care.completed = true;
+            logEvent(log_level::info, "wave_completed",
+                     {{"wave", number}, {"left_ms", since(now, care.dueAt).count()}});
+            writeWaveRecord(care);
+        }
+    }
+    markMaintenance(m_tables, m_care);
+    if (open && now >= m_nextHosts) {
+        refreshHosts();
+    }
+}
+
+void coordinator::careForHost(wave_care &care, const std::string &host, host_care &each)
+{
+    const auto now = m_timers.now();
+    const auto listed = m_tables.hosts.find(host);
+    if (listed == m_tables.hosts.end()) {
+        // It left for good: the list is complete, so there is nothing to care for.
+        if (m_hostsReadAt > each.since && each.step != care_step::finished) {
+            each = {care_step::finished, now};
+        }
+        return;
+    }
+    switch (each.step) {
+    case care_step::waiting:
+    case care_step::finished:
+        return;
+    case care_step::emptying: {
+        auto *worker = workerOf(m_tables, host);
+        if (worker != nullptr && !worker->runs.empty()) {
+            worker->emptying = true;
+            clearHost(*worker, since(each.since, now) > emptyingPatience);
+            return;
+        }
+        if (awayHosts(care) < care.wave.atOnce) {
+            orderMaintenance(care, host, each);
+        }
+        return;
+    }
+    case care_step::ordered:
+        if (since(each.since, now) > orderRepeat) {
+            orderMaintenance(care, host, each);
+        }
+        return;
+    case care_step::away:
+        // The list that shows it as up was read after its maintenance must have ended.
+        if (m_hostsReadAt > each.since + m_settings.maintenanceTime
+            && listed->second.state == host_state::up) {
+            each = {care_step::finished, now};
+            logEvent(log_level::info, "host_back", {{"host", host}, {"wave", care.wave.number}});
+        }
+        return;
+    }
+}
+
+void coordinator::orderMaintenance(wave_care &care, const std::string &host, host_care &each)
+{
+    if (!mayAct()) {
+        return;
+    }
+    each = {care_step::ordered, m_timers.now()};
+    logEvent(log_level::info, "maintenance_ordered",
+             {{"host", host},
+              {"wave", care.wave.number},
+              {"away", awayHosts(care)},
+              {"at_once", care.wave.atOnce},
+              {"host_list_age_ms", since(m_hostsReadAt, m_timers.now()).count()}});
+    m_platform.maintainHost(
+        host, care.wave.number, m_lead.fencingToken,
+        whileOpen<host_order_outcome>(
+            [this, host, number = care.wave.number](const result<host_order_outcome> &outcome) {
+                auto &wave = m_care.waves.at(number);
+                auto &state = wave.hosts.at(host);
+                if (state.step != care_step::ordered || !outcome) {
+                    return; // repeated by `careForHost`
+                }
+                switch (*outcome) {
+                case host_order_outcome::accepted:
+                    state = {care_step::away, m_timers.now()};
+                    writeWaveRecord(wave);
+                    break;
+                case host_order_outcome::not_of_wave:
+                case host_order_outcome::invalid:
+                    logEvent(log_level::warning, "maintenance_rejected", {{"host", host}});
+                    state = {care_step::finished, m_timers.now()};
+                    break;
+                case host_order_outcome::busy:
+                case host_order_outcome::fenced:
+                    break;
+                }
+            }));
+}
+
+void coordinator::clearHost(worker_status &worker, bool impatient)
+{
+    std::vector<run_key> toStop;
+    for (const auto &key : worker.runs) {
+        const auto &run = m_tables.runs.at(key);
+        if (run.phase == run_phase::stopping) {
+            continue;
+        }
+        if (run.lasting ? mayDisturb(m_tables, run) : impatient) {
+            toStop.push_back(key);
+        }
+    }
+    for (const auto &key : toStop) {
+        const auto &run = m_tables.runs.at(key);
+        if (!run.lasting || mayDisturb(m_tables, run)) {
+            orderStop(key, "planned_work");
+        }
+    }
+}
+
+void coordinator::pace()
+{
+    const auto now = m_timers.now();
+    for (auto &[id, worker] : m_tables.workers) {
+        if (!worker.verified || worker.nextPace > now) {
+            continue;
+        }
+        worker.nextPace = now + paceInterval;
+        for (const auto &change : decidePace(m_tables, worker)) {
+            auto &run = m_tables.runs.at(change.key);
+            run.pace = change.percent;
+            logEvent(log_level::info, "run_paced",
+                     {{"job", change.key.task.job},
+                      {"index", change.key.task.index},
+                      {"worker", id},
+                      {"percent", change.percent},
+                      {"worst_tail_share", change.worstTailShare}});
+            m_platform.paceRun(
+                worker.entry, change.key.task, change.key.run, change.percent, m_lead.fencingToken,
+                whileOpen<start_reply>([this, key = change.key](const result<start_reply> &answer) {
+                    const auto found = m_tables.runs.find(key);
+                    if (!answer && found != m_tables.runs.end()) {
+                        found->second.pace = unknownPace;
+                    }
+                }));
+        }
+    }
+}
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/src/fleet/coordinator_takeover.cpp
@@ -0,0 +1,328 @@
+#include <ibishinge/fleet/coordinator.h>
+
+#include <ibishinge/base/logging.h>
+#include <ibishinge/fleet/record_codec.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+/// Pause before a failed read is repeated.
+constexpr milliseconds readRetry {80};
+
+/// Longest wait of one watch call; the store's bound is 30 s.
+constexpr milliseconds watchWait {20000};
+
+/// Runs of an earlier coordinator end within its task lease on a worker's clock that is 2% slow.
+constexpr double slowClockFactor = 1.021;
+constexpr milliseconds inheritedSlack {150};
+
+} // namespace
+
+void coordinator::readRecords(const std::string &prefix, const std::string &after,
+                              std::function<void(const store_item &)> apply,
+                              std::function<void()> next)
+{
+    m_platform.readRange(
+        prefix, after,
+        whileOpen<store_page>([this, prefix, after, apply, next](const result<store_page> &page) {
+            if (!page) {
+                logEvent(log_level::warning, "read_failed",
+                         {{"prefix", prefix}, {"error", describe(page.error())}});
+                later(readRetry, [this, prefix, after, apply, next] {
+                    readRecords(prefix, after, apply, next);
+                });
+                return;
+            }
+            for (const auto &item : page->items) {
+                m_writer->learnRevision(item.key, item.revision);
+                apply(item);
+            }
+            if (page->more && !page->items.empty()) {
+                readRecords(prefix, page->items.back().key, apply, next);
+            } else {
+                next();
+            }
+        }));
+}
+
+void coordinator::readRoster()
+{
+    const auto applyRoster = [this](const store_item &item) {
+        const auto workers = decodeRoster(item.value);
+        if (!workers) {
+            logEvent(log_level::error, "record_unreadable",
+                     {{"key", item.key}, {"error", describe(workers.error())}});
+            return;
+        }
+        for (const auto &entry : *workers) {
+            auto &worker = m_tables.workers[entry.id];
+            worker.entry = entry;
+            worker.registered = false;
+        }
+    };
+    const auto applyJob = [this](const store_item &item) {
+        auto job = decodeJob(item.key.substr(jobPrefix.size()), item.value);
+        if (!job) {
+            logEvent(log_level::error, "record_unreadable",
+                     {{"key", item.key}, {"error", describe(job.error())}});
+            return;
+        }
+        job->submittedAt =
+            m_timers.now()
+            - milliseconds(std::max<std::int64_t>(0, m_timers.wallMs() - job->acceptedWallMs));
+        job->inherited = true;
+        estimateJob(*job);
+        openDueOccurrences(*job, m_timers.wallMs());
+        m_tables.jobs.emplace(job->id, std::move(*job));
+    };
+    const auto applyProgressItem = [this](const store_item &item) {
+        const auto job = m_tables.jobs.find(item.key.substr(progressPrefix.size()));
+        if (job == m_tables.jobs.end()) {
+            return; // its end was stored between two pages
+        }
+        if (const auto applied = applyProgress(job->second, item.value); !applied) {
+            logEvent(log_level::error, "record_unreadable",
+                     {{"key", item.key}, {"error", describe(applied.error())}});
+        }
+        job->second.state = job_state::running;
+    };
+    const auto applyEnded = [this](const store_item &item) {
+        const auto ended = decodeEnded(item.value);
+        if (!ended) {
+            logEvent(log_level::error, "record_unreadable",
+                     {{"key", item.key}, {"error", describe(ended.error())}});
+            return;
+        }
+        m_tables.ended[item.key.substr(endedPrefix.size())] = *ended;
+    };
+    readRecords(std::string(rosterKey), "", applyRoster, [=, this] {
+        readRecords(std::string(jobPrefix), "", applyJob, [=, this] {
+            readRecords(std::string(progressPrefix), "", applyProgressItem, [=, this] {
+                readRecords(std::string(endedPrefix), "", applyEnded, [this] { readRegistry(""); });
+            });
+        });
+    });
+}
+
+void coordinator::readRegistry(const std::string &after)
+{
+    if (after.empty()) {
+        m_listed.clear();
+    }
+    m_platform.readRange(m_platform.workerPrefix(), after,
+                         whileOpen<store_page>([this, after](const result<store_page> &page) {
+                             if (!page) {
+                                 logEvent(log_level::warning, "registry_read_failed",
+                                          {{"error", describe(page.error())}});
+                                 later(readRetry, [this, after] { readRegistry(after); });
+                                 return;
+                             }
+                             if (after.empty()) {
+                                 m_registryRevision = page->revision;
+                             }
+                             for (const auto &item : page->items) {
+                                 onRegistryItem(item);
+                                 m_listed.insert(item.key.substr(m_platform.workerPrefix().size()));
+                             }
+                             if (page->more && !page->items.empty()) {
+                                 readRegistry(page->items.back().key);
+                                 return;
+                             }
+                             forgetMissing();
+                             watchRegistry();
+                             if (!m_loaded) {
+                                 m_loaded = true;
+                                 for (auto &[id, worker] : m_tables.workers) {
+                                     worker.leasesEndBy = inheritedUntil();
+                                     lookIfDue(worker);
+                                 }
+                                 for (auto &[id, job] : m_tables.jobs) {
+                                     holdInherited(job);
+                                 }
+                                 logEvent(
+                                     log_level::info, "coordinator_loaded",
+                                     {{"term", m_lead.term},
+                                      {"token", m_lead.fencingToken},
+                                      {"jobs", m_tables.jobs.size()},
+                                      {"ended", m_tables.ended.size()},
+                                      {"workers", m_tables.workers.size()},
+                                      {"took_ms", since(m_startedAt, m_timers.now()).count()}});
+                                 onContact();
+                             }
+                             writeRoster();
+                             requestPass();
+                         }));
+}
+
+instant coordinator::inheritedUntil() const
+{
+    const auto lease = static_cast<double>(m_settings.taskLease.count()) * slowClockFactor;
+    return m_startedAt + milliseconds(static_cast<std::int64_t>(lease)) + inheritedSlack;
+}
+
+void coordinator::holdInherited(job_entry &job)
+{
+    // Until each worker of the pool has said what runs there, a task without a known end may be
+    // running under a lease of the coordinator before.
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (auto &step : occurrence.steps) {
+            for (auto &task : step) {
+                task.notBefore = std::max(task.notBefore, inheritedUntil());
+            }
+        }
+    }
+}
+
+void coordinator::onContact()
+{
+    if (!m_loaded) {
+        return;
+    }
+    std::set<std::string> silent;
+    for (const auto &[id, worker] : m_tables.workers) {
+        if (!worker.contacted && worker.leasesEndBy > m_timers.now()) {
+            silent.insert(worker.entry.pool);
+        }
+    }
+    for (auto &[id, job] : m_tables.jobs) {
+        if (!job.inherited) {
+            continue;
+        }
+        const auto queue = m_tables.queues.find(job.queue);
+        if (silent.count(job.pool) > 0
+            || (queue != m_tables.queues.end() && silent.count(queue->second->pool) > 0)) {
+            continue;
+        }
+        job.inherited = false;
+        for (auto &[number, occurrence] : job.occurrences) {
+            for (auto &step : occurrence.steps) {
+                for (auto &task : step) {
+                    task.notBefore = m_timers.now();
+                }
+            }
+        }
+    }
+}
+
+void coordinator::watchRegistry()
+{
+    m_platform.watch(m_platform.workerPrefix(), m_registryRevision, watchWait,
+                     whileOpen<store_page>([this](const result<store_page> &page) {
+                         if (!page) {
+                             const bool historyGone = page.error().kind == error_kind::conflict;
+                             later(historyGone ? milliseconds(0) : readRetry, [this, historyGone] {
+                                 if (historyGone) {
+                                     readRegistry("");
+                                 } else {
+                                     watchRegistry();
+                                 }
+                             });
+                             return;
+                         }
+                         m_registryRevision = std::max(m_registryRevision, page->revision);
+                         bool changed = false;
+                         for (const auto &item : page->items) {
+                             const auto id = item.key.substr(m_platform.workerPrefix().size());
+                             changed = changed || m_tables.workers.count(id) == 0;
+                             onRegistryItem(item);
+                         }
+                         if (changed) {
+                             writeRoster();
+                         }
+                         requestPass();
+                         watchRegistry();
+                     }));
+}
+
+void coordinator::onRegistryItem(const store_item &item)
+{
+    const auto id = item.key.substr(m_platform.workerPrefix().size());
+    const auto known = m_tables.workers.find(id);
+    if (item.deleted) {
+        if (known != m_tables.workers.end() && known->second.registered) {
+            known->second.registered = false;
+            logEvent(
+                log_level::info, "worker_unregistered",
+                {{"worker", id}, {"runs", known->second.runs.size()}, {"revision", item.revision}});
+        }
+        return;
+    }
+    const auto entry = m_platform.decodeWorker(item);
+    if (!entry) {
+        return; // logged by the decoder
+    }
+    const bool isNew = known == m_tables.workers.end() || !known->second.registered;
+    auto &worker = m_tables.workers[id];
+    const bool otherPlace = worker.entry.address != entry->address;
+    const bool otherLife = entry->born != 0 && worker.contacted && entry->born != worker.life;
+    const bool draining =
+        entry->state == worker_state::draining && worker.entry.state != worker_state::draining;
+    worker.entry = *entry;
+    worker.registered = true;
+    if (isNew || otherPlace || otherLife) {
+        worker.verified = false;
+        worker.nextLook = m_timers.now();
+        logEvent(log_level::info, "worker_registered",
+                 {{"worker", id},
+                  {"pool", entry->pool},
+                  {"address", entry->address},
+                  {"host", entry->host},
+                  {"life", entry->born},
+                  {"revision", item.revision}});
+    }
+    if (draining) {
+        worker.drainingSince = m_timers.now();
+        logEvent(log_level::info, "worker_draining",
+                 {{"worker", id}, {"runs", worker.runs.size()}, {"revision", item.revision}});
+    }
+    lookIfDue(worker);
+}
+
+void coordinator::forgetMissing()
+{
+    for (auto &[id, worker] : m_tables.workers) {
+        if (worker.registered && m_listed.count(id) == 0) {
+            worker.registered = false;
+            logEvent(log_level::info, "worker_unregistered",
+                     {{"worker", id}, {"runs", worker.runs.size()}});
+        }
+    }
+}
+
+void coordinator::writeRoster()
+{
+    if (m_rosterPending) {
+        m_rosterAgain = true;
+        return;
+    }
+    std::vector<worker_entry> workers;
+    std::set<std::string> ids;
+    for (const auto &[id, worker] : m_tables.workers) {
+        workers.push_back(worker.entry);
+        ids.insert(id);
+    }
+    m_rosterPending = true;
+    m_rosterAgain = false;
+    write_unit unit;
+    unit.changes.push_back({std::string(rosterKey), encodeRoster(workers)});
+    unit.done = [this, ids](const result<void> &stored) {
+        if (m_closed || !stored) {
+            return;
+        }
+        m_rosterPending = false;
+        for (auto &[id, worker] : m_tables.workers) {
+            worker.onRoster = ids.count(id) > 0;
+        }
+        if (m_rosterAgain) {
+            writeRoster();
+        }
+        requestPass();
+    };
+    m_writer->add(std::move(unit));
+}
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/src/fleet/coordinator_workers.cpp
@@ -0,0 +1,639 @@
+#include <ibishinge/fleet/coordinator.h>
+
+#include <ibishinge/base/logging.h>
+#include <ibishinge/fleet/sharing.h>
+#include <ibishinge/fleet/worker_trust.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+/// A look waits this long for an end; the lease of what runs is renewed with each look.
+constexpr milliseconds lookWait {1000};
+/// While serving tasks share a worker with filling ones, their latency is watched closely.
+constexpr milliseconds sharedLookWait {400};
+/// Pause between looks at a worker whose ends are not stored yet.
+constexpr milliseconds unstoredPause {100};
+/// Pause before a worker that did not answer is asked again.
+constexpr milliseconds firstRetry {80};
+constexpr milliseconds longestRetry {800};
+
+/// A run without an answer is ordered again this often before it is stopped instead.
+constexpr int startAttempts = 3;
+
+/// Lists of ends are cut at this length by the worker.
+constexpr std::size_t longestEndList = 500;
+
+/// Pause before a task is placed again: after a failure, and after a worker had no room.
+constexpr milliseconds failureBackoff {60};
+constexpr milliseconds roomBackoff {20};
+constexpr milliseconds fullWorkerPause {150};
+
+/// Ends that change no record are noted with the next write, or after this time.
+constexpr milliseconds lazyFlush {60};
+
+/// A stop that was answered and shows no effect is repeated after this time.
+constexpr milliseconds stopRepeat {1000};
+
+/// A worker's clock may be slow by 2%; a little more covers rounding.
+constexpr double slowClockFactor = 1.021;
+constexpr milliseconds clockSlack {60};
+
+nlohmann::json describeRun(const run_key &key)
+{
+    return {{"job", key.task.job},
+            {"occurrence", key.task.occurrence},
+            {"step", key.task.step},
+            {"index", key.task.index},
+            {"run", key.run}};
+}
+
+milliseconds scaled(milliseconds value, double factor)
+{
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(value.count()) * factor));
+}
+
+} // namespace
+
+std::int64_t coordinator::leaseUntil(worker_status &worker)
+{
+    const auto now = m_timers.now();
+    const auto age = since(worker.reportAt, now);
+    const auto bound = now + scaled(m_settings.taskLease, slowClockFactor)
+                       + scaled(age, slowClockFactor - 1) + clockSlack;
+    worker.leasesEndBy = std::max(worker.leasesEndBy, bound);
+    return worker.clockAtReport + (age + m_settings.taskLease).count();
+}
+
+void coordinator::lookIfDue(worker_status &worker)
+{
+    const auto now = m_timers.now();
+    const bool hasRuns = !worker.runs.empty();
+    const bool unstored = worker.processedEnd > worker.storedEnd;
+    const bool toForget = worker.storedEnd > worker.forgottenEnd;
+    const bool reachable = worker.registered || worker.leasesEndBy > now;
+    const bool needed = hasRuns || toForget || !worker.verified;
+    if (worker.lookInProgress || !mayAct() || !reachable || !needed || worker.nextLook > now) {
+        return;
+    }
+    if (unstored && worker.verified && !toForget && now < worker.lookSentAt + unstoredPause) {
+        return;
+    }
+    look_order order;
+    order.fencingToken = m_lead.fencingToken;
+    // A new life of the worker would take ends of the old one's numbers for noted.
+    order.lastSeen = worker.verified ? worker.storedEnd : 0;
+    if (hasRuns && worker.verified) {
+        order.leaseUntil = leaseUntil(worker);
+        if (!unstored) {
+            order.wait = worker.sharesServing ? sharedLookWait : lookWait;
+        }
+    }
+    worker.lookInProgress = true;
+    worker.lookSentAt = now;
+    m_platform.look(
+        worker.entry, order,
+        whileOpen<worker_report>([this, id = worker.entry.id, now,
+                                  order](const result<worker_report> &answer) {
+            const auto found = m_tables.workers.find(id);
+            if (found == m_tables.workers.end()) {
+                return;
+            }
+            found->second.lookInProgress = false;
+            if (!answer) {
+                onLookFailed(id, answer.error());
+                return;
+            }
+            if (!answer->fenced && !answer->otherLife && answer->born == found->second.life) {
+                found->second.forgottenEnd = std::max(found->second.forgottenEnd, order.lastSeen);
+            }
+            onReport(id, *answer, now);
+        }));
+}
+
+void coordinator::onLookFailed(const std::string &id, const error &failure)
+{
+    auto &worker = m_tables.workers.at(id);
+    if (worker.failedLooks++ == 0) {
+        logEvent(log_level::warning, "worker_silent",
+                 {{"worker", id},
+                  {"error", describe(failure)},
+                  {"runs", worker.runs.size()},
+                  {"registered", worker.registered}});
+    }
+    worker.verified = false;
+    const auto pause = std::min(firstRetry * (1 << std::min(worker.failedLooks, 5)), longestRetry);
+    worker.nextLook = m_timers.now() + pause;
+}
+
+void coordinator::onReport(const std::string &id, const worker_report &report, instant sentAt)
+{
+    auto &worker = m_tables.workers.at(id);
+    const auto now = m_timers.now();
+    if (report.fenced) {
+        logEvent(log_level::warning, "deposed_by_worker",
+                 {{"worker", id}, {"token", m_lead.fencingToken}});
+        close();
+        m_onDeposed();
+        return;
+    }
+    if (report.otherLife) {
+        worker.verified = false;
+        worker.nextLook = now + longestRetry;
+        return;
+    }
+    if (worker.failedLooks > 0) {
+        logEvent(log_level::info, "worker_answers",
+                 {{"worker", id}, {"failed_looks", worker.failedLooks}});
+    }
+    const bool firstContact = !worker.contacted;
+    worker.failedLooks = 0;
+    worker.clockAtReport = report.workerClock;
+    worker.reportAt = now;
+    if (worker.contacted && report.born != worker.life) {
+        onNewLife(worker, report, sentAt);
+    }
+    worker.life = report.born;
+    worker.verified = true;
+    worker.contacted = true;
+
+    for (const auto &end : report.ended) {
+        if (end.number > worker.processedEnd) {
+            worker.processedEnd = end.number;
+            applyEnd(worker, end);
+        }
+    }
+    for (const auto &seen : report.running) {
+        applyRunning(worker, seen);
+    }
+    if (report.ended.size() < longestEndList) {
+        dropAbsentRuns(worker, report, sentAt);
+    }
+    updateSharing(m_tables, worker);
+    if (worker.processedEnd > worker.storedEnd && !m_flushPending) {
+        m_flushPending = true;
+        later(m_dirty.empty() ? lazyFlush : milliseconds(0), [this] { flush(); });
+    }
+    if (firstContact) {
+        onContact();
+    }
+    lookIfDue(worker);
+    requestPass();
+}
+
+void coordinator::onNewLife(worker_status &worker, const worker_report &report, instant sentAt)
+{
+    logEvent(log_level::warning, "worker_restarted",
+             {{"worker", worker.entry.id},
+              {"life", report.born},
+              {"life_before", worker.life},
+              {"runs", worker.runs.size()}});
+    std::vector<run_key> gone;
+    for (const auto &key : worker.runs) {
+        const auto &run = m_tables.runs.at(key);
+        const bool listed =
+            std::any_of(report.running.begin(), report.running.end(), [&](const auto &seen) {
+                return seen.task == key.task && seen.run == key.run;
+            });
+        if (!run.callOpen && run.orderedAt < sentAt && !listed) {
+            gone.push_back(key);
+        }
+    }
+    worker.processedEnd = 0;
+    worker.storedEnd = 0;
+    worker.forgottenEnd = 0;
+    for (const auto &key : gone) {
+        removeRun(m_tables, key);
+        releaseTask(key);
+    }
+}
+
+void coordinator::applyEnd(worker_status &worker, const run_end &end)
+{
+    const run_key key {end.task, end.run};
+    const auto found = m_tables.runs.find(key);
+    const bool known = found != m_tables.runs.end() && found->second.worker == worker.entry.id;
+    const auto ranFor = known ? since(found->second.settledAt, m_timers.now()) : milliseconds(0);
+    auto line = describeRun(key);
+    line["worker"] = worker.entry.id;
+    line["end"] = nameOf(end.kind);
+    line["number"] = end.number;
+    line["ran_ms"] = ranFor.count();
+    logEvent(log_level::info, "run_ended", line);
+    m_metrics.add("ibishinge_runs_ended_total", {{"end", std::string(nameOf(end.kind))}});
+    if (known) {
+        removeRun(m_tables, key);
+    }
+    auto *task = findTask(m_tables, end.task);
+    if (task == nullptr || task->phase == task_phase::done) {
+        return;
+    }
+    auto &job = m_tables.jobs.at(end.task.job);
+    const auto &step = job.spec.steps[static_cast<std::size_t>(end.task.step)];
+    const bool current = task->currentRun == end.run || task->phase == task_phase::waiting;
+    if (!end.checkpoint.empty() && current) {
+        task->checkpoint = end.checkpoint;
+    }
+    if (end.kind == end_kind::done && !step.lasting) {
+        noteSuccess(worker);
+        if (known && ranFor.count() > 0) {
+            learnRunTime(m_tables, worker, job.queue, step, ranFor, task->checkpoint.empty());
+        }
+        finishTasks(job, end.task);
+        return;
+    }
+    if (end.kind == end_kind::failed) {
+        applyFailure(worker, job, *task, end);
+    }
+    if (task->currentRun == end.run) {
+        releaseTask(key);
+        if (end.kind == end_kind::failed) {
+            task->notBefore = m_timers.now() + failureBackoff;
+        }
+        if (step.gang) {
+            breakGang(end.task);
+        }
+    }
+}
+
+void coordinator::finishTasks(job_entry &job, const task_name &name)
+{
+    const auto id = job.id;
+    const bool gang = job.spec.steps[static_cast<std::size_t>(name.step)].gang;
+    const int count = job.spec.steps[static_cast<std::size_t>(name.step)].count;
+    bool complete = false;
+    for (int index = 0; index < count; ++index) {
+        task_name member = name;
+        member.index = index;
+        if (!gang && index != name.index) {
+            continue;
+        }
+        auto *task = findTask(m_tables, member);
+        if (task == nullptr || task->phase == task_phase::done) {
+            continue;
+        }
+        // Another run of the task is of no use any more.
+        const run_key other {member, task->currentRun};
+        const bool runs = task->currentRun != 0 && m_tables.runs.count(other) > 0;
+        complete = finishTask(job, member) || complete;
+        if (runs && !gang) {
+            orderStop(other, "task_done");
+        }
+    }
+    if (complete && !job.ending) {
+        endJob(job, job_state::completed);
+        return;
+    }
+    markDirty(id);
+}
+
+void coordinator::applyFailure(worker_status &worker, job_entry &job, task_entry &task,
+                               const run_end &end)
+{
+    noteFailure(m_tables, worker, m_timers.now());
+    task.avoidWorker = worker.entry.id;
+    const auto &step = job.spec.steps[static_cast<std::size_t>(end.task.step)];
+    if (step.lasting) {
+        return;
+    }
+    task_name counted = end.task;
+    if (step.gang) {
+        counted.index = 0; // a gang fails as one
+    }
+    auto *counter = findTask(m_tables, counted);
+    if (counter == nullptr || end.run <= counter->lastFailedRun) {
+        return;
+    }
+    counter->lastFailedRun = end.run;
+    ++counter->failures;
+    const auto queue = m_tables.queues.find(job.queue);
+    if (queue != m_tables.queues.end() && counter->failures >= queue->second->maxAttempts
+        && !job.ending) {
+        job.failureReason = "task " + std::to_string(end.task.step) + "."
+                            + std::to_string(end.task.index) + " failed "
+                            + std::to_string(counter->failures) + " times";
+        endJob(job, job_state::failed);
+        return;
+    }
+    markDirty(job.id);
+}
+
+void coordinator::applyRunning(worker_status &worker, const running_task &seen)
+{
+    const run_key key {seen.task, seen.run};
+    const auto now = m_timers.now();
+    const auto found = m_tables.runs.find(key);
+    if (found != m_tables.runs.end() && found->second.worker == worker.entry.id) {
+        auto &run = found->second;
+        if (run.phase == run_phase::starting && !run.callOpen) {
+            run.phase = run_phase::running;
+            run.settledAt = now;
+        }
+        if (seen.percent != run.percent) {
+            run.percent = seen.percent;
+            run.progressAt = now;
+        }
+        run.absentOnce = false;
+        run.usage = seen.usage;
+        run.checkpoint = seen.checkpoint;
+        if (auto *task = findTask(m_tables, seen.task);
+            task != nullptr && task->currentRun == seen.run && !seen.checkpoint.empty()) {
+            task->checkpoint = seen.checkpoint;
+        }
+        return;
+    }
+    // A run of an earlier coordinator.
+    run_entry run;
+    run.key = key;
+    run.worker = worker.entry.id;
+    run.phase = run_phase::running;
+    run.orderedAt = now;
+    run.settledAt = now;
+    run.progressAt = now;
+    run.percent = seen.percent;
+    run.checkpoint = seen.checkpoint;
+    run.usage = seen.usage;
+    auto *task = findTask(m_tables, seen.task);
+    const bool live = task != nullptr && !m_tables.jobs.at(seen.task.job).ending;
+    if (task != nullptr) {
+        auto &job = m_tables.jobs.at(seen.task.job);
+        const auto &step = job.spec.steps[static_cast<std::size_t>(seen.task.step)];
+        run.held = heldBy(step);
+        run.customer = job.customer;
+        run.lasting = step.lasting;
+        run.serving = step.tailTarget.count() > 0;
+        run.tailTarget = step.tailTarget;
+        run.fills = step.fills;
+        run.pace = step.fills ? unknownPace : 100;
+        job.begun = true;
+        job.state = job_state::running;
+    }
+    addRun(m_tables, std::move(run));
+    auto line = describeRun(key);
+    line["worker"] = worker.entry.id;
+    if (live && task->phase == task_phase::waiting) {
+        task->phase = task_phase::placed;
+        task->currentRun = seen.run;
+        task->checkpoint = seen.checkpoint;
+        logEvent(log_level::info, "run_adopted", line);
+        return;
+    }
+    orderStop(key, live ? "second_run" : "no_live_task");
+}
+
+void coordinator::dropAbsentRuns(worker_status &worker, const worker_report &report, instant sentAt)
+{
+    std::set<run_key> listed;
+    for (const auto &seen : report.running) {
+        listed.insert({seen.task, seen.run});
+    }
+    std::vector<run_key> gone;
+    for (const auto &key : worker.runs) {
+        auto &run = m_tables.runs.at(key);
+        if (listed.count(key) > 0 || run.callOpen || run.settledAt >= sentAt) {
+            continue;
+        }
+        if (run.phase == run_phase::stopping && run.stopAnswered) {
+            gone.push_back(key);
+        } else if (run.phase == run_phase::running) {
+            if (run.absentOnce) {
+                gone.push_back(key);
+            }
+            run.absentOnce = true;
+        }
+    }
+    for (const auto &key : gone) {
+        auto line = describeRun(key);
+        line["worker"] = worker.entry.id;
+        logEvent(log_level::info, "run_absent", line);
+        removeRun(m_tables, key);
+        releaseTask(key);
+    }
+}
+
+void coordinator::releaseTask(const run_key &key)
+{
+    auto *task = findTask(m_tables, key.task);
+    if (task != nullptr && task->phase == task_phase::placed && task->currentRun == key.run) {
+        task->phase = task_phase::waiting;
+        task->currentRun = 0;
+    }
+}
+
+void coordinator::breakGang(const task_name &member)
+{
+    const auto &job = m_tables.jobs.at(member.job);
+    const int count = job.spec.steps[static_cast<std::size_t>(member.step)].count;
+    for (int index = 0; index < count; ++index) {
+        task_name other = member;
+        other.index = index;
+        const auto *task = findTask(m_tables, other);
+        if (task != nullptr && task->phase == task_phase::placed) {
+            orderStop({other, task->currentRun}, "gang_broken");
+        }
+    }
+}
+
+void coordinator::stopRunsOf(const std::string &job, std::string_view reason)
+{
+    std::vector<run_key> keys;
+    for (auto run = m_tables.runs.lower_bound({{job, 0, 0, 0}, 0}); run != m_tables.runs.end();
+         ++run) {
+        if (run->first.task.job != job) {
+            break;
+        }
+        keys.push_back(run->first);
+    }
+    for (const auto &key : keys) {
+        orderStop(key, reason);
+    }
+}
+
+void coordinator::orderStop(const run_key &key, std::string_view reason)
+{
+    const auto found = m_tables.runs.find(key);
+    if (found == m_tables.runs.end() || !mayAct()) {
+        return;
+    }
+    auto &run = found->second;
+    if (run.phase != run_phase::stopping) {
+        auto line = describeRun(key);
+        line["worker"] = run.worker;
+        line["reason"] = reason;
+        logEvent(log_level::info, "run_stopping", line);
+        run.phase = run_phase::stopping;
+        run.stopAnswered = false;
+    }
+    run.callOpen = true;
+    run.stopSentAt = m_timers.now();
+    m_platform.stopRun(m_tables.workers.at(run.worker).entry, key.task, key.run,
+                       m_lead.fencingToken,
+                       whileOpen<start_reply>([this, key](const result<start_reply> &answer) {
+                           onStopped(key, answer);
+                       }));
+}
+
+void coordinator::onStopped(const run_key &key, const result<start_reply> &answer)
+{
+    const auto found = m_tables.runs.find(key);
+    if (found == m_tables.runs.end()) {
+        return;
+    }
+    auto &run = found->second;
+    auto &worker = m_tables.workers.at(run.worker);
+    run.callOpen = false;
+    if (!answer) {
+        worker.verified = false;
+        worker.nextLook = m_timers.now();
+        return;
+    }
+    if (answer->outcome == start_outcome::fenced) {
+        close();
+        m_onDeposed();
+        return;
+    }
+    run.stopAnswered = answer->outcome != start_outcome::other_life;
+    run.settledAt = m_timers.now();
+    worker.nextLook = m_timers.now();
+    lookIfDue(worker);
+}
+
+void coordinator::sendStart(const run_key &key)
+{
+    auto &run = m_tables.runs.at(key);
+    auto &worker = m_tables.workers.at(run.worker);
+    const auto &job = m_tables.jobs.at(key.task.job);
+    run_order order;
+    order.task = key.task;
+    order.run = key.run;
+    order.payload = job.spec.payload;
+    order.leaseUntil = leaseUntil(worker);
+    order.fencingToken = m_lead.fencingToken;
+    order.checkpoint = run.checkpoint;
+    order.ticket = run.ticket;
+    ++run.orders;
+    run.callOpen = true;
+    auto line = describeRun(key);
+    line["worker"] = run.worker;
+    line["attempt"] = run.orders;
+    line["waited_ms"] = since(job.submittedAt, m_timers.now()).count();
+    line["free_cpu"] = (worker.entry.capacity - worker.held).cpuMillis;
+    logEvent(log_level::info, "run_ordered", line);
+    m_platform.startRun(worker.entry, order,
+                        whileOpen<start_reply>([this, key](const result<start_reply> &answer) {
+                            onStarted(key, answer);
+                        }));
+}
+
+void coordinator::onStarted(const run_key &key, const result<start_reply> &answer)
+{
+    const auto found = m_tables.runs.find(key);
+    if (found == m_tables.runs.end()) {
+        return;
+    }
+    auto &run = found->second;
+    auto &worker = m_tables.workers.at(run.worker);
+    const auto now = m_timers.now();
+    run.callOpen = false;
+    m_metrics.observe("ibishinge_start_seconds", {}, now - run.orderedAt);
+    if (!answer) {
+        // The order may be carried out yet; `checkRuns` repeats or stops it.
+        worker.verified = false;
+        worker.nextLook = now;
+        auto line = describeRun(key);
+        line["worker"] = run.worker;
+        line["error"] = describe(answer.error());
+        logEvent(log_level::warning, "start_unanswered", line);
+        return;
+    }
+    if (answer->workerClock > 0) {
+        worker.clockAtReport = answer->workerClock;
+        worker.reportAt = now;
+    }
+    if (answer->outcome == start_outcome::running) {
+        run.settledAt = now;
+        if (run.phase == run_phase::starting) {
+            run.phase = run_phase::running;
+            m_metrics.observe("ibishinge_run_ordered_to_running_seconds", {}, now - run.orderedAt);
+        }
+        lookIfDue(worker);
+        return;
+    }
+    if (answer->outcome == start_outcome::fenced) {
+        logEvent(log_level::warning, "deposed_by_worker",
+                 {{"worker", run.worker}, {"token", m_lead.fencingToken}});
+        close();
+        m_onDeposed();
+        return;
+    }
+    auto line = describeRun(key);
+    line["worker"] = run.worker;
+    line["outcome"] = static_cast<int>(answer->outcome);
+    logEvent(log_level::info, "start_rejected", line);
+    m_metrics.add("ibishinge_starts_rejected_total");
+    switch (answer->outcome) {
+    case start_outcome::no_room:
+        worker.setAsideUntil = std::max(worker.setAsideUntil, now + fullWorkerPause);
+        break;
+    case start_outcome::unhealthy:
+        noteFailure(m_tables, worker, now);
+        worker.setAsideUntil = std::max(worker.setAsideUntil, now + fullWorkerPause);
+        break;
+    case start_outcome::other_life:
+        worker.verified = false;
+        worker.nextLook = now;
+        break;
+    default:
+        break;
+    }
+    if (run.orders > 1 || run.phase == run_phase::stopping) {
+        // An earlier order without an answer may be carried out later: only a stop excludes that.
+        orderStop(key, "start_rejected");
+        return;
+    }
+    const auto task = key.task;
+    removeRun(m_tables, key);
+    releaseTask(key);
+    if (auto *entry = findTask(m_tables, task)) {
+        entry->notBefore = now + roomBackoff;
+        const auto job = m_tables.jobs.find(task.job);
+        const auto &step = job->second.spec.steps[static_cast<std::size_t>(task.step)];
+        if (answer->outcome == start_outcome::bad_ticket) {
+            job->second.tickets.erase({task.occurrence, task.step});
+        }
+        if (step.gang) {
+            breakGang(task);
+        }
+    }
+}
+
+void coordinator::checkRuns()
+{
+    std::vector<run_key> toResend;
+    std::vector<run_key> toStop;
+    const auto now = m_timers.now();
+    for (auto &[key, run] : m_tables.runs) {
+        if (run.callOpen) {
+            continue;
+        }
+        const bool live =
+            findTask(m_tables, key.task) != nullptr && !m_tables.jobs.at(key.task.job).ending;
+        if (run.phase == run_phase::starting) {
+            (live && run.orders < startAttempts ? toResend : toStop).push_back(key);
+        } else if (run.phase == run_phase::stopping
+                   && (!run.stopAnswered || now - run.stopSentAt > stopRepeat)) {
+            toStop.push_back(key);
+        }
+    }
+    for (const auto &key : toResend) {
+        sendStart(key);
+    }
+    for (const auto &key : toStop) {
+        orderStop(key, "unanswered");
+    }
+}
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/src/fleet/host_care.cpp
@@ -0,0 +1,112 @@
+#include <ibishinge/fleet/host_care.h>
+
+#include <algorithm>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+/// Hosts emptied ahead of their turn, so that the next is empty when one comes back.
+constexpr int emptiedAhead = 1;
+
+/// A lasting task is at work at this percentage.
+constexpr int atWork = 100;
+
+} // namespace
+
+worker_status *workerOf(fleet_tables &tables, const std::string &host)
+{
+    const auto listed = tables.hosts.find(host);
+    if (listed == tables.hosts.end()) {
+        return nullptr;
+    }
+    const auto worker = tables.workers.find(listed->second.worker);
+    return worker == tables.workers.end() ? nullptr : &worker->second;
+}
+
+int awayHosts(const wave_care &care)
+{
+    return static_cast<int>(
+        std::count_if(care.hosts.begin(), care.hosts.end(), [](const auto &each) {
+            return each.second.step == care_step::ordered || each.second.step == care_step::away;
+        }));
+}
+
+std::vector<std::string> hostsToEmpty(fleet_tables &tables, const wave_care &care, instant now)
+{
+    static_cast<void>(now);
+    int open = 0;
+    std::vector<std::pair<std::int64_t, std::string>> waiting;
+    for (const auto &[host, each] : care.hosts) {
+        if (each.step == care_step::waiting) {
+            const auto *worker = workerOf(tables, host);
+            waiting.emplace_back(worker == nullptr ? -1 : worker->held.cpuMillis, host);
+        } else if (each.step != care_step::finished) {
+            ++open;
+        }
+    }
+    std::sort(waiting.begin(), waiting.end());
+    std::vector<std::string> chosen;
+    for (const auto &[load, host] : waiting) {
+        if (open + static_cast<int>(chosen.size()) >= care.wave.atOnce + emptiedAhead) {
+            break;
+        }
+        chosen.push_back(host);
+    }
+    return chosen;
+}
+
+void markMaintenance(fleet_tables &tables, const host_care_state &state)
+{
+    for (auto &[id, worker] : tables.workers) {
+        worker.maintenanceDue = false;
+        worker.emptying = false;
+    }
+    for (const auto &[number, care] : state.waves) {
+        if (care.completed) {
+            continue;
+        }
+        for (const auto &[host, each] : care.hosts) {
+            auto *worker = workerOf(tables, host);
+            if (worker == nullptr || each.step == care_step::finished) {
+                continue;
+            }
+            worker->maintenanceDue = true;
+            worker->emptying = each.step != care_step::waiting;
+        }
+    }
+}
+
+int awayTasks(const fleet_tables &tables, const job_entry &job, int occurrence, int step)
+{
+    const auto found = job.occurrences.find(occurrence);
+    if (found == job.occurrences.end()) {
+        return 0;
+    }
+    int away = 0;
+    const auto &tasks = found->second.steps[static_cast<std::size_t>(step)];
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const auto &task = tasks[index];
+        const auto run = tables.runs.find(
+            {{job.id, occurrence, step, static_cast<int>(index)}, task.currentRun});
+        const bool working = task.phase == task_phase::placed && run != tables.runs.end()
+                             && run->second.phase == run_phase::running
+                             && run->second.percent >= atWork;
+        away += working ? 0 : 1;
+    }
+    return away;
+}
+
+bool mayDisturb(const fleet_tables &tables, const run_entry &run)
+{
+    const auto &name = run.key.task;
+    const auto job = tables.jobs.find(name.job);
+    if (job == tables.jobs.end()) {
+        return true;
+    }
+    const auto &step = job->second.spec.steps[static_cast<std::size_t>(name.step)];
+    const int allowed = std::max(step.maxUnavailable, 1);
+    return awayTasks(tables, job->second, name.occurrence, name.step) < allowed;
+}
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/src/fleet/node.cpp
@@ -0,0 +1,524 @@
+#include <ibishinge/fleet/node.h>
+
+#include <ibishinge/base/logging.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <utility>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+/// The configuration is read this often as a proof of its freshness; changes come by watch.
+constexpr milliseconds configurationInterval {1200};
+constexpr milliseconds watchWait {20000};
+constexpr milliseconds readRetry {150};
+
+/// The lease is renewed about four times in its length, and more often after a failure.
+constexpr milliseconds renewInterval {700};
+constexpr milliseconds renewRetry {150};
+/// Taken off the lease's length for the store's clock and the time of the call.
+constexpr milliseconds leaseMargin {200};
+
+/// Spreads the campaigns of processes that see the record vanish at the same moment.
+constexpr int campaignSpreadMs = 60;
+constexpr milliseconds campaignRetry {200};
+
+/// Refused connections in a row that show that the leader's process is gone.
+constexpr int refusalsOfDeadLeader = 2;
+
+/// A request waits this long for a coordinator before it is answered with 503.
+constexpr milliseconds longestLeaderWait {1500};
+constexpr milliseconds requestRetry {40};
+/// Left of the caller's patience for the answer to arrive.
+constexpr milliseconds answerMargin {150};
+constexpr milliseconds defaultPatience {3000};
+constexpr milliseconds forwardTimeout {1100};
+constexpr milliseconds comeBack {1000};
+
+} // namespace
+
+/// One caller's request on its way.
+struct fleet_node::attempt
+{
+    caller_request request;
+    answer_handler done;
+    instant giveUpAt; ///< no coordinator found until then
+    instant answerBy; ///< end of the caller's patience
+    bool maybeReceived = false; ///< a coordinator may have received it without an answer
+    bool finished = false;
+};
+
+fleet_node::fleet_node(platform_api &platform, peer_link &peers, scheduler &timers,
+                       metrics_registry &metrics, node_settings settings)
+    : m_platform(platform)
+    , m_peers(peers)
+    , m_timers(timers)
+    , m_metrics(metrics)
+    , m_settings(std::move(settings))
+    , m_random(m_settings.seed)
+{
+}
+
+fleet_node::~fleet_node()
+{
+    if (m_coordinator) {
+        m_coordinator->close();
+    }
+}
+
+void fleet_node::later(milliseconds delay, std::function<void()> function)
+{
+    m_timers.after(delay, [alive = std::weak_ptr<int>(m_alive), function = std::move(function)] {
+        if (!alive.expired()) {
+            function();
+        }
+    });
+}
+
+void fleet_node::start()
+{
+    m_noLeaderSince = m_timers.now();
+    m_storeAnsweredAt = m_timers.now();
+    pollConfiguration();
+    readLeader();
+    renew();
+}
+
+void fleet_node::pollConfiguration()
+{
+    const auto sentAt = m_timers.now();
+    m_platform.readItem(
+        m_platform.configurationKey(),
+        whileAlive<store_item>([this, sentAt](const result<store_item> &item) {
+            if (!item) {
+                logEvent(log_level::warning, "configuration_read_failed",
+                         {{"error", describe(item.error())},
+                          {"proof_age_ms", since(m_configProvedAt, m_timers.now()).count()}});
+                later(readRetry, [this] { pollConfiguration(); });
+                return;
+            }
+            m_storeAnsweredAt = m_timers.now();
+            const bool first = m_configRevision == 0;
+            if (item->revision != 0) {
+                applyConfiguration(*item);
+            }
+            if (m_config) {
+                m_configProvedAt = std::max(m_configProvedAt, sentAt);
+            }
+            if (first && m_configRevision != 0) {
+                watchConfiguration();
+            }
+            later(m_config ? configurationInterval : readRetry, [this] { pollConfiguration(); });
+        }));
+}
+
+void fleet_node::watchConfiguration()
+{
+    m_platform.watch(m_platform.configurationKey(), m_configRevision, watchWait,
+                     whileAlive<store_page>([this](const result<store_page> &page) {
+                         if (!page) {
+                             // The poll keeps the configuration fresh meanwhile.
+                             later(readRetry, [this] { watchConfiguration(); });
+                             return;
+                         }
+                         for (const auto &item : page->items) {
+                             if (item.key == m_platform.configurationKey() && !item.deleted) {
+                                 applyConfiguration(item);
+                             }
+                         }
+                         m_configRevision = std::max(m_configRevision, page->revision);
+                         watchConfiguration();
+                     }));
+}
+
+void fleet_node::applyConfiguration(const store_item &item)
+{
+    m_configRevision = std::max(m_configRevision, item.revision);
+    auto config = m_platform.decodeConfiguration(item);
+    if (!config) {
+        logEvent(log_level::error, "configuration_unreadable",
+                 {{"revision", item.revision}, {"error", describe(config.error())}});
+        return;
+    }
+    if (m_config && config->version <= m_config->version) {
+        return;
+    }
+    logEvent(log_level::info, "configuration_changed",
+             {{"version", config->version},
+              {"version_before", m_config ? m_config->version : 0},
+              {"revision", item.revision},
+              {"queues", config->queues.size()}});
+    m_config = std::move(*config);
+    if (m_coordinator) {
+        m_coordinator->onConfiguration(*m_config);
+    }
+}
+
+void fleet_node::readLeader()
+{
+    m_platform.readItem(std::string(leaderKey),
+                        whileAlive<store_item>([this](const result<store_item> &item) {
+                            if (!item) {
+                                later(readRetry, [this] { readLeader(); });
+                                return;
+                            }
+                            m_storeAnsweredAt = m_timers.now();
+                            m_leaderKnown = true;
+                            m_leaderSeenAt = std::max(m_leaderSeenAt, item->revision);
+                            applyLeader(*item);
+                            watchLeader();
+                        }));
+}
+
+void fleet_node::watchLeader()
+{
+    m_platform.watch(std::string(leaderKey), m_leaderSeenAt, watchWait,
+                     whileAlive<store_page>([this](const result<store_page> &page) {
+                         if (!page) {
+                             later(readRetry, [this] { readLeader(); });
+                             return;
+                         }
+                         m_storeAnsweredAt = m_timers.now();
+                         m_leaderSeenAt = std::max(m_leaderSeenAt, page->revision);
+                         for (const auto &item : page->items) {
+                             if (item.key == leaderKey) {
+                                 applyLeader(item);
+                             }
+                         }
+                         watchLeader();
+                     }));
+}
+
+void fleet_node::applyLeader(const store_item &item)
+{
+    const bool none = item.deleted || item.revision == 0;
+    if (none) {
+        if (m_leader) {
+            logEvent(log_level::info, "leader_gone", {{"leader", m_leader->name}});
+            m_noLeaderSince = m_timers.now();
+        }
+        m_leader.reset();
+        m_leaderRevision = 0;
+        if (m_coordinator) {
+            stopLeading("record_gone");
+        }
+        considerCampaign(milliseconds(0));
+        return;
+    }
+    const auto record = decodeLeader(item.value);
+    if (!record) {
+        logEvent(log_level::error, "record_unreadable",
+                 {{"key", item.key}, {"error", describe(record.error())}});
+        return;
+    }
+    if (item.revision <= m_leaderRevision) {
+        return;
+    }
+    m_leader = *record;
+    m_leaderRevision = item.revision;
+    m_refusals = 0;
+    logEvent(log_level::info, "leader_seen",
+             {{"leader", record->name}, {"term", record->term}, {"revision", item.revision}});
+    const bool mine = record->incarnation == m_settings.incarnation;
+    if (m_coordinator && !mine) {
+        stopLeading("record_taken");
+    }
+    if (!mine && record->peerOf(m_settings.peerAddress)) {
+        // This process took the place of the leader, which listened at the same address.
+        m_refusals = refusalsOfDeadLeader;
+        considerCampaign(milliseconds(0));
+    }
+}
+
+void fleet_node::considerCampaign(milliseconds delay)
+{
+    const bool wanted = m_leaderKnown && !m_coordinator && !m_campaigning && !m_resigned && m_config
+                        && (m_leaderRevision == 0 || m_refusals >= refusalsOfDeadLeader);
+    if (!wanted || m_campaignPlanned) {
+        if (!m_config && !m_resigned && !m_campaignPlanned) {
+            m_campaignPlanned = true;
+            later(readRetry, [this] {
+                m_campaignPlanned = false;
+                considerCampaign(milliseconds(0));
+            });
+        }
+        return;
+    }
+    m_campaignPlanned = true;
+    const auto spread =
+        milliseconds(std::uniform_int_distribution<int>(0, campaignSpreadMs)(m_random));
+    later(delay + spread, [this] {
+        m_campaignPlanned = false;
+        const bool still = !m_coordinator && !m_campaigning && !m_resigned
+                           && (m_leaderRevision == 0 || m_refusals >= refusalsOfDeadLeader);
+        if (still) {
+            campaign();
+        }
+    });
+}
+
+void fleet_node::campaign()
+{
+    m_campaigning = true;
+    const auto sentAt = m_timers.now();
+    m_platform.grantLease(m_settings.leaderTtl,
+                          whileAlive<store_lease>([this, sentAt](const result<store_lease> &lease) {
+                              if (!lease || m_resigned) {
+                                  m_campaigning = false;
+                                  considerCampaign(campaignRetry);
+                                  return;
+                              }
+                              campaignWithLease(*lease, sentAt);
+                          }));
+}
+
+void fleet_node::campaignWithLease(const store_lease &lease, instant sentAt)
+{
+    m_platform.readItem(
+        std::string(termKey),
+        whileAlive<store_item>([this, lease, sentAt](const result<store_item> &item) {
+            if (!item || m_resigned) {
+                m_campaigning = false;
+                considerCampaign(campaignRetry);
+                return;
+            }
+            commitCampaign(lease, sentAt, *item);
+        }));
+}
+
+void fleet_node::commitCampaign(const store_lease &lease, instant sentAt,
+                                const store_item &termItem)
+{
+    std::int64_t term = 1;
+    if (termItem.revision != 0) {
+        term = std::strtoll(termItem.value.c_str(), nullptr, 10) + 1;
+    }
+    const leader_record record {m_settings.name, m_settings.incarnation, m_settings.peerAddress,
+                                term};
+    store_transaction change;
+    change.conditions = {{std::string(leaderKey), m_leaderRevision},
+                         {std::string(termKey), termItem.revision}};
+    change.puts = {{std::string(leaderKey), encodeLeader(record), lease.id},
+                   {std::string(termKey), std::to_string(term), 0}};
+    m_platform.commit(change,
+                      whileAlive<transaction_reply>(
+                          [this, lease, sentAt, term](const result<transaction_reply> &answer) {
+                              m_campaigning = false;
+                              if (answer && answer->applied) {
+                                  if (m_resigned) {
+                                      m_platform.endLease(lease.id);
+                                      return;
+                                  }
+                                  lead(lease, sentAt, answer->revision, term);
+                                  return;
+                              }
+                              // Lost to another process, or the outcome is open: the lease ends
+                              // what was written.
+                              m_platform.endLease(lease.id);
+                              considerCampaign(campaignRetry);
+                          }));
+}
+
+void fleet_node::lead(const store_lease &lease, instant sentAt, std::int64_t revision,
+                      std::int64_t term)
+{
+    m_lease = lease.id;
+    m_leaderRevision = revision;
+    m_leader =
+        leader_record {m_settings.name, m_settings.incarnation, m_settings.peerAddress, term};
+    m_refusals = 0;
+    logEvent(log_level::info, "leading", {{"term", term}, {"token", revision}});
+    m_metrics.add("ibishinge_terms_total");
+    const leadership held {{std::string(leaderKey), revision}, term, revision};
+    m_coordinator =
+        coordinator::make(m_platform, m_timers, m_metrics, m_settings.coordination, held, *m_config,
+                          [this, alive = std::weak_ptr<int>(m_alive)] {
+                              if (!alive.expired()) {
+                                  later(milliseconds(0), [this] { stopLeading("deposed"); });
+                              }
+                          });
+    m_coordinator->extend(sentAt + lease.ttl - leaseMargin);
+    m_coordinator->start();
+}
+
+void fleet_node::renew()
+{
+    if (!m_coordinator) {
+        later(renewInterval, [this] { renew(); });
+        return;
+    }
+    const auto sentAt = m_timers.now();
+    m_platform.renewLease(m_lease, whileAlive<store_lease>([this, sentAt, renewed = m_lease](
+                                                               const result<store_lease> &lease) {
+                              if (m_coordinator && renewed == m_lease) {
+                                  if (lease) {
+                                      m_storeAnsweredAt = m_timers.now();
+                                      m_coordinator->extend(sentAt + lease->ttl - leaseMargin);
+                                  } else if (lease.error().kind == error_kind::unknown_entity) {
+                                      stopLeading("lease_ended");
+                                      m_leader.reset();
+                                      m_leaderRevision = 0;
+                                      considerCampaign(milliseconds(0));
+                                  } else {
+                                      logEvent(log_level::warning, "lease_not_renewed",
+                                               {{"error", describe(lease.error())}});
+                                  }
+                              }
+                              later(lease ? renewInterval : renewRetry, [this] { renew(); });
+                          }));
+}
+
+void fleet_node::stopLeading(std::string_view reason)
+{
+    if (!m_coordinator) {
+        return;
+    }
+    logEvent(log_level::warning, "stopped_leading", {{"reason", reason}});
+    const auto former = std::exchange(m_coordinator, nullptr);
+    former->close();
+    m_lease = 0;
+    considerCampaign(campaignRetry);
+}
+
+void fleet_node::resign()
+{
+    m_resigned = true;
+    if (m_coordinator) {
+        const auto lease = m_lease;
+        stopLeading("resigned");
+        m_platform.endLease(lease);
+    }
+}
+
+bool fleet_node::isReady() const
+{
+    const auto now = m_timers.now();
+    return !m_resigned && m_config && m_leader
+           && since(m_configProvedAt, now) < m_settings.configurationLimit;
+}
+
+void fleet_node::handle(const caller_request &request, answer_handler done)
+{
+    const auto now = m_timers.now();
+    auto each = std::make_shared<attempt>();
+    each->request = request;
+    const auto patience = request.patience.count() > 0 ? request.patience : defaultPatience;
+    each->answerBy = now + std::max(patience - answerMargin, answerMargin);
+    each->giveUpAt = std::min(each->answerBy, now + longestLeaderWait);
+    each->done = std::move(done);
+    tryRequest(each);
+}
+
+void fleet_node::handleForwarded(const caller_request &request, answer_handler done)
+{
+    const bool fresh = since(m_configProvedAt, m_timers.now()) < m_settings.configurationLimit;
+    if (!m_coordinator || !m_coordinator->isServing() || !fresh) {
+        caller_answer answer;
+        answer.message = "this process does not coordinate";
+        answer.retryAfter = comeBack;
+        done(answer);
+        return;
+    }
+    m_coordinator->handle(request, std::move(done));
+}
+
+void fleet_node::tryRequest(const std::shared_ptr<attempt> &each)
+{
+    if (each->finished) {
+        return;
+    }
+    each->request.seenVersion = m_shownVersion;
+    const auto onAnswer = [this, each](const caller_answer &answer) {
+        if (answer.kind == answer_kind::not_ready && m_timers.now() < each->giveUpAt
+            && !(answer.version > 0 && each->request.operation == caller_operation::submit)) {
+            retryRequest(each, requestRetry);
+            return;
+        }
+        finishRequest(each, answer);
+    };
+    if (m_coordinator) {
+        handleForwarded(each->request, onAnswer);
+        return;
+    }
+    if (!m_leader) {
+        retryRequest(each, requestRetry);
+        return;
+    }
+    const auto left = each->answerBy - m_timers.now();
+    const auto timeout = std::clamp(left, milliseconds(50), forwardTimeout);
+    m_peers.forward(m_leader->address, encodeRequest(each->request), timeout,
+                    whileAlive<std::string>([this, each, onAnswer, address = m_leader->address](
+                                                const result<std::string> &body) {
+                        if (!body) {
+                            each->maybeReceived =
+                                each->maybeReceived || body.error().kind != error_kind::unavailable;
+                            onForwardFailed(address, body.error());
+                            retryRequest(each, requestRetry);
+                            return;
+                        }
+                        const auto answer = decodeAnswer(*body);
+                        if (!answer) {
+                            logEvent(log_level::error, "answer_unreadable",
+                                     {{"error", describe(answer.error())}});
+                            each->maybeReceived = true;
+                            retryRequest(each, requestRetry);
+                            return;
+                        }
+                        m_refusals = 0;
+                        onAnswer(*answer);
+                    }));
+}
+
+void fleet_node::onForwardFailed(const std::string &address, const error &failure)
+{
+    logEvent(log_level::warning, "forward_failed",
+             {{"address", address}, {"error", describe(failure)}});
+    if (!m_leader || m_leader->address != address) {
+        return;
+    }
+    if (failure.systemError == ECONNREFUSED) {
+        // Nothing listens there: the process has ended, and with it all that it might order.
+        ++m_refusals;
+        considerCampaign(milliseconds(0));
+    } else {
+        m_refusals = 0;
+    }
+}
+
+void fleet_node::retryRequest(const std::shared_ptr<attempt> &each, milliseconds delay)
+{
+    const auto now = m_timers.now();
+    const bool submission = each->request.operation == caller_operation::submit;
+    const auto end = each->maybeReceived && submission ? each->answerBy : each->giveUpAt;
+    if (now + delay >= end) {
+        caller_answer answer;
+        answer.kind = answer_kind::not_ready;
+        answer.message = "no coordinator answers";
+        answer.retryAfter = comeBack;
+        finishRequest(each, answer);
+        return;
+    }
+    later(delay, [this, each] { tryRequest(each); });
+}
+
+void fleet_node::finishRequest(const std::shared_ptr<attempt> &each, caller_answer answer)
+{
+    if (each->finished) {
+        return;
+    }
+    each->finished = true;
+    const bool refused = answer.kind == answer_kind::overloaded
+                         || answer.kind == answer_kind::not_ready
+                         || answer.kind == answer_kind::invalid;
+    if (refused && each->maybeReceived && each->request.operation == caller_operation::submit) {
+        // An earlier copy may still reach a coordinator, so that a rejection might not stay true.
+        answer.kind = answer_kind::outcome_unknown;
+    }
+    m_shownVersion = std::max(m_shownVersion, answer.version);
+    m_metrics.add("ibishinge_answers_total", {{"answer", std::string(nameOf(answer.kind))}});
+    each->done(answer);
+}
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/src/fleet/placement.cpp
@@ -0,0 +1,189 @@
+#include <ibishinge/fleet/placement.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+/// Weights of a choice, in shares of a worker's processors: placing a task off its data or rack
+/// costs more than any difference in load; the worker of a failed run is the last choice.
+constexpr double dataRackBonus = 4;
+constexpr double sameRackBonus = 2;
+constexpr double avoidPenalty = 8;
+constexpr double slownessPenalty = 1.5;
+constexpr double crowdedRackPenalty = 0.2; ///< a lasting task of the step on the same rack
+constexpr double maintenancePenalty = 0.1; ///< its host will be emptied soon
+constexpr double maintenancePenaltyLasting = 2;
+constexpr double fillerPenalty = 0.3; ///< a serving task beside a filling one, or the reverse
+
+bool hasLabel(const worker_entry &worker, const std::string &label)
+{
+    return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+}
+
+/// Returns the last label, which names the rack.
+const std::string &rackOf(const worker_entry &worker)
+{
+    static const std::string none;
+    return worker.labels.empty() ? none : worker.labels.back();
+}
+
+int runsOfStep(const worker_status &worker, const waiting_step &where)
+{
+    const task_name first {where.job, where.occurrence, where.step, 0};
+    int count = 0;
+    for (auto run = worker.runs.lower_bound({first, 0}); run != worker.runs.end(); ++run) {
+        const auto &task = run->task;
+        if (task.job != where.job || task.occurrence != where.occurrence
+            || task.step != where.step) {
+            break;
+        }
+        ++count;
+    }
+    return count;
+}
+
+/// Where the runs of a step are, by rack.
+std::map<std::string, int> racksOfStep(const fleet_tables &tables, const waiting_step &where)
+{
+    std::map<std::string, int> racks;
+    const task_name first {where.job, where.occurrence, where.step, 0};
+    for (auto run = tables.runs.lower_bound({first, 0}); run != tables.runs.end(); ++run) {
+        const auto &task = run->first.task;
+        if (task.job != where.job || task.occurrence != where.occurrence
+            || task.step != where.step) {
+            break;
+        }
+        ++racks[rackOf(tables.workers.at(run->second.worker).entry)];
+    }
+    return racks;
+}
+
+bool hasRunsThatFill(const fleet_tables &tables, const worker_status &worker, bool fills)
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [&](const run_key &key) {
+        const auto &run = tables.runs.at(key);
+        return fills ? run.fills : run.serving;
+    });
+}
+
+} // namespace
+
+std::vector<waiting_step> waitingSteps(const fleet_tables &tables, const std::string &pool,
+                                       instant now)
+{
+    struct row
+    {
+        std::tuple<int, instant> rank;
+        waiting_step where;
+    };
+    std::vector<row> rows;
+    for (const auto &[id, job] : tables.jobs) {
+        const auto queue = tables.queues.find(job.queue);
+        if (!job.stored || job.ending || queue == tables.queues.end()
+            || queue->second->pool != pool) {
+            continue;
+        }
+        for (const auto &[number, occurrence] : job.occurrences) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                if (occurrence.unfinished[step] == 0
+                    || !isStepReady(job.spec, occurrence, static_cast<int>(step))) {
+                    continue;
+                }
+                const auto &tasks = occurrence.steps[step];
+                const bool waits =
+                    std::any_of(tasks.begin(), tasks.end(), [now](const task_entry &task) {
+                        return task.phase == task_phase::waiting && task.notBefore <= now;
+                    });
+                if (!waits) {
+                    continue;
+                }
+                // Lasting tasks earn all the time they run. A job that is late already earns
+                // little, and goes behind those that can still be in time.
+                const bool lasting = job.spec.steps[step].lasting;
+                const int rank = lasting ? 0 : (job.objectiveAt > now ? 1 : 2);
+                rows.push_back({{rank, job.objectiveAt}, {id, number, static_cast<int>(step)}});
+            }
+        }
+    }
+    std::sort(rows.begin(), rows.end(), [](const row &a, const row &b) { return a.rank < b.rank; });
+    std::vector<waiting_step> steps;
+    steps.reserve(rows.size());
+    for (auto &each : rows) {
+        steps.push_back(std::move(each.where));
+    }
+    return steps;
+}
+
+bool isUsable(const worker_status &worker, instant now) noexcept
+{
+    return worker.registered && worker.verified && worker.onRoster && !worker.emptying
+           && worker.entry.state == worker_state::ready && worker.setAsideUntil <= now;
+}
+
+bool isWithinLimit(const fleet_tables &tables, const std::string &customer, const resources &need)
+{
+    const auto rule = tables.config.customers.find(customer);
+    if (rule == tables.config.customers.end()) {
+        return true;
+    }
+    const auto found = tables.customerHeld.find(customer);
+    const resources held = found == tables.customerHeld.end() ? resources {} : found->second;
+    const resources after = held + need;
+    const auto &limit = rule->second.limit;
+    return (limit.cpuMillis == 0 || after.cpuMillis <= limit.cpuMillis)
+           && (limit.memoryMb == 0 || after.memoryMb <= limit.memoryMb)
+           && (limit.accelerators == 0 || after.accelerators <= limit.accelerators);
+}
+
+worker_status *chooseWorker(fleet_tables &tables, const job_entry &job, const queue_rule &queue,
+                            const waiting_step &where, const task_entry &task,
+                            const step_tickets *tickets, instant now)
+{
+    const auto &step = job.spec.steps[static_cast<std::size_t>(where.step)];
+    const auto held = heldBy(step);
+    const auto racks =
+        step.sameRack || step.lasting ? racksOfStep(tables, where) : std::map<std::string, int> {};
+    worker_status *best = nullptr;
+    double bestScore = 0;
+    for (auto &[id, worker] : tables.workers) {
+        if (worker.entry.pool != queue.pool || !isUsable(worker, now)
+            || !fits(held, worker.entry.capacity - worker.held)
+            || (!step.requiredLabel.empty() && !hasLabel(worker.entry, step.requiredLabel))
+            || (tickets != nullptr && tickets->proofByWorker.count(id) == 0)
+            || (step.maxPerWorker > 0 && runsOfStep(worker, where) >= step.maxPerWorker)) {
+            continue;
+        }
+        const auto &capacity = worker.entry.capacity;
+        const double cores = std::max<double>(1, static_cast<double>(capacity.cpuMillis));
+        double score = 1 - static_cast<double>(worker.held.cpuMillis) / cores;
+        score -= slownessPenalty * std::max(0.0, worker.slowness - 1);
+        if (!step.dataRack.empty() && hasLabel(worker.entry, step.dataRack)) {
+            score += dataRackBonus;
+        }
+        const auto rack = racks.find(rackOf(worker.entry));
+        if (rack != racks.end()) {
+            score += step.sameRack ? sameRackBonus : -crowdedRackPenalty * rack->second;
+        }
+        if (worker.maintenanceDue) {
+            score -= step.lasting ? maintenancePenaltyLasting : maintenancePenalty;
+        }
+        if (id == task.avoidWorker) {
+            score -= avoidPenalty;
+        }
+        const bool serving = step.tailTarget.count() > 0;
+        if ((serving && hasRunsThatFill(tables, worker, true))
+            || (step.fills && hasRunsThatFill(tables, worker, false))) {
+            score -= fillerPenalty;
+        }
+        if (best == nullptr || score > bestScore) {
+            best = &worker;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/src/fleet/record_codec.cpp
@@ -0,0 +1,286 @@
+#include <ibishinge/fleet/record_codec.h>
+
+#include <functional>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+using nlohmann::json;
+
+template <class T>
+result<T> parseRecord(const std::string &place, const std::string &text,
+                      const std::function<T(const json &)> &read)
+{
+    try {
+        return read(json::parse(text));
+    } catch (const json::exception &problem) {
+        return makeError(error_kind::invalid_request, place, problem.what());
+    }
+}
+
+/// Adds a field unless it has its default value, which keeps records short.
+template <class T>
+void put(json &object, const char *name, const T &value, const T &defaultValue = {})
+{
+    if (value != defaultValue) {
+        object[name] = value;
+    }
+}
+
+json encodeStep(const step_spec &step)
+{
+    json out = {{"count", step.count}, {"cpu", step.need.cpuMillis}};
+    put(out, "memory", step.need.memoryMb);
+    put(out, "accelerators", step.need.accelerators);
+    put<std::int64_t>(out, "estimate", step.estimate.count());
+    put(out, "after", step.after);
+    put(out, "checkpoints", step.checkpoints);
+    put(out, "gang", step.gang);
+    put(out, "same_rack", step.sameRack);
+    put(out, "label", step.requiredLabel);
+    put(out, "data_rack", step.dataRack);
+    put(out, "max_per_worker", step.maxPerWorker);
+    put(out, "copies", step.copiesAllowed);
+    put(out, "lasting", step.lasting);
+    put(out, "image", step.image);
+    put<std::int64_t>(out, "tail_target", step.tailTarget.count());
+    put(out, "fills", step.fills);
+    put(out, "max_unavailable", step.maxUnavailable);
+    return out;
+}
+
+step_spec decodeStep(const json &in)
+{
+    step_spec step;
+    step.count = in.at("count").get<int>();
+    step.need = {in.at("cpu").get<std::int64_t>(), in.value("memory", std::int64_t {0}),
+                 in.value("accelerators", std::int64_t {0})};
+    step.estimate = milliseconds(in.value("estimate", std::int64_t {0}));
+    step.after = in.value("after", std::vector<int> {});
+    step.checkpoints = in.value("checkpoints", false);
+    step.gang = in.value("gang", false);
+    step.sameRack = in.value("same_rack", false);
+    step.requiredLabel = in.value("label", std::string());
+    step.dataRack = in.value("data_rack", std::string());
+    step.maxPerWorker = in.value("max_per_worker", 0);
+    step.copiesAllowed = in.value("copies", false);
+    step.lasting = in.value("lasting", false);
+    step.image = in.value("image", std::string());
+    step.tailTarget = milliseconds(in.value("tail_target", std::int64_t {0}));
+    step.fills = in.value("fills", false);
+    step.maxUnavailable = in.value("max_unavailable", 0);
+    return step;
+}
+
+job_spec specFrom(const json &in)
+{
+    job_spec spec;
+    spec.payload = in.value("payload", std::string());
+    for (const auto &step : in.at("steps")) {
+        spec.steps.push_back(decodeStep(step));
+    }
+    spec.repetitions = in.value("repetitions", 0);
+    spec.firstDueMs = in.value("first", std::int64_t {0});
+    spec.intervalMs = in.value("interval", std::int64_t {0});
+    return spec;
+}
+
+/// One character a task: '1' done, '0' not.
+std::string encodeDone(const std::vector<task_entry> &tasks)
+{
+    std::string text;
+    for (const auto &task : tasks) {
+        text += task.phase == task_phase::done ? '1' : '0';
+    }
+    return text;
+}
+
+} // namespace
+
+std::string encodeLeader(const leader_record &record)
+{
+    return json({{"name", record.name},
+                 {"incarnation", record.incarnation},
+                 {"address", record.address},
+                 {"term", record.term}})
+        .dump();
+}
+
+result<leader_record> decodeLeader(const std::string &text)
+{
+    return parseRecord<leader_record>("leader record", text, [](const json &in) {
+        return leader_record {
+            in.at("name").get<std::string>(), in.at("incarnation").get<std::string>(),
+            in.at("address").get<std::string>(), in.at("term").get<std::int64_t>()};
+    });
+}
+
+json encodeSpec(const job_spec &spec)
+{
+    json out = {{"payload", spec.payload}, {"steps", json::array()}};
+    for (const auto &step : spec.steps) {
+        out["steps"].push_back(encodeStep(step));
+    }
+    put(out, "repetitions", spec.repetitions);
+    put(out, "first", spec.firstDueMs);
+    put(out, "interval", spec.intervalMs);
+    return out;
+}
+
+result<job_spec> decodeSpec(const json &document)
+{
+    try {
+        return specFrom(document);
+    } catch (const json::exception &problem) {
+        return makeError(error_kind::invalid_request, "job", problem.what());
+    }
+}
+
+std::string encodeJob(const job_entry &job)
+{
+    json out = encodeSpec(job.spec);
+    out["queue"] = job.queue;
+    out["pool"] = job.pool;
+    out["customer"] = job.customer;
+    out["accepted"] = job.acceptedWallMs;
+    return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+result<job_entry> decodeJob(const std::string &id, const std::string &text)
+{
+    return parseRecord<job_entry>("job " + id, text, [&id](const json &in) {
+        job_entry job;
+        job.id = id;
+        job.spec = specFrom(in);
+        job.queue = in.at("queue").get<std::string>();
+        job.pool = in.at("pool").get<std::string>();
+        job.customer = in.at("customer").get<std::string>();
+        job.acceptedWallMs = in.at("accepted").get<std::int64_t>();
+        job.stored = true;
+        for (const auto &step : job.spec.steps) {
+            job.lasting = job.lasting || step.lasting;
+        }
+        return job;
+    });
+}
+
+std::string encodeProgress(const job_entry &job)
+{
+    json out = json::object();
+    out["complete"] = job.completeOccurrences;
+    out["open"] = json::object();
+    for (const auto &[number, occurrence] : job.occurrences) {
+        json steps = json::array();
+        json failures = json::array();
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            steps.push_back(encodeDone(occurrence.steps[step]));
+            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                const auto &task = occurrence.steps[step][index];
+                if (task.failures > 0) {
+                    failures.push_back({step, index, task.failures, task.lastFailedRun});
+                }
+            }
+        }
+        out["open"][std::to_string(number)] = {{"done", steps}, {"failures", failures}};
+    }
+    return out.dump();
+}
+
+result<void> applyProgress(job_entry &job, const std::string &text)
+{
+    try {
+        const json in = json::parse(text);
+        job.completeOccurrences = in.at("complete").get<std::set<int>>();
+        for (const int number : job.completeOccurrences) {
+            job.occurrences.erase(number);
+        }
+        for (const auto &[name, open] : in.at("open").items()) {
+            const int number = std::stoi(name);
+            while (job.nextOccurrence <= number) {
+                // The clock of the writer was ahead of this machine's.
+                const auto due = nextDueMs(job);
+                if (!due) {
+                    break;
+                }
+                openDueOccurrences(job, *due);
+            }
+            const auto &steps = open.at("done");
+            for (std::size_t step = 0; step < steps.size(); ++step) {
+                const auto done = steps[step].get<std::string>();
+                for (std::size_t index = 0; index < done.size(); ++index) {
+                    const auto occurrence = job.occurrences.find(number);
+                    if (done[index] == '1' && occurrence != job.occurrences.end()
+                        && occurrence->second.steps.at(step).at(index).phase != task_phase::done) {
+                        finishTask(
+                            job, {job.id, number, static_cast<int>(step), static_cast<int>(index)});
+                    }
+                }
+            }
+            const auto occurrence = job.occurrences.find(number);
+            for (const auto &row : open.at("failures")) {
+                if (occurrence != job.occurrences.end()) {
+                    auto &task = occurrence->second.steps.at(row.at(0)).at(row.at(1));
+                    task.failures = row.at(2);
+                    task.lastFailedRun = row.at(3);
+                }
+            }
+        }
+        job.begun = true;
+        return {};
+    } catch (const std::exception &problem) {
+        return makeError(error_kind::invalid_request, "progress of " + job.id, problem.what());
+    }
+}
+
+std::string encodeEnded(job_state state, std::int64_t wallMs)
+{
+    return json({{"state", nameOf(state)}, {"at", wallMs}}).dump();
+}
+
+result<std::pair<job_state, std::int64_t>> decodeEnded(const std::string &text)
+{
+    return parseRecord<std::pair<job_state, std::int64_t>>("ended job", text, [](const json &in) {
+        const auto state = parseJobState(in.at("state").get<std::string>());
+        return std::pair(state.value_or(job_state::completed), in.at("at").get<std::int64_t>());
+    });
+}
+
+std::string encodeRoster(const std::vector<worker_entry> &workers)
+{
+    json out = json::array();
+    for (const auto &worker : workers) {
+        out.push_back({worker.id, worker.address, worker.pool});
+    }
+    return out.dump();
+}
+
+result<std::vector<worker_entry>> decodeRoster(const std::string &text)
+{
+    return parseRecord<std::vector<worker_entry>>("roster", text, [](const json &in) {
+        std::vector<worker_entry> workers;
+        for (const auto &row : in) {
+            worker_entry worker;
+            worker.id = row.at(0).get<std::string>();
+            worker.address = row.at(1).get<std::string>();
+            worker.pool = row.at(2).get<std::string>();
+            workers.push_back(std::move(worker));
+        }
+        return workers;
+    });
+}
+
+std::string encodeWaveRecord(const wave_record &record)
+{
+    return json({{"hosts", record.hosts}, {"completed", record.completed}}).dump();
+}
+
+result<wave_record> decodeWaveRecord(const std::string &text)
+{
+    return parseRecord<wave_record>("wave record", text, [](const json &in) {
+        return wave_record {in.at("hosts").get<std::vector<std::string>>(),
+                            in.at("completed").get<bool>()};
+    });
+}
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/src/fleet/sharing.cpp
@@ -0,0 +1,47 @@
+#include <ibishinge/fleet/sharing.h>
+
+#include <algorithm>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+/// Above this share of the target, filling runs are slowed; below the lower one they are sped up.
+/// The gap keeps the pace from oscillating.
+constexpr double slowAbove = 0.92;
+constexpr double speedBelow = 0.7;
+constexpr int speedStep = 20;
+constexpr int smallestPace = 15; ///< a lower one is 0
+
+} // namespace
+
+std::vector<pace_change> decidePace(const fleet_tables &tables, const worker_status &worker)
+{
+    double worst = 0;
+    for (const auto &key : worker.runs) {
+        const auto &run = tables.runs.at(key);
+        if (run.serving && run.percent == 100) {
+            worst = std::max(worst, run.usage / static_cast<double>(run.tailTarget.count()));
+        }
+    }
+    std::vector<pace_change> changes;
+    for (const auto &key : worker.runs) {
+        const auto &run = tables.runs.at(key);
+        if (!run.fills || run.phase != run_phase::running) {
+            continue;
+        }
+        int pace = run.pace;
+        if (worst > slowAbove) {
+            const int slower = pace == unknownPace ? 50 : pace / 2;
+            pace = slower < smallestPace || worst > 1 ? 0 : slower;
+        } else if (worst < speedBelow || pace == unknownPace) {
+            pace = std::min(100, std::max(pace, 0) + speedStep);
+        }
+        if (pace != run.pace) {
+            changes.push_back({key, pace, worst});
+        }
+    }
+    return changes;
+}
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/src/fleet/store_writer.cpp
@@ -0,0 +1,258 @@
+#include <ibishinge/fleet/store_writer.h>
+
+#include <ibishinge/base/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+/// First and longest pause before a transaction is repeated. The longest keeps the return of the
+/// store from being noticed late; the first is a few times the store's usual response time.
+constexpr milliseconds firstBackoff {25};
+constexpr milliseconds longestBackoff {400};
+
+} // namespace
+
+std::shared_ptr<store_writer> store_writer::make(platform_api &platform, scheduler &timers,
+                                                 store_condition leader,
+                                                 std::function<void()> onDeposed)
+{
+    return std::shared_ptr<store_writer>(
+        new store_writer(platform, timers, std::move(leader), std::move(onDeposed)));
+}
+
+store_writer::store_writer(platform_api &platform, scheduler &timers, store_condition leader,
+                           std::function<void()> onDeposed)
+    : m_platform(platform)
+    , m_timers(timers)
+    , m_leader(std::move(leader))
+    , m_onDeposed(std::move(onDeposed))
+{
+}
+
+void store_writer::add(write_unit unit)
+{
+    if (m_closed) {
+        if (unit.done) {
+            unit.done(makeError(error_kind::outcome_unknown, "store", "not the leader any more"));
+        }
+        return;
+    }
+    m_waiting.push_back(std::move(unit));
+    if (m_current.empty()) {
+        sendNext();
+    }
+}
+
+void store_writer::addMark(std::function<void(result<void>)> done)
+{
+    if (m_current.empty() && !m_closed) {
+        done({});
+        return;
+    }
+    write_unit mark;
+    mark.done = std::move(done);
+    add(std::move(mark));
+}
+
+void store_writer::learnRevision(const std::string &key, std::int64_t revision)
+{
+    m_revisions[key] = revision;
+}
+
+bool store_writer::exists(const std::string &key) const
+{
+    return m_revisions.count(key) > 0;
+}
+
+milliseconds store_writer::stalledFor() const
+{
+    return m_current.empty() ? milliseconds(0) : m_timers.now() - m_currentSince;
+}
+
+void store_writer::close()
+{
+    m_closed = true;
+    auto open = std::move(m_current);
+    std::move(m_waiting.begin(), m_waiting.end(), std::back_inserter(open));
+    m_current.clear();
+    m_waiting.clear();
+    for (const auto &unit : open) {
+        if (unit.done) {
+            unit.done(makeError(error_kind::outcome_unknown, "store", "not the leader any more"));
+        }
+    }
+}
+
+void store_writer::sendNext()
+{
+    std::size_t changes = 0;
+    while (!m_waiting.empty() && changes + m_waiting.front().changes.size() <= maxUnitChanges) {
+        // A key may stand only once in a transaction.
+        const bool repeated = std::any_of(
+            m_waiting.front().changes.begin(), m_waiting.front().changes.end(),
+            [this](const key_change &change) {
+                return std::any_of(m_current.begin(), m_current.end(), [&](const auto &unit) {
+                    return std::any_of(unit.changes.begin(), unit.changes.end(),
+                                       [&](const auto &other) { return other.key == change.key; });
+                });
+            });
+        if (repeated) {
+            break;
+        }
+        changes += m_waiting.front().changes.size();
+        m_current.push_back(std::move(m_waiting.front()));
+        m_waiting.pop_front();
+    }
+    const bool marksOnly = std::all_of(m_current.begin(), m_current.end(),
+                                       [](const auto &unit) { return unit.changes.empty(); });
+    if (!m_current.empty() && marksOnly) {
+        finishCurrent(0);
+        return;
+    }
+    if (!m_current.empty()) {
+        m_currentSince = m_timers.now();
+        m_outcomeUnknown = false;
+        m_backoff = milliseconds(0);
+        sendCurrent();
+    }
+}
+
+void store_writer::sendCurrent()
+{
+    store_transaction change;
+    change.conditions.push_back(m_leader);
+    for (const auto &unit : m_current) {
+        for (const auto &each : unit.changes) {
+            const auto known = m_revisions.find(each.key);
+            const std::int64_t revision = known == m_revisions.end() ? 0 : known->second;
+            if (each.value) {
+                change.conditions.push_back({each.key, revision});
+                change.puts.push_back({each.key, *each.value, 0});
+            } else if (revision != 0) {
+                change.conditions.push_back({each.key, revision});
+                change.deletes.push_back(each.key);
+            }
+        }
+    }
+    m_platform.commit(change, [self = shared_from_this()](const result<transaction_reply> &answer) {
+        if (!self->m_closed) {
+            self->onReply(answer);
+        }
+    });
+}
+
+void store_writer::onReply(const result<transaction_reply> &answer)
+{
+    if (answer && answer->applied) {
+        finishCurrent(answer->revision);
+        return;
+    }
+    if (answer) {
+        onConflict(answer->current);
+        return;
+    }
+    m_outcomeUnknown = m_outcomeUnknown || answer.error().kind == error_kind::outcome_unknown;
+    if (m_backoff == milliseconds(0)) {
+        logEvent(log_level::warning, "store_write_failed",
+                 {{"error", describe(answer.error())}, {"units", m_current.size()}});
+    }
+    if (!m_outcomeUnknown) {
+        // Nothing was done: what can be given up is, so that its caller hears of it at once.
+        std::vector<write_unit> kept;
+        std::vector<write_unit> dropped;
+        for (auto &unit : m_current) {
+            (unit.droppable ? dropped : kept).push_back(std::move(unit));
+        }
+        m_current = std::move(kept);
+        for (const auto &unit : dropped) {
+            unit.done(tl::unexpected(answer.error()));
+        }
+        if (m_closed) {
+            return;
+        }
+        if (m_current.empty()) {
+            sendNext();
+            return;
+        }
+    }
+    retryLater();
+}
+
+void store_writer::retryLater()
+{
+    m_backoff = std::clamp(2 * m_backoff, firstBackoff, longestBackoff);
+    m_timers.after(m_backoff, [self = shared_from_this()] {
+        if (!self->m_closed && !self->m_current.empty()) {
+            self->sendCurrent();
+        }
+    });
+}
+
+void store_writer::onConflict(const std::vector<store_item> &current)
+{
+    std::map<std::string, const store_item *> found;
+    for (const auto &item : current) {
+        if (item.revision != 0 && !item.deleted) {
+            found[item.key] = &item;
+        }
+    }
+    const auto leader = found.find(m_leader.key);
+    if (leader == found.end() || leader->second->revision != m_leader.revision) {
+        logEvent(log_level::warning, "deposed_by_store", {{"revision", m_leader.revision}});
+        const auto onDeposed = m_onDeposed;
+        close();
+        onDeposed();
+        return;
+    }
+    // Either an earlier attempt took effect, or a revision was not known. Only this coordinator
+    // writes these keys, so that the values found can be replaced.
+    bool allApplied = true;
+    std::int64_t revision = 0;
+    for (const auto &unit : m_current) {
+        for (const auto &each : unit.changes) {
+            const auto item = found.find(each.key);
+            if (item == found.end()) {
+                m_revisions.erase(each.key);
+                allApplied = allApplied && !each.value;
+                continue;
+            }
+            m_revisions[each.key] = item->second->revision;
+            revision = std::max(revision, item->second->revision);
+            allApplied = allApplied && each.value && item->second->value == *each.value;
+        }
+    }
+    if (allApplied) {
+        finishCurrent(revision);
+        return;
+    }
+    retryLater();
+}
+
+void store_writer::finishCurrent(std::int64_t revision)
+{
+    const auto finished = std::move(m_current);
+    m_current.clear();
+    for (const auto &unit : finished) {
+        for (const auto &each : unit.changes) {
+            if (each.value) {
+                m_revisions[each.key] = revision;
+            } else {
+                m_revisions.erase(each.key);
+            }
+        }
+    }
+    for (const auto &unit : finished) {
+        if (unit.done) {
+            unit.done({});
+        }
+    }
+    if (!m_closed && m_current.empty()) {
+        sendNext();
+    }
+}
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/src/fleet/tables.cpp
@@ -0,0 +1,245 @@
+#include <ibishinge/fleet/tables.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+constexpr std::array<std::pair<job_state, std::string_view>, 5> jobStateNames {{
+    {job_state::queued, "queued"},
+    {job_state::running, "running"},
+    {job_state::completed, "completed"},
+    {job_state::failed, "failed"},
+    {job_state::cancelled, "cancelled"},
+}};
+
+constexpr std::array<std::pair<end_kind, std::string_view>, 6> endKindNames {{
+    {end_kind::done, "done"},
+    {end_kind::failed, "failed"},
+    {end_kind::stopped, "stopped"},
+    {end_kind::lease_expired, "lease_expired"},
+    {end_kind::gang_broken, "gang_broken"},
+    {end_kind::gang_alone, "gang_alone"},
+}};
+
+/// Bounds on one job, so that a broken or hostile description cannot fill the memory.
+constexpr std::size_t maxSteps = 64;
+constexpr int maxTasksOfStep = 1000;
+constexpr int maxTasksOfJob = 4000;
+constexpr int maxRepetitions = 100000;
+
+/// Samples after which what was learned of a queue counts as much as a caller's estimate.
+constexpr double priorSamples = 4;
+
+} // namespace
+
+std::string_view nameOf(job_state state) noexcept
+{
+    return std::find_if(jobStateNames.begin(), jobStateNames.end(),
+                        [state](const auto &row) { return row.first == state; })
+        ->second;
+}
+
+std::optional<job_state> parseJobState(std::string_view name) noexcept
+{
+    for (const auto &[state, text] : jobStateNames) {
+        if (text == name) {
+            return state;
+        }
+    }
+    return std::nullopt;
+}
+
+std::string_view nameOf(end_kind kind) noexcept
+{
+    return std::find_if(endKindNames.begin(), endKindNames.end(),
+                        [kind](const auto &row) { return row.first == kind; })
+        ->second;
+}
+
+const queue_rule *findQueue(const configuration &config, std::string_view host,
+                            std::string_view path) noexcept
+{
+    const queue_rule *best = nullptr;
+    for (const auto &queue : config.queues) {
+        if (queue.host == host && path.starts_with(queue.prefix)
+            && (best == nullptr || queue.prefix.size() > best->prefix.size())) {
+            best = &queue;
+        }
+    }
+    return best;
+}
+
+void setConfiguration(fleet_tables &tables, configuration config)
+{
+    tables.config = std::move(config);
+    tables.queues.clear();
+    for (const auto &queue : tables.config.queues) {
+        tables.queues[queue.name] = &queue;
+    }
+}
+
+std::optional<std::string> findProblem(const job_spec &spec)
+{
+    if (spec.payload.size() > maxPayloadBytes) {
+        return "the payload has more than 4000 bytes";
+    }
+    if (spec.steps.empty() || spec.steps.size() > maxSteps) {
+        return "a job has 1 to 64 steps";
+    }
+    if (spec.repetitions < 0 || spec.repetitions > maxRepetitions
+        || (spec.repetitions > 1 && spec.intervalMs <= 0)) {
+        return "repetitions or their interval are out of bounds";
+    }
+    int tasks = 0;
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        const auto &step = spec.steps[i];
+        if (step.count < 1 || step.count > maxTasksOfStep) {
+            return "step " + std::to_string(i) + " has no valid number of tasks";
+        }
+        tasks += step.count;
+        const auto &need = step.need;
+        if (need.cpuMillis < 0 || need.memoryMb < 0 || need.accelerators < 0) {
+            return "step " + std::to_string(i) + " has a negative need";
+        }
+        for (const int earlier : step.after) {
+            if (earlier < 0 || static_cast<std::size_t>(earlier) >= i) {
+                return "step " + std::to_string(i) + " waits for a step that is not before it";
+            }
+        }
+    }
+    if (tasks > maxTasksOfJob) {
+        return "the job has more than 4000 tasks";
+    }
+    return std::nullopt;
+}
+
+bool openDueOccurrences(job_entry &job, std::int64_t wallMs)
+{
+    bool opened = false;
+    const int last = std::max(job.spec.repetitions, 1);
+    while (job.nextOccurrence < last) {
+        const auto due = nextDueMs(job);
+        if (due && *due > wallMs) {
+            break;
+        }
+        const int number = job.nextOccurrence++;
+        if (job.completeOccurrences.count(number) > 0) {
+            continue;
+        }
+        auto &occurrence = job.occurrences[number];
+        for (const auto &step : job.spec.steps) {
+            occurrence.steps.emplace_back(static_cast<std::size_t>(step.count));
+            occurrence.unfinished.push_back(step.count);
+            occurrence.unfinishedTasks += step.count;
+        }
+        opened = true;
+    }
+    return opened;
+}
+
+std::optional<std::int64_t> nextDueMs(const job_entry &job)
+{
+    if (job.nextOccurrence >= std::max(job.spec.repetitions, 1)) {
+        return std::nullopt;
+    }
+    if (job.spec.repetitions == 0) {
+        return 0;
+    }
+    return job.spec.firstDueMs + job.nextOccurrence * job.spec.intervalMs;
+}
+
+bool isStepReady(const job_spec &spec, const occurrence_entry &occurrence, int step)
+{
+    const auto &after = spec.steps[static_cast<std::size_t>(step)].after;
+    return std::all_of(after.begin(), after.end(), [&](int earlier) {
+        return occurrence.unfinished[static_cast<std::size_t>(earlier)] == 0;
+    });
+}
+
+task_entry *findTask(fleet_tables &tables, const task_name &name)
+{
+    const auto job = tables.jobs.find(name.job);
+    if (job == tables.jobs.end()) {
+        return nullptr;
+    }
+    const auto occurrence = job->second.occurrences.find(name.occurrence);
+    if (occurrence == job->second.occurrences.end() || name.step < 0 || name.index < 0) {
+        return nullptr;
+    }
+    auto &steps = occurrence->second.steps;
+    if (static_cast<std::size_t>(name.step) >= steps.size()) {
+        return nullptr;
+    }
+    auto &tasks = steps[static_cast<std::size_t>(name.step)];
+    if (static_cast<std::size_t>(name.index) >= tasks.size()) {
+        return nullptr;
+    }
+    return &tasks[static_cast<std::size_t>(name.index)];
+}
+
+bool finishTask(job_entry &job, const task_name &name)
+{
+    auto &occurrence = job.occurrences.at(name.occurrence);
+    auto &task =
+        occurrence.steps[static_cast<std::size_t>(name.step)][static_cast<std::size_t>(name.index)];
+    task.phase = task_phase::done;
+    --occurrence.unfinished[static_cast<std::size_t>(name.step)];
+    if (--occurrence.unfinishedTasks > 0) {
+        return false;
+    }
+    job.completeOccurrences.insert(name.occurrence);
+    job.occurrences.erase(name.occurrence);
+    return static_cast<int>(job.completeOccurrences.size()) >= std::max(job.spec.repetitions, 1);
+}
+
+run_entry &addRun(fleet_tables &tables, run_entry run)
+{
+    const auto key = run.key;
+    auto &worker = tables.workers[run.worker];
+    worker.runs.insert(key);
+    worker.held = worker.held + run.held;
+    auto &customer = tables.customerHeld[run.customer];
+    customer = customer + run.held;
+    return tables.runs.insert_or_assign(key, std::move(run)).first->second;
+}
+
+void removeRun(fleet_tables &tables, const run_key &key)
+{
+    const auto found = tables.runs.find(key);
+    if (found == tables.runs.end()) {
+        return;
+    }
+    auto &worker = tables.workers[found->second.worker];
+    worker.runs.erase(key);
+    worker.held = worker.held - found->second.held;
+    auto &customer = tables.customerHeld[found->second.customer];
+    customer = customer - found->second.held;
+    tables.runs.erase(found);
+}
+
+resources heldBy(const step_spec &step) noexcept
+{
+    resources held = step.need;
+    if (step.fills) {
+        held.cpuMillis = 0;
+    }
+    return held;
+}
+
+double expectedRunMs(const fleet_tables &tables, const std::string &queue, const step_spec &step)
+{
+    const auto estimate = static_cast<double>(step.estimate.count());
+    const auto found = tables.statistics.find(queue);
+    if (found == tables.statistics.end() || found->second.samples == 0) {
+        return estimate;
+    }
+    const auto &learned = found->second;
+    const double weight = learned.samples / (learned.samples + priorSamples);
+    return weight * learned.meanRunMs + (1 - weight) * estimate;
+}
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/src/fleet/worker_trust.cpp
@@ -0,0 +1,92 @@
+#include <ibishinge/fleet/worker_trust.h>
+
+#include <ibishinge/base/logging.h>
+
+#include <algorithm>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+/// Decay of the counts with each run that ends: about the last ten runs matter.
+constexpr double countDecay = 0.9;
+
+/// A worker is set aside after about three failures that outweigh its successes twice.
+constexpr double blameToSetAside = 2.5;
+constexpr double blameOverCredit = 2;
+constexpr milliseconds setAsideTime {4000};
+
+/// At most this share of a pool is set aside: a wave of broken jobs makes every worker look bad.
+constexpr double longestSetAsideShare = 0.3;
+
+/// Weights of the newest run in what is learned of a queue and of a worker.
+constexpr double queueWeight = 0.05;
+constexpr double workerWeight = 0.15;
+constexpr double largestSlowness = 8;
+
+} // namespace
+
+void noteSuccess(worker_status &worker)
+{
+    worker.credit = worker.credit * countDecay + 1;
+    worker.blame *= countDecay;
+}
+
+void noteFailure(fleet_tables &tables, worker_status &worker, instant now)
+{
+    worker.blame = worker.blame * countDecay + 1;
+    worker.credit *= countDecay;
+    if (worker.blame < blameToSetAside || worker.blame < blameOverCredit * worker.credit) {
+        return;
+    }
+    int inPool = 0;
+    int aside = 0;
+    for (const auto &[id, other] : tables.workers) {
+        if (other.entry.pool == worker.entry.pool && other.registered) {
+            ++inPool;
+            aside += other.setAsideUntil > now ? 1 : 0;
+        }
+    }
+    if (aside + 1 > std::max(1.0, longestSetAsideShare * inPool)) {
+        return;
+    }
+    worker.setAsideUntil = std::max(worker.setAsideUntil, now + setAsideTime);
+    worker.blame = blameToSetAside - 1; // one more failure after its return is enough
+    logEvent(log_level::warning, "worker_set_aside",
+             {{"worker", worker.entry.id}, {"blame", worker.blame}, {"credit", worker.credit}});
+}
+
+void learnRunTime(fleet_tables &tables, worker_status &worker, const std::string &queue,
+                  const step_spec &step, milliseconds duration, bool whole)
+{
+    if (!whole) {
+        return;
+    }
+    const auto taken = static_cast<double>(duration.count());
+    auto &learned = tables.statistics[queue];
+    const double weight = std::max(queueWeight, 1.0 / (learned.samples + 1));
+    if (learned.samples > 0 && learned.meanRunMs > 0) {
+        const double ratio = std::min(taken / learned.meanRunMs, largestSlowness);
+        worker.slowness += workerWeight * (ratio - worker.slowness);
+    }
+    learned.meanRunMs += weight * (taken - learned.meanRunMs);
+    if (step.estimate.count() > 0) {
+        const double ratio = taken / static_cast<double>(step.estimate.count());
+        learned.meanRatio += weight * (ratio - learned.meanRatio);
+    }
+    ++learned.samples;
+}
+
+void updateSharing(const fleet_tables &tables, worker_status &worker)
+{
+    bool serving = false;
+    bool filling = false;
+    for (const auto &key : worker.runs) {
+        const auto &run = tables.runs.at(key);
+        serving = serving || run.serving;
+        filling = filling || run.fills;
+    }
+    worker.sharesServing = serving && filling;
+}
+
+} // namespace ibishinge::fleet
--- /dev/null
+++ b/src/outside/io_loop.cpp
@@ -0,0 +1,253 @@
+#include <ibishinge/outside/io_loop.h>
+
+#include <curl/curl.h>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace ibishinge {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Connection set-up within a region takes a few milliseconds; a lost packet is sent again after 1
+/// s.
+constexpr milliseconds connectTimeout {1200};
+
+/// How long new connections are preferred after a timeout; longer than idle ones are kept.
+constexpr milliseconds freshConnections {8000};
+
+/// Idle connections kept over all addresses, well below the descriptor limit of a small host.
+constexpr long keptConnections = 1200;
+
+/// Idle connections are closed after this time, in seconds.
+constexpr long idleConnectionSeconds = 30;
+
+/// Largest wait of the loop without a timer.
+constexpr milliseconds longestWait {1000};
+
+std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *target)
+{
+    static_cast<std::string *>(target)->append(data, size * count);
+    return size * count;
+}
+
+struct exchange
+{
+    CURL *handle = nullptr;
+    curl_slist *headers = nullptr;
+    std::string address;
+    std::string requestBody;
+    std::string responseBody;
+    response_handler done;
+};
+
+} // namespace
+
+struct io_loop::impl
+{
+    CURLM *multi = nullptr;
+    std::vector<CURL *> idleHandles;
+    std::map<CURL *, std::unique_ptr<exchange>> exchanges;
+    std::map<std::string, instant, std::less<>> freshUntil; ///< by address
+    std::multimap<instant, std::function<void()>> timers;
+    std::mutex mutex;
+    std::vector<std::function<void()>> posted;
+    std::atomic<bool> stopping = false;
+
+    void finish(CURL *handle, CURLcode code);
+    void runPosted();
+    void runTimers();
+};
+
+result<std::unique_ptr<io_loop>> io_loop::make()
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    auto state = std::make_unique<impl>();
+    state->multi = curl_multi_init();
+    if (state->multi == nullptr) {
+        return makeError(error_kind::internal, "libcurl", "curl_multi_init failed");
+    }
+    curl_multi_setopt(state->multi, CURLMOPT_MAXCONNECTS, keptConnections);
+    return std::unique_ptr<io_loop>(new io_loop(std::move(state)));
+}
+
+io_loop::io_loop(std::unique_ptr<impl> state) noexcept
+    : m_impl(std::move(state))
+{
+}
+
+io_loop::~io_loop()
+{
+    for (auto &[handle, call] : m_impl->exchanges) {
+        curl_multi_remove_handle(m_impl->multi, handle);
+        curl_slist_free_all(call->headers);
+        curl_easy_cleanup(handle);
+    }
+    for (CURL *handle : m_impl->idleHandles) {
+        curl_easy_cleanup(handle);
+    }
+    curl_multi_cleanup(m_impl->multi);
+}
+
+instant io_loop::now() const
+{
+    return boot_clock::now();
+}
+
+std::int64_t io_loop::wallMs() const
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(now).count();
+}
+
+void io_loop::after(milliseconds delay, std::function<void()> function)
+{
+    m_impl->timers.emplace(now() + delay, std::move(function));
+}
+
+void io_loop::send(outgoing_request request, response_handler done)
+{
+    CURL *handle = nullptr;
+    if (m_impl->idleHandles.empty()) {
+        handle = curl_easy_init();
+    } else {
+        handle = m_impl->idleHandles.back();
+        m_impl->idleHandles.pop_back();
+    }
+    auto call = std::make_unique<exchange>();
+    call->handle = handle;
+    call->address = request.address;
+    call->requestBody = std::move(request.body);
+    call->done = std::move(done);
+
+    const std::string url = "http://" + request.address + request.target;
+    curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(std::min(request.timeout, connectTimeout).count()));
+    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, idleConnectionSeconds);
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, appendBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &call->responseBody);
+    curl_easy_setopt(handle, CURLOPT_PRIVATE, call.get());
+    const auto fresh = m_impl->freshUntil.find(request.address);
+    if (fresh != m_impl->freshUntil.end() && now() < fresh->second) {
+        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    }
+    if (request.method != "GET") {
+        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    }
+    if (!call->requestBody.empty() || request.method == "POST") {
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call->requestBody.c_str());
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE,
+                         static_cast<long>(call->requestBody.size()));
+        call->headers = curl_slist_append(call->headers, "Content-Type: application/json");
+        call->headers = curl_slist_append(call->headers, "Expect:");
+    }
+    for (const auto &header : request.headers) {
+        call->headers =
+            curl_slist_append(call->headers, (header.name + ": " + header.value).c_str());
+    }
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, call->headers);
+    curl_multi_add_handle(m_impl->multi, handle);
+    m_impl->exchanges.emplace(handle, std::move(call));
+}
+
+void io_loop::impl::finish(CURL *handle, CURLcode code)
+{
+    const auto found = exchanges.find(handle);
+    const auto call = std::move(found->second);
+    exchanges.erase(found);
+    long status = 0;
+    long systemError = 0;
+    long requestBytes = 0;
+    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &systemError);
+    curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &requestBytes);
+    curl_multi_remove_handle(multi, handle);
+    curl_easy_reset(handle);
+    curl_slist_free_all(call->headers);
+    idleHandles.push_back(handle);
+
+    if (code == CURLE_OK) {
+        http_response response;
+        response.status = static_cast<int>(status);
+        response.body = std::move(call->responseBody);
+        call->done(std::move(response));
+        return;
+    }
+    if (code == CURLE_OPERATION_TIMEDOUT) {
+        freshUntil[call->address] = boot_clock::now() + freshConnections;
+    }
+    error failure;
+    failure.kind = requestBytes == 0 ? error_kind::unavailable : error_kind::outcome_unknown;
+    failure.place = call->address;
+    failure.message = curl_easy_strerror(code);
+    failure.systemError = code == CURLE_COULDNT_CONNECT ? static_cast<int>(systemError) : 0;
+    call->done(tl::unexpected(std::move(failure)));
+}
+
+void io_loop::impl::runPosted()
+{
+    std::vector<std::function<void()>> functions;
+    {
+        const std::lock_guard lock(mutex);
+        functions.swap(posted);
+    }
+    for (auto &function : functions) {
+        function();
+    }
+}
+
+void io_loop::impl::runTimers()
+{
+    while (!timers.empty() && timers.begin()->first <= boot_clock::now()) {
+        const auto function = std::move(timers.begin()->second);
+        timers.erase(timers.begin());
+        function();
+    }
+}
+
+void io_loop::post(std::function<void()> function)
+{
+    {
+        const std::lock_guard lock(m_impl->mutex);
+        m_impl->posted.push_back(std::move(function));
+    }
+    curl_multi_wakeup(m_impl->multi);
+}
+
+void io_loop::run()
+{
+    while (!m_impl->stopping) {
+        int running = 0;
+        curl_multi_perform(m_impl->multi, &running);
+        int left = 0;
+        while (const CURLMsg *message = curl_multi_info_read(m_impl->multi, &left)) {
+            if (message->msg == CURLMSG_DONE) {
+                m_impl->finish(message->easy_handle, message->data.result);
+            }
+        }
+        m_impl->runPosted();
+        m_impl->runTimers();
+        curl_multi_perform(m_impl->multi, &running);
+        milliseconds wait = longestWait;
+        if (!m_impl->timers.empty()) {
+            wait = std::clamp(m_impl->timers.begin()->first - now(), milliseconds(0), longestWait);
+        }
+        curl_multi_poll(m_impl->multi, nullptr, 0, static_cast<int>(wait.count()), nullptr);
+    }
+}
+
+void io_loop::stop()
+{
+    m_impl->stopping = true;
+    curl_multi_wakeup(m_impl->multi);
+}
+
+} // namespace ibishinge
