Repeated stops no longer hide that a run is gone; place starts again whose connection failed

A stop was repeated each second and each answer moved the time after which a report counts, while looks were asked for before it. Ruled out: the worker was reachable and reported without the runs. Also: a burst of starts was refused by the worker's bound on connections; such a start has certainly not been carried out and can be placed elsewhere.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -137,6 +137,7 @@
     void orderStop(const run_key &key, std::string_view reason);
     void sendStart(const run_key &key);
     void onStarted(const run_key &key, const result<start_reply> &answer);
+    void abandonStart(const run_key &key, bool avoid);
     void onStopped(const run_key &key, const result<start_reply> &answer);
     [[nodiscard]] std::int64_t leaseUntil(worker_status &worker);
 
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -36,7 +36,9 @@
 constexpr milliseconds lazyFlush {60};
 
 /// A stop that was answered and shows no effect is repeated after this time.
-constexpr milliseconds stopRepeat {1000};
+constexpr milliseconds stopRepeat {3000};
+/// While a stop is open, looks come back soon, to see that the run is gone.
+constexpr milliseconds stoppingLookWait {150};
 
 /// A worker's clock may be slow by 2%; a little more covers rounding.
 constexpr double slowClockFactor = 1.021;
@@ -89,7 +91,12 @@
     if (hasRuns && worker.verified) {
         order.leaseUntil = leaseUntil(worker);
         if (!unstored) {
-            order.wait = worker.sharesServing ? sharedLookWait : lookWait;
+            const bool stopping =
+                std::any_of(worker.runs.begin(), worker.runs.end(), [this](const run_key &key) {
+                    return m_tables.runs.at(key).phase == run_phase::stopping;
+                });
+            order.wait = stopping ? stoppingLookWait
+                                  : (worker.sharesServing ? sharedLookWait : lookWait);
         }
     }
     worker.lookInProgress = true;
@@ -495,8 +502,11 @@
         m_onDeposed();
         return;
     }
+    if (!run.stopAnswered) {
+        // A report that was asked for later than this tells whether the run is gone.
+        run.settledAt = m_timers.now();
+    }
     run.stopAnswered = answer->outcome != start_outcome::other_life;
-    run.settledAt = m_timers.now();
     worker.nextLook = m_timers.now();
     lookIfDue(worker);
 }
@@ -540,13 +550,17 @@
     run.callOpen = false;
     m_metrics.observe("ibishinge_start_seconds", {}, now - run.orderedAt);
     if (!answer) {
-        // The order may be carried out yet; `checkRuns` repeats or stops it.
         worker.verified = false;
         worker.nextLook = now;
         auto line = describeRun(key);
         line["worker"] = run.worker;
         line["error"] = describe(answer.error());
         logEvent(log_level::warning, "start_unanswered", line);
+        if (answer.error().kind == error_kind::unavailable && run.orders == 1
+            && run.phase == run_phase::starting) {
+            abandonStart(key, true);
+        }
+        // Otherwise the order may be carried out yet; `checkRuns` repeats or stops it.
         return;
     }
     if (answer->workerClock > 0) {
@@ -594,20 +608,33 @@
         orderStop(key, "start_rejected");
         return;
     }
-    const auto task = key.task;
+    if (answer->outcome == start_outcome::bad_ticket) {
+        const auto job = m_tables.jobs.find(key.task.job);
+        if (job != m_tables.jobs.end()) {
+            job->second.tickets.erase({key.task.occurrence, key.task.step});
+        }
+    }
+    abandonStart(key, false);
+}
+
+void coordinator::abandonStart(const run_key &key, bool avoid)
+{
+    const auto worker = m_tables.runs.at(key).worker;
     removeRun(m_tables, key);
     releaseTask(key);
-    if (auto *entry = findTask(m_tables, task)) {
-        entry->notBefore = now + roomBackoff;
-        const auto job = m_tables.jobs.find(task.job);
-        const auto &step = job->second.spec.steps[static_cast<std::size_t>(task.step)];
-        if (answer->outcome == start_outcome::bad_ticket) {
-            job->second.tickets.erase({task.occurrence, task.step});
-        }
-        if (step.gang) {
-            breakGang(task);
-        }
+    auto *task = findTask(m_tables, key.task);
+    if (task == nullptr) {
+        return;
     }
+    task->notBefore = m_timers.now() + roomBackoff;
+    if (avoid) {
+        task->avoidWorker = worker;
+    }
+    const auto &job = m_tables.jobs.at(key.task.job);
+    if (job.spec.steps[static_cast<std::size_t>(key.task.step)].gang) {
+        breakGang(key.task);
+    }
+    requestPass();
 }
 
 void coordinator::checkRuns()
--- a/src/outside/io_loop.cpp
+++ b/src/outside/io_loop.cpp
@@ -23,6 +23,10 @@
 /// Idle connections kept over all addresses, well below the descriptor limit of a small host.
 constexpr long keptConnections = 1200;
 
+/// Connections to one address. Workers and peers accept a few dozen for all processes together, and
+/// those of a process that lost power stay open for a while.
+constexpr long connectionsPerAddress = 8;
+
 /// Idle connections are closed after this time, in seconds.
 constexpr long idleConnectionSeconds = 30;
 
@@ -72,6 +76,7 @@
         return makeError(error_kind::internal, "libcurl", "curl_multi_init failed");
     }
     curl_multi_setopt(state->multi, CURLMOPT_MAXCONNECTS, keptConnections);
+    curl_multi_setopt(state->multi, CURLMOPT_MAX_HOST_CONNECTIONS, connectionsPerAddress);
     return std::unique_ptr<io_loop>(new io_loop(std::move(state)));
 }
 
@@ -185,7 +190,9 @@
         freshUntil[call->address] = boot_clock::now() + freshConnections;
     }
     error failure;
-    failure.kind = requestBytes == 0 ? error_kind::unavailable : error_kind::outcome_unknown;
+    const bool notSent = requestBytes == 0
+                         && (code == CURLE_COULDNT_CONNECT || code == CURLE_OPERATION_TIMEDOUT);
+    failure.kind = notSent ? error_kind::unavailable : error_kind::outcome_unknown;
     failure.place = call->address;
     failure.message = curl_easy_strerror(code);
     failure.systemError = code == CURLE_COULDNT_CONNECT ? static_cast<int>(systemError) : 0;
