--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -125,6 +125,7 @@
     std::shared_ptr<coordinator> m_coordinator;
     std::int64_t m_lease = 0;
     bool m_campaigning = false;
+    std::int64_t m_replaces = 0; ///< revision of the record that the campaign replaces
     bool m_campaignPlanned = false;
     bool m_resigned = false;
 };
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -178,6 +178,9 @@
             clearHost(*worker, since(each.since, now) > emptyingPatience);
             return;
         }
+        if (worker != nullptr && worker->storedEnd < worker->processedEnd) {
+            return; // its ends would be lost with it before the store has them
+        }
         if (awayHosts(care) < care.wave.atOnce) {
             orderMaintenance(care, host, each);
         }
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -262,6 +262,8 @@
 void fleet_node::campaign()
 {
     m_campaigning = true;
+    // Only the record seen now may be replaced: one that appears meanwhile belongs to a live process.
+    m_replaces = m_leaderRevision;
     const auto sentAt = m_timers.now();
     m_platform.grantLease(m_settings.leaderTtl,
                           whileAlive<store_lease>([this, sentAt](const result<store_lease> &lease) {
@@ -298,7 +300,7 @@
     const leader_record record {m_settings.name, m_settings.incarnation, m_settings.peerAddress,
                                 term};
     store_transaction change;
-    change.conditions = {{std::string(leaderKey), m_leaderRevision},
+    change.conditions = {{std::string(leaderKey), m_replaces},
                          {std::string(termKey), termItem.revision}};
     change.puts = {{std::string(leaderKey), encodeLeader(record), lease.id},
                    {std::string(termKey), std::to_string(term), 0}};
