Move hosts with the turns of the pools; do maintenance while a pool is idle

Load: each pool in turn is asked for 1.2 to 5 times what it holds for some seconds, the others are nearly idle. Change: a pool in demand gets spare hosts, then idle ones of the pools whose peak is over; the pool that has gone longest without a peak keeps its home size. Waves leave hosts of busy pools until their deadline presses. Tasks are placed on the fullest worker with room, so that hosts become idle.

--- a/include/ibishinge/base/boot_clock.h
+++ b/include/ibishinge/base/boot_clock.h
@@ -12,7 +12,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<boot_clock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): required name
 
     /// Thread-safe.
     [[nodiscard]] static time_point now() noexcept;
--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -5,6 +5,7 @@
 #include <ibishinge/fleet/caller.h>
 #include <ibishinge/fleet/host_care.h>
 #include <ibishinge/fleet/platform_api.h>
+#include <ibishinge/fleet/pool_sizing.h>
 #include <ibishinge/fleet/store_writer.h>
 #include <ibishinge/fleet/tables.h>
 
@@ -98,7 +99,8 @@
 
     // coordinator_takeover.cpp
     void readRecords(const std::string &prefix, const std::string &after,
-                     std::function<void(const store_item &)> apply, std::function<void()> next);
+                     const std::function<void(const store_item &)> &apply,
+                     const std::function<void()> &next);
     void readRoster();
     void readRegistry(const std::string &after);
     void watchRegistry();
@@ -123,6 +125,7 @@
 
     // coordinator_workers.cpp
     void lookIfDue(worker_status &worker);
+    [[nodiscard]] milliseconds waitOfLook(const worker_status &worker) const;
     void onReport(const std::string &id, const worker_report &report, instant sentAt);
     void onLookFailed(const std::string &id, const error &failure);
     void onNewLife(worker_status &worker, const worker_report &report, instant sentAt);
@@ -150,6 +153,7 @@
     void startGang(job_entry &job, int occurrence, int step);
     bool haveTickets(job_entry &job, const queue_rule &queue, int occurrence, int step);
     void tick();
+    void summarize();
     void expireWorkers();
     void checkRuns();
     void pace();
@@ -163,6 +167,10 @@
     void careForHost(wave_care &care, const std::string &host, host_care &each);
     void orderMaintenance(wave_care &care, const std::string &host, host_care &each);
     void clearHost(worker_status &worker, bool impatient);
+    void sizePools();
+    void setHomes(const std::map<std::string, int> &homes);
+    void orderMove(const host_move &move);
+    void retireWorker(const std::string &host);
 
     platform_api &m_platform;
     scheduler &m_timers;
@@ -173,6 +181,7 @@
     std::shared_ptr<store_writer> m_writer;
     fleet_tables m_tables;
     host_care_state m_care;
+    pool_sizing_state m_sizing;
 
     bool m_closed = false;
     bool m_loaded = false; ///< the records are read
@@ -188,10 +197,11 @@
     bool m_flushPending = false;
     bool m_passPending = false;
     bool m_hostsPending = false;
-    instant m_hostsReadAt; ///< when the list of hosts was asked for
+    bool m_plannedWork = false; ///< a wave is open
     instant m_nextHosts;
     instant m_nextWaves;
     instant m_nextPrune;
+    instant m_nextSummary;
 };
 
 } // namespace ibishinge::fleet
--- a/include/ibishinge/fleet/host_care.h
+++ b/include/ibishinge/fleet/host_care.h
@@ -41,9 +41,11 @@
 };
 
 /// Returns the next hosts of a wave to empty, at most as many as may be away at once and one ahead.
-/// Prefers hosts whose workers hold least, so that little work has to move.
+/// Prefers hosts whose workers hold least, so that little work has to move, and leaves those of
+/// busy pools until the deadline presses. `timeOfOne`: from emptying a host to its return.
 [[nodiscard]] std::vector<std::string> hostsToEmpty(fleet_tables &tables, const wave_care &care,
-                                                    instant now);
+                                                    const std::set<std::string> &busyPools,
+                                                    milliseconds timeOfOne, instant now);
 
 /// Returns the worker that runs on a host, or null.
 [[nodiscard]] worker_status *workerOf(fleet_tables &tables, const std::string &host);
@@ -54,12 +56,12 @@
 /// Marks the workers whose hosts are due for maintenance or being emptied.
 void markMaintenance(fleet_tables &tables, const host_care_state &state);
 
-/// Returns how many lasting tasks of a step are not at work: waiting, starting, or not at full
-/// percentage.
+/// Returns how many lasting tasks of a step are not known to be at work: waiting, starting, not at
+/// full percentage, or on a worker that has not reported lately.
 [[nodiscard]] int awayTasks(const fleet_tables &tables, const job_entry &job, int occurrence,
-                            int step);
+                            int step, instant now);
 
 /// Returns true if planned work may end this run now without breaking the bound of its step.
-[[nodiscard]] bool mayDisturb(const fleet_tables &tables, const run_entry &run);
+[[nodiscard]] bool mayDisturb(const fleet_tables &tables, const run_entry &run, instant now);
 
 } // namespace ibishinge::fleet
--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -112,7 +112,6 @@
     std::int64_t m_configRevision = 0;
     std::int64_t m_shownVersion = 0; ///< newest configuration that an answer was based on
     instant m_configProvedAt;
-    bool m_configReadable = true;
 
     std::optional<leader_record> m_leader;
     std::int64_t m_leaderRevision = 0; ///< 0: there is none
--- /dev/null
+++ b/include/ibishinge/fleet/pool_sizing.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <ibishinge/fleet/host_care.h>
+#include <ibishinge/fleet/pool_load.h>
+#include <ibishinge/fleet/tables.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ibishinge::fleet {
+
+/// What is remembered of one pool.
+struct pool_memory
+{
+    int home = 0; ///< hosts that the operators gave it, before any move
+    instant peakAt; ///< when its demand last was high; epoch: never
+    bool peaking = false;
+};
+
+/// A host on its way to another pool.
+struct host_move
+{
+    std::string host;
+    std::string from;
+    std::string to;
+    instant orderedAt;
+    bool accepted = false;
+};
+
+struct pool_sizing_state
+{
+    bool homesKnown = false; ///< `pool_memory::home` is set
+    bool settled = false; ///< the workers of all hosts have been seen
+    instant firstSeen; ///< of the list of hosts
+    std::map<std::string, pool_memory> pools;
+    std::map<std::string, host_move> moves; ///< by host
+    std::map<std::string, instant> movedAt; ///< by host
+    std::map<std::string, instant> idleSince; ///< by worker without runs
+    std::set<std::pair<std::string, std::string>> incompatible; ///< kind of host and pool
+};
+
+/// Returns how many hosts each pool has.
+[[nodiscard]] std::map<std::string, int> countHosts(const fleet_tables &tables);
+
+/// Chooses hosts to move now. Answers this load: the pools' demand rises by turns to more than a
+/// pool holds, while the others are nearly idle.
+///
+/// A pool in demand gets hosts from the spare pool, then idle ones of the pools whose peak is over.
+/// The pool that has gone longest without a peak keeps its home size, as it may be next; the others
+/// give their idle hosts back. Only hosts without runs are moved, so that a move ends no task.
+[[nodiscard]] std::vector<host_move> planMoves(fleet_tables &tables, pool_sizing_state &state,
+                                               const host_care_state &care, instant now);
+
+} // namespace ibishinge::fleet
--- a/include/ibishinge/fleet/record_codec.h
+++ b/include/ibishinge/fleet/record_codec.h
@@ -18,6 +18,7 @@
 inline constexpr std::string_view jobPrefix = "fleet/job/";
 inline constexpr std::string_view progressPrefix = "fleet/progress/";
 inline constexpr std::string_view endedPrefix = "fleet/ended/";
+inline constexpr std::string_view homesKey = "fleet/homes";
 inline constexpr std::string_view wavePrefix = "fleet/wave/";
 
 /// Who coordinates. Lies under a lease, so that it vanishes with its holder.
@@ -69,4 +70,8 @@
 [[nodiscard]] std::string encodeWaveRecord(const wave_record &record);
 [[nodiscard]] result<wave_record> decodeWaveRecord(const std::string &text);
 
+/// Hosts that the operators gave to each pool.
+[[nodiscard]] std::string encodeHomes(const std::map<std::string, int> &homes);
+[[nodiscard]] result<std::map<std::string, int>> decodeHomes(const std::string &text);
+
 } // namespace ibishinge::fleet
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -36,7 +36,7 @@
     task_name task;
     std::int64_t run = 0;
 
-    friend auto operator<=>(const run_key &, const run_key &) = default;
+    friend auto operator<=>(const run_key &, const run_key &) = default; // NOLINT
 };
 
 /// A run that exists or may exist on a worker.
@@ -173,6 +173,7 @@
     std::map<std::string, resources> customerHeld;
     std::map<std::string, queue_statistics> statistics; ///< by queue
     std::map<std::string, host_entry> hosts;
+    instant hostsReadAt; ///< when the list of hosts was asked for; epoch: never
 };
 
 /// Returns the queue that serves a path, by host name and longest prefix; null if there is none.
--- a/include/ibishinge/fleet/types.h
+++ b/include/ibishinge/fleet/types.h
@@ -148,7 +148,7 @@
     int step = 0;
     int index = 0;
 
-    friend auto operator<=>(const task_name &, const task_name &) = default;
+    friend auto operator<=>(const task_name &, const task_name &) = default; // NOLINT
 };
 
 /// Order to start a run of a task.
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include <ibishinge/base/logging.h>
 #include <ibishinge/fleet/placement.h>
+#include <ibishinge/fleet/pool_load.h>
 #include <ibishinge/fleet/record_codec.h>
 
 #include <algorithm>
@@ -13,6 +14,9 @@
 
 constexpr milliseconds tickInterval {100};
 
+/// The load of each pool is logged this often.
+constexpr milliseconds summaryInterval {1000};
+
 /// Starts a pass makes before it lets replies in, so that one burst does not delay lease renewals.
 constexpr int startsPerPass = 64;
 
@@ -141,12 +145,37 @@
         readWaves();
     }
     careForHosts();
+    sizePools();
     if (now >= m_nextPrune) {
         pruneEnded();
     }
+    if (now >= m_nextSummary) {
+        summarize();
+    }
     requestPass();
 }
 
+void coordinator::summarize()
+{
+    const auto now = m_timers.now();
+    m_nextSummary = now + summaryInterval;
+    for (const auto &[name, pool] : m_tables.config.pools) {
+        if (pool.spare) {
+            continue;
+        }
+        const auto load = measurePool(m_tables, name, now);
+        logEvent(log_level::info, "pool_load",
+                 {{"pool", name},
+                  {"workers", load.workers},
+                  {"capacity", load.capacity},
+                  {"lasting", load.lastingHeld},
+                  {"batch", load.batchHeld},
+                  {"waiting_core_ms", static_cast<std::int64_t>(load.waitingWork)},
+                  {"waiting_tasks", load.waitingTasks},
+                  {"jobs", load.liveJobs}});
+    }
+}
+
 void coordinator::requestPass()
 {
     if (m_passPending) {
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds waveInterval {1000};
 /// While a host is away its return is looked for this often.
 constexpr milliseconds hostInterval {400};
+/// Otherwise the list of hosts is read this often, for the spare ones.
+constexpr milliseconds hostListInterval {600};
 /// Tasks of a host to be emptied may end by themselves for this long.
 constexpr milliseconds emptyingPatience {2500};
 /// An order for a host without an answer is repeated after this time.
@@ -118,7 +120,7 @@
         for (const auto &host : *hosts) {
             m_tables.hosts[host.name] = host;
         }
-        m_hostsReadAt = sentAt;
+        m_tables.hostsReadAt = sentAt;
         careForHosts();
     }));
 }
@@ -127,13 +129,20 @@
 {
     const auto now = m_timers.now();
     bool open = false;
+    std::set<std::string> busyPools;
+    for (const auto &[name, memory] : m_sizing.pools) {
+        if (memory.peaking) {
+            busyPools.insert(name);
+        }
+    }
+    const auto timeOfOne = m_settings.maintenanceTime + emptyingPatience;
     for (auto &[number, care] : m_care.waves) {
         if (care.completed || !care.known || m_tables.hosts.empty()) {
             open = open || (care.known && !care.completed);
             continue;
         }
         open = true;
-        for (const auto &host : hostsToEmpty(m_tables, care, now)) {
+        for (const auto &host : hostsToEmpty(m_tables, care, busyPools, timeOfOne, now)) {
             care.hosts.at(host) = {care_step::emptying, now};
             logEvent(log_level::info, "host_emptying", {{"host", host}, {"wave", number}});
         }
@@ -151,6 +160,7 @@
         }
     }
     markMaintenance(m_tables, m_care);
+    m_plannedWork = open;
     if (open && now >= m_nextHosts) {
         refreshHosts();
     }
@@ -162,7 +172,7 @@
     const auto listed = m_tables.hosts.find(host);
     if (listed == m_tables.hosts.end()) {
         // It left for good: the list is complete, so there is nothing to care for.
-        if (m_hostsReadAt > each.since && each.step != care_step::finished) {
+        if (m_tables.hostsReadAt > each.since && each.step != care_step::finished) {
             each = {care_step::finished, now};
         }
         return;
@@ -193,7 +203,7 @@
         return;
     case care_step::away:
         // The list that shows it as up was read after its maintenance must have ended.
-        if (m_hostsReadAt > each.since + m_settings.maintenanceTime
+        if (m_tables.hostsReadAt > each.since + m_settings.maintenanceTime
             && listed->second.state == host_state::up) {
             each = {care_step::finished, now};
             logEvent(log_level::info, "host_back", {{"host", host}, {"wave", care.wave.number}});
@@ -213,7 +223,7 @@
               {"wave", care.wave.number},
               {"away", awayHosts(care)},
               {"at_once", care.wave.atOnce},
-              {"host_list_age_ms", since(m_hostsReadAt, m_timers.now()).count()}});
+              {"host_list_age_ms", since(m_tables.hostsReadAt, m_timers.now()).count()}});
     m_platform.maintainHost(
         host, care.wave.number, m_lead.fencingToken,
         whileOpen<host_order_outcome>(
@@ -226,6 +236,7 @@
                 switch (*outcome) {
                 case host_order_outcome::accepted:
                     state = {care_step::away, m_timers.now()};
+                    retireWorker(host);
                     writeWaveRecord(wave);
                     break;
                 case host_order_outcome::not_of_wave:
@@ -240,6 +251,87 @@
             }));
 }
 
+void coordinator::sizePools()
+{
+    const auto now = m_timers.now();
+    if (m_tables.hostsReadAt == instant {}) {
+        refreshHosts();
+        return;
+    }
+    if (!m_sizing.homesKnown && !m_tables.hosts.empty()) {
+        const auto homes = countHosts(m_tables);
+        setHomes(homes);
+        m_writer->add({{{std::string(homesKey), encodeHomes(homes)}}, false, nullptr});
+    }
+    if (now >= m_nextHosts + hostListInterval) {
+        refreshHosts();
+    }
+    for (const auto &move : planMoves(m_tables, m_sizing, m_care, now)) {
+        orderMove(move);
+    }
+    for (auto &[id, worker] : m_tables.workers) {
+        worker.emptying = worker.emptying || m_sizing.moves.count(worker.entry.host) > 0;
+    }
+}
+
+void coordinator::retireWorker(const std::string &host)
+{
+    // The registry shows the worker until its entry lapses; the order has ended it.
+    for (auto &[id, worker] : m_tables.workers) {
+        if (worker.entry.host == host && worker.runs.empty()) {
+            worker.registered = false;
+            worker.verified = false;
+        }
+    }
+}
+
+void coordinator::setHomes(const std::map<std::string, int> &homes)
+{
+    for (const auto &[pool, count] : homes) {
+        m_sizing.pools[pool].home = count;
+    }
+    m_sizing.homesKnown = true;
+}
+
+void coordinator::orderMove(const host_move &move)
+{
+    m_sizing.moves[move.host] = move;
+    m_sizing.movedAt[move.host] = move.orderedAt;
+    logEvent(log_level::info, "move_ordered",
+             {{"host", move.host},
+              {"from", move.from},
+              {"to", move.to},
+              {"host_list_age_ms", since(m_tables.hostsReadAt, m_timers.now()).count()}});
+    m_metrics.add("ibishinge_moves_total");
+    m_platform.moveHost(
+        move.host, move.to, m_lead.fencingToken,
+        whileOpen<host_order_outcome>([this, move](const result<host_order_outcome> &outcome) {
+            const auto found = m_sizing.moves.find(move.host);
+            if (found == m_sizing.moves.end()) {
+                return;
+            }
+            if (outcome && *outcome == host_order_outcome::accepted) {
+                found->second.accepted = true;
+                retireWorker(move.host);
+                return;
+            }
+            if (!outcome) {
+                // It may still be carried out: the move is forgotten after its longest time only.
+                logEvent(log_level::warning, "move_unanswered",
+                         {{"host", move.host}, {"error", describe(outcome.error())}});
+                return;
+            }
+            logEvent(log_level::info, "move_rejected",
+                     {{"host", move.host}, {"outcome", static_cast<int>(*outcome)}});
+            const auto listed = m_tables.hosts.find(move.host);
+            if (*outcome == host_order_outcome::invalid && listed != m_tables.hosts.end()
+                && !listed->second.labels.empty()) {
+                m_sizing.incompatible.insert({listed->second.labels.front(), move.to});
+            }
+            m_sizing.moves.erase(found);
+        }));
+}
+
 void coordinator::clearHost(worker_status &worker, bool impatient)
 {
     std::vector<run_key> toStop;
@@ -248,13 +340,13 @@
         if (run.phase == run_phase::stopping) {
             continue;
         }
-        if (run.lasting ? mayDisturb(m_tables, run) : impatient) {
+        if (run.lasting ? mayDisturb(m_tables, run, m_timers.now()) : impatient) {
             toStop.push_back(key);
         }
     }
     for (const auto &key : toStop) {
         const auto &run = m_tables.runs.at(key);
-        if (!run.lasting || mayDisturb(m_tables, run)) {
+        if (!run.lasting || mayDisturb(m_tables, run, m_timers.now())) {
             orderStop(key, "planned_work");
         }
     }
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -23,8 +23,8 @@
 } // namespace
 
 void coordinator::readRecords(const std::string &prefix, const std::string &after,
-                              std::function<void(const store_item &)> apply,
-                              std::function<void()> next)
+                              const std::function<void(const store_item &)> &apply,
+                              const std::function<void()> &next)
 {
     m_platform.readRange(
         prefix, after,
@@ -99,6 +99,12 @@
         }
         m_tables.ended[item.key.substr(endedPrefix.size())] = *ended;
     };
+    const auto applyHomes = [this](const store_item &item) {
+        if (const auto homes = decodeHomes(item.value)) {
+            setHomes(*homes);
+        }
+    };
+    readRecords(std::string(homesKey), "", applyHomes, [] {});
     readRecords(std::string(rosterKey), "", applyRoster, [=, this] {
         readRecords(std::string(jobPrefix), "", applyJob, [=, this] {
             readRecords(std::string(progressPrefix), "", applyProgressItem, [=, this] {
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -35,6 +35,10 @@
 /// Ends that change no record are noted with the next write, or after this time.
 constexpr milliseconds lazyFlush {60};
 
+/// During planned work, workers with lasting tasks are watched closely: a task on a silent worker
+/// is away, and no other of its step may be disturbed then.
+constexpr milliseconds plannedWorkLookWait {300};
+
 /// A stop that was answered and shows no effect is repeated after this time.
 constexpr milliseconds stopRepeat {3000};
 /// While a stop is open, looks come back soon, to see that the run is gone.
@@ -91,12 +95,7 @@
     if (hasRuns && worker.verified) {
         order.leaseUntil = leaseUntil(worker);
         if (!unstored) {
-            const bool stopping =
-                std::any_of(worker.runs.begin(), worker.runs.end(), [this](const run_key &key) {
-                    return m_tables.runs.at(key).phase == run_phase::stopping;
-                });
-            order.wait = stopping ? stoppingLookWait
-                                  : (worker.sharesServing ? sharedLookWait : lookWait);
+            order.wait = waitOfLook(worker);
         }
     }
     worker.lookInProgress = true;
@@ -121,6 +120,24 @@
         }));
 }
 
+milliseconds coordinator::waitOfLook(const worker_status &worker) const
+{
+    bool stopping = false;
+    bool lasting = false;
+    for (const auto &key : worker.runs) {
+        const auto &run = m_tables.runs.at(key);
+        stopping = stopping || run.phase == run_phase::stopping;
+        lasting = lasting || run.lasting;
+    }
+    if (stopping) {
+        return stoppingLookWait;
+    }
+    if (lasting && m_plannedWork) {
+        return plannedWorkLookWait;
+    }
+    return worker.sharesServing ? sharedLookWait : lookWait;
+}
+
 void coordinator::onLookFailed(const std::string &id, const error &failure)
 {
     auto &worker = m_tables.workers.at(id);
--- a/src/fleet/host_care.cpp
+++ b/src/fleet/host_care.cpp
@@ -9,9 +9,16 @@
 /// Hosts emptied ahead of their turn, so that the next is empty when one comes back.
 constexpr int emptiedAhead = 1;
 
+/// Kept before the deadline of a wave, for hosts that take longer to empty.
+constexpr milliseconds deadlineSlack {5000};
+
 /// A lasting task is at work at this percentage.
 constexpr int atWork = 100;
 
+/// A run counts as at work only while its worker's report is this young: a worker that fell silent
+/// may have taken its runs with it.
+constexpr milliseconds youngReport {700};
+
 } // namespace
 
 worker_status *workerOf(fleet_tables &tables, const std::string &host)
@@ -32,9 +39,10 @@
         }));
 }
 
-std::vector<std::string> hostsToEmpty(fleet_tables &tables, const wave_care &care, instant now)
+std::vector<std::string> hostsToEmpty(fleet_tables &tables, const wave_care &care,
+                                      const std::set<std::string> &busyPools,
+                                      milliseconds timeOfOne, instant now)
 {
-    static_cast<void>(now);
     int open = 0;
     std::vector<std::pair<std::int64_t, std::string>> waiting;
     for (const auto &[host, each] : care.hosts) {
@@ -46,12 +54,20 @@
         }
     }
     std::sort(waiting.begin(), waiting.end());
+    const auto turns = (static_cast<std::int64_t>(waiting.size()) + care.wave.atOnce - 1)
+                       / std::max(care.wave.atOnce, 1);
+    const bool pressing = now + turns * timeOfOne + deadlineSlack >= care.dueAt;
     std::vector<std::string> chosen;
     for (const auto &[load, host] : waiting) {
         if (open + static_cast<int>(chosen.size()) >= care.wave.atOnce + emptiedAhead) {
             break;
         }
-        chosen.push_back(host);
+        const auto listed = tables.hosts.find(host);
+        const bool busy =
+            listed != tables.hosts.end() && load >= 0 && busyPools.count(listed->second.pool) > 0;
+        if (!busy || pressing) {
+            chosen.push_back(host);
+        }
     }
     return chosen;
 }
@@ -77,7 +93,8 @@
     }
 }
 
-int awayTasks(const fleet_tables &tables, const job_entry &job, int occurrence, int step)
+int awayTasks(const fleet_tables &tables, const job_entry &job, int occurrence, int step,
+              instant now)
 {
     const auto found = job.occurrences.find(occurrence);
     if (found == job.occurrences.end()) {
@@ -89,15 +106,18 @@
         const auto &task = tasks[index];
         const auto run = tables.runs.find(
             {{job.id, occurrence, step, static_cast<int>(index)}, task.currentRun});
-        const bool working = task.phase == task_phase::placed && run != tables.runs.end()
-                             && run->second.phase == run_phase::running
-                             && run->second.percent >= atWork;
+        bool working = task.phase == task_phase::placed && run != tables.runs.end()
+                       && run->second.phase == run_phase::running && run->second.percent >= atWork;
+        if (working) {
+            const auto &worker = tables.workers.at(run->second.worker);
+            working = worker.verified && since(worker.reportAt, now) <= youngReport;
+        }
         away += working ? 0 : 1;
     }
     return away;
 }
 
-bool mayDisturb(const fleet_tables &tables, const run_entry &run)
+bool mayDisturb(const fleet_tables &tables, const run_entry &run, instant now)
 {
     const auto &name = run.key.task;
     const auto job = tables.jobs.find(name.job);
@@ -106,7 +126,7 @@
     }
     const auto &step = job->second.spec.steps[static_cast<std::size_t>(name.step)];
     const int allowed = std::max(step.maxUnavailable, 1);
-    return awayTasks(tables, job->second, name.occurrence, name.step) < allowed;
+    return awayTasks(tables, job->second, name.occurrence, name.step, now) < allowed;
 }
 
 } // namespace ibishinge::fleet
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -262,7 +262,8 @@
 void fleet_node::campaign()
 {
     m_campaigning = true;
-    // Only the record seen now may be replaced: one that appears meanwhile belongs to a live process.
+    // Only the record seen now may be replaced: one that appears meanwhile belongs to a live
+    // process.
     m_replaces = m_leaderRevision;
     const auto sentAt = m_timers.now();
     m_platform.grantLease(m_settings.leaderTtl,
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -158,7 +158,8 @@
         }
         const auto &capacity = worker.entry.capacity;
         const double cores = std::max<double>(1, static_cast<double>(capacity.cpuMillis));
-        double score = 1 - static_cast<double>(worker.held.cpuMillis) / cores;
+        // The fullest worker that has room: others stay free for large tasks, or to be given back.
+        double score = static_cast<double>(worker.held.cpuMillis) / cores;
         score -= slownessPenalty * std::max(0.0, worker.slowness - 1);
         if (!step.dataRack.empty() && hasLabel(worker.entry, step.dataRack)) {
             score += dataRackBonus;
--- /dev/null
+++ b/src/fleet/pool_sizing.cpp
@@ -0,0 +1,301 @@
+#include <ibishinge/fleet/pool_sizing.h>
+
+#include <ibishinge/fleet/placement.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+/// Work that waits is to be begun within this time: about the wait that objectives leave.
+constexpr double drainMs = 1200;
+
+/// Demand above this share of its home size is a peak of the pool.
+constexpr double peakShare = 0.5;
+
+/// A peak is over after this time without high demand.
+constexpr milliseconds peakTail {1000};
+
+/// A host without runs is given back after this time: about where a second in a pool costs as much
+/// as a move.
+constexpr milliseconds idleTime {1500};
+
+/// A host stays at least this long where it was moved to, unless a pool in demand needs it.
+constexpr milliseconds settleTime {3000};
+
+/// Hosts kept free in a pool whose peak is over.
+constexpr int reserveHosts = 1;
+
+/// No move is made before all workers have registered, or this time has passed.
+constexpr milliseconds settlingTime {6000};
+
+/// A worker that failed to answer this often in a row does not count for its pool.
+constexpr int looksOfLostWorker = 3;
+
+/// Orders in progress at once; well below the platform's rate.
+constexpr std::size_t maxMovesAtOnce = 16;
+
+struct idle_host
+{
+    instant since;
+    std::string name;
+};
+
+/// A pool's wish and what it has.
+struct pool_state
+{
+    std::string name;
+    pool_load load;
+    int hosts = 0; ///< present or on their way in
+    int wanted = 0;
+    bool rested = false;
+    std::vector<idle_host> idle; ///< can be moved away, longest idle first
+};
+
+bool isUnderCare(const host_care_state &care, const std::string &host)
+{
+    return std::any_of(care.waves.begin(), care.waves.end(), [&](const auto &each) {
+        const auto found = each.second.hosts.find(host);
+        return !each.second.completed && found != each.second.hosts.end()
+               && found->second.step != care_step::waiting
+               && found->second.step != care_step::finished;
+    });
+}
+
+const std::string &kindOf(const host_entry &host)
+{
+    static const std::string none;
+    return host.labels.empty() ? none : host.labels.front();
+}
+
+/// Cores of one host of the fleet, in thousandths.
+double coresOfHost(const fleet_tables &tables)
+{
+    double sum = 0;
+    for (const auto &[name, host] : tables.hosts) {
+        sum += static_cast<double>(host.capacity.cpuMillis);
+    }
+    return tables.hosts.empty() ? 1 : std::max(1.0, sum / static_cast<double>(tables.hosts.size()));
+}
+
+void noteIdle(const fleet_tables &tables, pool_sizing_state &state, instant now)
+{
+    for (const auto &[id, worker] : tables.workers) {
+        if (worker.runs.empty() && worker.storedEnd >= worker.processedEnd) {
+            state.idleSince.emplace(id, now);
+        } else {
+            state.idleSince.erase(id);
+        }
+    }
+    for (auto entry = state.idleSince.begin(); entry != state.idleSince.end();) {
+        entry = tables.workers.count(entry->first) == 0 ? state.idleSince.erase(entry)
+                                                        : std::next(entry);
+    }
+}
+
+/// Forgets moves that have arrived, and orders that the platform must have carried out or lost.
+void settleMoves(const fleet_tables &tables, pool_sizing_state &state, instant now)
+{
+    constexpr milliseconds longestMove {6000};
+    for (auto move = state.moves.begin(); move != state.moves.end();) {
+        const auto &each = move->second;
+        const bool arrived =
+            std::any_of(tables.workers.begin(), tables.workers.end(), [&](const auto &entry) {
+                return entry.second.entry.host == each.host && entry.second.registered
+                       && entry.second.entry.pool == each.to;
+            });
+        const auto listed = tables.hosts.find(each.host);
+        const bool spare = tables.hostsReadAt > each.orderedAt && listed != tables.hosts.end()
+                           && listed->second.pool == each.to
+                           && listed->second.state == host_state::up
+                           && tables.config.pools.at(each.to).spare;
+        if (arrived || spare || since(each.orderedAt, now) > longestMove) {
+            move = state.moves.erase(move);
+        } else {
+            ++move;
+        }
+    }
+}
+
+pool_state observe(fleet_tables &tables, pool_sizing_state &state, const host_care_state &care,
+                   const std::string &name, double hostCores, instant now)
+{
+    pool_state pool;
+    pool.name = name;
+    pool.load = measurePool(tables, name, now);
+    for (const auto &[id, worker] : tables.workers) {
+        if (worker.entry.pool != name || !worker.registered
+            || worker.entry.state != worker_state::ready
+            || worker.failedLooks >= looksOfLostWorker) {
+            continue;
+        }
+        ++pool.hosts;
+        const auto since = state.idleSince.find(id);
+        if (since != state.idleSince.end() && isUsable(worker, now) && !worker.entry.host.empty()
+            && state.moves.count(worker.entry.host) == 0 && !isUnderCare(care, worker.entry.host)) {
+            pool.idle.push_back({since->second, worker.entry.host});
+        }
+    }
+    std::sort(pool.idle.begin(), pool.idle.end(),
+              [](const idle_host &a, const idle_host &b) { return a.since < b.since; });
+    for (const auto &[host, move] : state.moves) {
+        pool.hosts += move.to == name ? 1 : 0;
+        pool.hosts -= move.from == name ? 1 : 0;
+    }
+    auto &memory = state.pools[name];
+    const double demand = static_cast<double>(pool.load.lastingHeld + pool.load.batchHeld)
+                          + pool.load.waitingWork / drainMs * 1000;
+    if (demand - static_cast<double>(pool.load.lastingHeld) > peakShare * memory.home * hostCores) {
+        memory.peakAt = now;
+    }
+    memory.peaking = memory.peakAt != instant {} && since(memory.peakAt, now) < peakTail;
+    pool.wanted = static_cast<int>(std::ceil(demand / hostCores)) + reserveHosts;
+    return pool;
+}
+
+/// Returns true once the workers of all hosts that are up have registered: before that, pools look
+/// smaller than they are.
+bool isSettled(const fleet_tables &tables, pool_sizing_state &state, instant now)
+{
+    if (state.settled || tables.hosts.empty()) {
+        return state.settled;
+    }
+    if (state.firstSeen == instant {}) {
+        state.firstSeen = now;
+    }
+    const bool all = std::all_of(tables.hosts.begin(), tables.hosts.end(), [&](const auto &each) {
+        const auto pool = tables.config.pools.find(each.second.pool);
+        const bool expected = pool != tables.config.pools.end() && !pool->second.spare;
+        const auto worker = tables.workers.find(each.second.worker);
+        return !expected || (worker != tables.workers.end() && worker->second.registered);
+    });
+    state.settled = all || since(state.firstSeen, now) > settlingTime;
+    return state.settled;
+}
+
+} // namespace
+
+std::map<std::string, int> countHosts(const fleet_tables &tables)
+{
+    std::map<std::string, int> counts;
+    for (const auto &[name, host] : tables.hosts) {
+        ++counts[host.pool];
+    }
+    return counts;
+}
+
+std::vector<host_move> planMoves(fleet_tables &tables, pool_sizing_state &state,
+                                 const host_care_state &care, instant now)
+{
+    noteIdle(tables, state, now);
+    settleMoves(tables, state, now);
+    if (!state.homesKnown || !isSettled(tables, state, now)) {
+        return {};
+    }
+    std::string spareName;
+    std::vector<pool_state> pools;
+    const double hostCores = coresOfHost(tables);
+    for (const auto &[name, rule] : tables.config.pools) {
+        if (rule.spare) {
+            spareName = name;
+        } else {
+            pools.push_back(observe(tables, state, care, name, hostCores, now));
+        }
+    }
+    instant oldestPeak = now;
+    for (const auto &pool : pools) {
+        const auto &memory = state.pools.at(pool.name);
+        if (!memory.peaking) {
+            oldestPeak = std::min(oldestPeak, memory.peakAt);
+        }
+    }
+    for (auto &pool : pools) {
+        const auto &memory = state.pools.at(pool.name);
+        pool.rested = !memory.peaking && memory.peakAt > oldestPeak;
+        if (!pool.rested) {
+            pool.wanted = std::max(pool.wanted, memory.home);
+        }
+    }
+
+    std::vector<std::string> spare;
+    for (const auto &[name, host] : tables.hosts) {
+        if (host.pool == spareName && !spareName.empty() && host.state == host_state::up
+            && state.moves.count(name) == 0 && !isUnderCare(care, name)) {
+            spare.push_back(name);
+        }
+    }
+    std::vector<host_move> moves;
+    const auto add = [&](const std::string &host, const std::string &from, const std::string &to) {
+        moves.push_back({host, from, to, now, false});
+    };
+    const auto isCompatible = [&](const std::string &host, const std::string &to) {
+        const auto listed = tables.hosts.find(host);
+        return listed != tables.hosts.end()
+               && state.incompatible.count({kindOf(listed->second), to}) == 0;
+    };
+    // Those whose peak is most recent are the last to need their hosts again.
+    std::vector<pool_state *> donors;
+    for (auto &pool : pools) {
+        if (pool.rested) {
+            donors.push_back(&pool);
+        }
+    }
+    std::sort(donors.begin(), donors.end(), [&](const pool_state *a, const pool_state *b) {
+        return state.pools.at(a->name).peakAt > state.pools.at(b->name).peakAt;
+    });
+    std::vector<pool_state *> takers;
+    for (auto &pool : pools) {
+        takers.push_back(&pool);
+    }
+    std::sort(takers.begin(), takers.end(), [](const pool_state *a, const pool_state *b) {
+        return a->load.waitingWork > b->load.waitingWork;
+    });
+    const auto inProgress = [&] { return state.moves.size() + moves.size(); };
+    for (auto *taker : takers) {
+        while (taker->hosts < taker->wanted && inProgress() < maxMovesAtOnce) {
+            const auto source = std::find_if(spare.begin(), spare.end(), [&](const auto &host) {
+                return isCompatible(host, taker->name);
+            });
+            if (source != spare.end()) {
+                add(*source, spareName, taker->name);
+                spare.erase(source);
+                ++taker->hosts;
+                continue;
+            }
+            const auto donor = std::find_if(donors.begin(), donors.end(), [&](pool_state *each) {
+                return each != taker && each->hosts > each->wanted && !each->idle.empty()
+                       && isCompatible(each->idle.front().name, taker->name);
+            });
+            if (donor == donors.end()) {
+                break;
+            }
+            add((*donor)->idle.front().name, (*donor)->name, taker->name);
+            (*donor)->idle.erase((*donor)->idle.begin());
+            --(*donor)->hosts;
+            ++taker->hosts;
+        }
+    }
+    if (spareName.empty()) {
+        return moves;
+    }
+    for (auto *donor : donors) {
+        while (donor->hosts > donor->wanted && !donor->idle.empty()
+               && inProgress() < maxMovesAtOnce) {
+            const auto host = donor->idle.front();
+            donor->idle.erase(donor->idle.begin());
+            const auto moved = state.movedAt.find(host.name);
+            const bool idleLong = since(host.since, now) >= idleTime;
+            const bool settled =
+                moved == state.movedAt.end() || since(moved->second, now) >= settleTime;
+            if (idleLong && settled && isCompatible(host.name, spareName)) {
+                add(host.name, donor->name, spareName);
+                --donor->hosts;
+            }
+        }
+    }
+    return moves;
+}
+
+} // namespace ibishinge::fleet
--- a/src/fleet/record_codec.cpp
+++ b/src/fleet/record_codec.cpp
@@ -283,4 +283,15 @@
     });
 }
 
+std::string encodeHomes(const std::map<std::string, int> &homes)
+{
+    return json(homes).dump();
+}
+
+result<std::map<std::string, int>> decodeHomes(const std::string &text)
+{
+    return parseRecord<std::map<std::string, int>>(
+        "homes", text, [](const json &in) { return in.get<std::map<std::string, int>>(); });
+}
+
 } // namespace ibishinge::fleet
