--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -328,17 +328,15 @@
         counted.index = 0; // a gang fails as one
     }
     auto *counter = findTask(m_tables, counted);
-    if (counter == nullptr || end.run <= counter->lastFailedRun) {
+    if (counter == nullptr || !counter->failedRuns.insert(end.run).second) {
         return;
     }
-    counter->lastFailedRun = end.run;
-    ++counter->failures;
+    const auto failures = static_cast<int>(counter->failedRuns.size());
     const auto queue = m_tables.queues.find(job.queue);
-    if (queue != m_tables.queues.end() && counter->failures >= queue->second->maxAttempts
-        && !job.ending) {
+    if (queue != m_tables.queues.end() && failures >= queue->second->maxAttempts && !job.ending) {
         job.failureReason = "task " + std::to_string(end.task.step) + "."
-                            + std::to_string(end.task.index) + " failed "
-                            + std::to_string(counter->failures) + " times";
+                            + std::to_string(end.task.index) + " failed " + std::to_string(failures)
+                            + " times";
         endJob(job, job_state::failed);
         return;
     }
--- a/src/fleet/record_codec.cpp
+++ b/src/fleet/record_codec.cpp
@@ -177,8 +177,8 @@
             steps.push_back(encodeDone(occurrence.steps[step]));
             for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
                 const auto &task = occurrence.steps[step][index];
-                if (task.failures > 0) {
-                    failures.push_back({step, index, task.failures, task.lastFailedRun});
+                if (!task.failedRuns.empty()) {
+                    failures.push_back({step, index, task.failedRuns});
                 }
             }
         }
@@ -221,8 +221,7 @@
             for (const auto &row : open.at("failures")) {
                 if (occurrence != job.occurrences.end()) {
                     auto &task = occurrence->second.steps.at(row.at(0)).at(row.at(1));
-                    task.failures = row.at(2);
-                    task.lastFailedRun = row.at(3);
+                    task.failedRuns = row.at(2).get<std::set<std::int64_t>>();
                 }
             }
         }
