--- a/include/ibishinge/fleet/caller.h
+++ b/include/ibishinge/fleet/caller.h
@@ -20,6 +20,7 @@
     std::string key; ///< secret of a customer; may be empty
     std::optional<job_spec> spec; ///< of a submission
     milliseconds patience {0}; ///< time until the caller stops waiting
+    std::string sender; ///< address of the process that passes it on; empty: none does
     std::int64_t seenVersion = 0; ///< newest configuration that the entry process has shown
 };
 
--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -60,6 +60,16 @@
     /// The leader's record is proved to hold until `until`.
     void extend(instant until);
 
+    /// Orders nothing until `endSuspension`, whatever `extend` says.
+    void suspend() noexcept
+    {
+        m_suspended = true;
+    }
+    void endSuspension() noexcept
+    {
+        m_suspended = false;
+    }
+
     /// Returns true once the records are read, while the leader's record is proved.
     [[nodiscard]] bool isServing() const;
 
@@ -184,6 +194,7 @@
     pool_sizing_state m_sizing;
 
     bool m_closed = false;
+    bool m_suspended = false;
     bool m_loaded = false; ///< the records are read
     instant m_startedAt;
     instant m_provedUntil;
--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -25,6 +26,9 @@
     /// `outcome_unknown` if the request may have been received.
     virtual void forward(const std::string &address, const std::string &request,
                          milliseconds timeout, reply<std::string> done) = 0;
+    /// Asks a process to replace the leader's record of `revision`. Errors: as `forward`.
+    virtual void offerLeadership(const std::string &address, std::int64_t revision,
+                                 reply<bool> done) = 0;
 };
 
 struct node_settings
@@ -64,6 +68,10 @@
     /// coordinate.
     void handleForwarded(const caller_request &request, answer_handler done);
 
+    /// Takes the place of a leader that offers it, if this process reaches the store. Passes on
+    /// whether it tries.
+    void acceptLeadership(std::int64_t revision, std::function<void(bool)> done);
+
     /// Returns true if requests can be served: the configuration is fresh and there is a
     /// coordinator.
     [[nodiscard]] bool isReady() const;
@@ -95,6 +103,8 @@
     void lead(const store_lease &lease, instant sentAt, std::int64_t revision, std::int64_t term);
     void renew();
     void stopLeading(std::string_view reason);
+    void giveUpLease(std::int64_t lease);
+    void considerAbdication();
     void tryRequest(const std::shared_ptr<attempt> &request);
     void retryRequest(const std::shared_ptr<attempt> &request, milliseconds delay);
     void finishRequest(const std::shared_ptr<attempt> &request, caller_answer answer);
@@ -118,11 +128,15 @@
     std::int64_t m_leaderSeenAt = 0; ///< store revision up to which the record is known
     bool m_leaderKnown = false;
     instant m_noLeaderSince;
+    bool m_leaderDead = false; ///< the process of the record seen is proved to be gone
     int m_refusals = 0; ///< connections that the leader's machine refused, in a row
     instant m_storeAnsweredAt;
 
     std::shared_ptr<coordinator> m_coordinator;
     std::int64_t m_lease = 0;
+    std::map<std::string, instant> m_peersHeard; ///< when a process last passed on a request
+    std::string m_declinedBy;
+    bool m_abdicating = false;
     bool m_campaigning = false;
     std::int64_t m_replaces = 0; ///< revision of the record that the campaign replaces
     bool m_campaignPlanned = false;
--- a/include/ibishinge/fleet/platform_api.h
+++ b/include/ibishinge/fleet/platform_api.h
@@ -102,7 +102,8 @@
     virtual void grantLease(milliseconds ttl, reply<store_lease> done) = 0;
     /// Errors: also `unknown_entity` if the lease has ended.
     virtual void renewLease(std::int64_t lease, reply<store_lease> done) = 0;
-    virtual void endLease(std::int64_t lease) = 0;
+    /// Succeeds also if the lease has ended.
+    virtual void endLease(std::int64_t lease, reply<void> done) = 0;
 
     virtual void startRun(const worker_entry &worker, const run_order &order,
                           reply<start_reply> done) = 0;
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -71,8 +71,8 @@
 struct task_entry
 {
     task_phase phase = task_phase::waiting;
-    /// Runs that ended `failed`. After a take-over ends are learned in any order and more than once;
-    /// the members of a gang share a run.
+    /// Runs that ended `failed`. After a take-over ends are learned in any order and more than
+    /// once; the members of a gang share a run.
     std::set<std::int64_t> failedRuns;
     std::int64_t startsInTerm = 0; ///< runs ordered by this coordinator
     std::int64_t currentRun = 0; ///< the run that counts; 0: none
--- a/src/fleet/caller.cpp
+++ b/src/fleet/caller.cpp
@@ -43,6 +43,7 @@
                 {"path", request.path},
                 {"key", request.key},
                 {"patience", request.patience.count()},
+                {"sender", request.sender},
                 {"version", request.seenVersion}};
     if (request.spec) {
         out["spec"] = encodeSpec(*request.spec);
@@ -60,6 +61,7 @@
         request.path = in.at("path").get<std::string>();
         request.key = in.at("key").get<std::string>();
         request.patience = milliseconds(in.at("patience").get<std::int64_t>());
+        request.sender = in.value("sender", std::string());
         request.seenVersion = in.at("version").get<std::int64_t>();
         if (in.contains("spec")) {
             auto spec = decodeSpec(in.at("spec"));
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -92,7 +92,7 @@
 
 bool coordinator::mayAct() const
 {
-    return !m_closed && m_timers.now() < m_provedUntil;
+    return !m_closed && !m_suspended && m_timers.now() < m_provedUntil;
 }
 
 bool coordinator::isServing() const
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -102,6 +102,8 @@
     const auto applyHomes = [this](const store_item &item) {
         if (const auto homes = decodeHomes(item.value)) {
             setHomes(*homes);
+            // The registry was filled before this coordinator read it.
+            m_sizing.settled = true;
         }
     };
     readRecords(std::string(homesKey), "", applyHomes, [] {});
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -23,6 +23,15 @@
 
 /// Spreads the campaigns of processes that see the record vanish at the same moment.
 constexpr int campaignSpreadMs = 60;
+
+/// A leader without the store for this long offers its place to a process that reaches the store.
+constexpr milliseconds abdicationDelay {600};
+/// Processes heard of longer ago are not asked.
+constexpr milliseconds peerMemory {5000};
+/// A process accepts only if the store has answered it this recently: its poll's interval and a
+/// bit.
+constexpr milliseconds soundStoreContact {1500};
+
 constexpr milliseconds campaignRetry {200};
 
 /// Refused connections in a row that show that the leader's process is gone.
@@ -219,6 +228,7 @@
     m_leader = *record;
     m_leaderRevision = item.revision;
     m_refusals = 0;
+    m_leaderDead = false;
     logEvent(log_level::info, "leader_seen",
              {{"leader", record->name}, {"term", record->term}, {"revision", item.revision}});
     const bool mine = record->incarnation == m_settings.incarnation;
@@ -227,7 +237,7 @@
     }
     if (!mine && record->peerOf(m_settings.peerAddress)) {
         // This process took the place of the leader, which listened at the same address.
-        m_refusals = refusalsOfDeadLeader;
+        m_leaderDead = true;
         considerCampaign(milliseconds(0));
     }
 }
@@ -235,7 +245,7 @@
 void fleet_node::considerCampaign(milliseconds delay)
 {
     const bool wanted = m_leaderKnown && !m_coordinator && !m_campaigning && !m_resigned && m_config
-                        && (m_leaderRevision == 0 || m_refusals >= refusalsOfDeadLeader);
+                        && (m_leaderRevision == 0 || m_leaderDead);
     if (!wanted || m_campaignPlanned) {
         if (!m_config && !m_resigned && !m_campaignPlanned) {
             m_campaignPlanned = true;
@@ -252,7 +262,7 @@
     later(delay + spread, [this] {
         m_campaignPlanned = false;
         const bool still = !m_coordinator && !m_campaigning && !m_resigned
-                           && (m_leaderRevision == 0 || m_refusals >= refusalsOfDeadLeader);
+                           && (m_leaderRevision == 0 || m_leaderDead);
         if (still) {
             campaign();
         }
@@ -311,7 +321,7 @@
                               m_campaigning = false;
                               if (answer && answer->applied) {
                                   if (m_resigned) {
-                                      m_platform.endLease(lease.id);
+                                      giveUpLease(lease.id);
                                       return;
                                   }
                                   lead(lease, sentAt, answer->revision, term);
@@ -319,7 +329,7 @@
                               }
                               // Lost to another process, or the outcome is open: the lease ends
                               // what was written.
-                              m_platform.endLease(lease.id);
+                              giveUpLease(lease.id);
                               considerCampaign(campaignRetry);
                           }));
 }
@@ -367,12 +377,85 @@
                                   } else {
                                       logEvent(log_level::warning, "lease_not_renewed",
                                                {{"error", describe(lease.error())}});
+                                      considerAbdication();
                                   }
                               }
                               later(lease ? renewInterval : renewRetry, [this] { renew(); });
                           }));
 }
 
+void fleet_node::considerAbdication()
+{
+    const auto now = m_timers.now();
+    if (m_abdicating || since(m_storeAnsweredAt, now) < abdicationDelay) {
+        return;
+    }
+    // The process heard of last is the most likely to be sound.
+    std::string heir;
+    instant heardAt = now - peerMemory;
+    for (const auto &[address, at] : m_peersHeard) {
+        if (at > heardAt && address != m_declinedBy) {
+            heir = address;
+            heardAt = at;
+        }
+    }
+    if (heir.empty()) {
+        m_declinedBy.clear();
+        return;
+    }
+    m_abdicating = true;
+    // From here on nothing is ordered: the heir may lead before its answer arrives.
+    m_coordinator->suspend();
+    logEvent(log_level::warning, "abdication_offered",
+             {{"heir", heir}, {"store_silent_ms", since(m_storeAnsweredAt, now).count()}});
+    m_peers.offerLeadership(heir, m_leaderRevision,
+                            whileAlive<bool>([this, heir](const result<bool> &accepted) {
+                                m_abdicating = false;
+                                if (accepted && !*accepted) {
+                                    m_declinedBy = heir;
+                                    if (m_coordinator) {
+                                        m_coordinator->endSuspension();
+                                    }
+                                    return;
+                                }
+                                if (!accepted && accepted.error().kind == error_kind::unavailable) {
+                                    m_peersHeard.erase(heir);
+                                    if (m_coordinator) {
+                                        m_coordinator->endSuspension();
+                                    }
+                                    return;
+                                }
+                                stopLeading("abdicated");
+                            }));
+}
+
+void fleet_node::acceptLeadership(std::int64_t revision, std::function<void(bool)> done)
+{
+    // The store may be away for all: only an answer to a read now shows that it is not.
+    m_platform.readItem(
+        std::string(leaderKey),
+        whileAlive<store_item>([this, revision, done](const result<store_item> &item) {
+            const bool wanted = item && item->revision == revision && !m_resigned && !m_coordinator
+                                && !m_campaigning && m_config && m_leaderRevision == revision;
+            logEvent(log_level::info, "leadership_offered",
+                     {{"revision", revision}, {"accepted", wanted}});
+            done(wanted);
+            if (wanted) {
+                campaign();
+            }
+        }));
+}
+
+void fleet_node::giveUpLease(std::int64_t lease)
+{
+    m_platform.endLease(lease, whileAlive<void>([this, lease](const result<void> &ended) {
+                            if (!ended) {
+                                // Without it the others wait until the lease runs out.
+                                later(renewRetry, [this, lease] { giveUpLease(lease); });
+                            }
+                        }));
+}
+
 void fleet_node::stopLeading(std::string_view reason)
 {
     if (!m_coordinator) {
@@ -391,7 +474,7 @@
     if (m_coordinator) {
         const auto lease = m_lease;
         stopLeading("resigned");
-        m_platform.endLease(lease);
+        giveUpLease(lease);
     }
 }
 
@@ -416,6 +499,9 @@
 
 void fleet_node::handleForwarded(const caller_request &request, answer_handler done)
 {
+    if (!request.sender.empty() && request.sender != m_settings.peerAddress) {
+        m_peersHeard[request.sender] = m_timers.now();
+    }
     const bool fresh = since(m_configProvedAt, m_timers.now()) < m_settings.configurationLimit;
     if (!m_coordinator || !m_coordinator->isServing() || !fresh) {
         caller_answer answer;
@@ -433,6 +519,7 @@
         return;
     }
     each->request.seenVersion = m_shownVersion;
+    each->request.sender = m_settings.peerAddress;
     const auto onAnswer = [this, each](const caller_answer &answer) {
         if (answer.kind == answer_kind::not_ready && m_timers.now() < each->giveUpAt
             && !(answer.version > 0 && each->request.operation == caller_operation::submit)) {
@@ -445,7 +532,7 @@
         handleForwarded(each->request, onAnswer);
         return;
     }
-    if (!m_leader) {
+    if (!m_leader || m_leader->address == m_settings.peerAddress) {
         retryRequest(each, requestRetry);
         return;
     }
@@ -483,7 +570,7 @@
     }
     if (failure.systemError == ECONNREFUSED) {
         // Nothing listens there: the process has ended, and with it all that it might order.
-        ++m_refusals;
+        m_leaderDead = m_leaderDead || ++m_refusals >= refusalsOfDeadLeader;
         considerCampaign(milliseconds(0));
     } else {
         m_refusals = 0;
--- a/src/fleet/pool_sizing.cpp
+++ b/src/fleet/pool_sizing.cpp
@@ -238,7 +238,7 @@
     // Those whose peak is most recent are the last to need their hosts again.
     std::vector<pool_state *> donors;
     for (auto &pool : pools) {
-        if (pool.rested) {
+        if (!state.pools.at(pool.name).peaking) {
             donors.push_back(&pool);
         }
     }
--- a/src/outside/io_loop.cpp
+++ b/src/outside/io_loop.cpp
@@ -190,8 +190,8 @@
         freshUntil[call->address] = boot_clock::now() + freshConnections;
     }
     error failure;
-    const bool notSent = requestBytes == 0
-                         && (code == CURLE_COULDNT_CONNECT || code == CURLE_OPERATION_TIMEDOUT);
+    const bool notSent =
+        requestBytes == 0 && (code == CURLE_COULDNT_CONNECT || code == CURLE_OPERATION_TIMEDOUT);
     failure.kind = notSent ? error_kind::unavailable : error_kind::outcome_unknown;
     failure.place = call->address;
     failure.message = curl_easy_strerror(code);
