--- a/include/ibishinge/base/logging.h
+++ b/include/ibishinge/base/logging.h
@@ -9,7 +9,8 @@
 
 enum class log_level : std::uint8_t { info, warning, error };
 
-/// Starts logging: one JSON object a line on standard error, through glog.
+/// Starts logging: one JSON object a line on standard output, through glog. Lines are written by a
+/// thread of their own; a reader that falls behind, or a flood of lines, costs lines, not time.
 ///
 /// Lines hold `time`, `level`, `process`, `event` and the fields of the event. Messages of
 /// libraries that use glog themselves become the event `library_message`. Call once, at the start
--- a/src/base/logging.cpp
+++ b/src/base/logging.cpp
@@ -1,11 +1,17 @@
 #include <ibishinge/base/logging.h>
 
+#include <ibishinge/base/line_writer.h>
+
 #include <glog/logging.h>
 
+#include <unistd.h>
+
 #include <array>
 #include <chrono>
 #include <cstdio>
 #include <ctime>
+#include <mutex>
+#include <utility>
 
 namespace ibishinge {
 
@@ -29,6 +35,39 @@
     return std::string(text.data(), length) + fraction.data();
 }
 
+/// Lines that wait for a slow reader of standard output.
+constexpr std::size_t maxWaitingBytes = 1U << 20U;
+
+/// Lines of level `info` in one second; more are dropped and counted, so that the volume stays
+/// bounded under load. Warnings and errors have a bound of their own.
+constexpr int infoLinesPerSecond = 4000;
+constexpr int otherLinesPerSecond = 1000;
+
+/// Counts the lines of the current second.
+class line_budget
+{
+public:
+    explicit line_budget(int perSecond)
+        : m_perSecond(perSecond)
+    {
+    }
+
+    /// Returns false if the second's lines are used up. Precondition: calls do not overlap.
+    bool take(std::int64_t second)
+    {
+        if (second != m_second) {
+            m_second = second;
+            m_used = 0;
+        }
+        return m_used++ < m_perSecond;
+    }
+
+private:
+    int m_perSecond;
+    std::int64_t m_second = 0;
+    int m_used = 0;
+};
+
 /// Turns each glog message into one JSON line.
 class json_line_sink final : public google::LogSink
 {
@@ -43,26 +82,46 @@
               std::size_t length) override
     {
         const std::string_view text(message, length);
-        nlohmann::json fields;
+        std::string body;
         if (text.starts_with(structuredPrefix)) {
-            fields = nlohmann::json::parse(text.substr(structuredPrefix.size()), nullptr, false);
+            body = text.substr(structuredPrefix.size());
         } else {
-            fields = {{"event", "library_message"},
-                      {"message", text},
-                      {"source", std::string(baseFilename) + ":" + std::to_string(line)}};
+            body =
+                nlohmann::json({{"event", "library_message"},
+                                {"message", text},
+                                {"source", std::string(baseFilename) + ":" + std::to_string(line)}})
+                    .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
         }
-        fields["time"] = utcTime();
-        fields["level"] = severity == google::INFO      ? "info"
-                          : severity == google::WARNING ? "warning"
-                                                        : "error";
-        fields["process"] = m_process;
-        const std::string out =
-            fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
-        std::fwrite(out.data(), 1, out.size(), stderr);
+        const char *level = severity == google::INFO      ? "info"
+                            : severity == google::WARNING ? "warning"
+                                                          : "error";
+        const std::lock_guard lock(m_mutex);
+        auto &budget = severity == google::INFO ? m_infoBudget : m_otherBudget;
+        if (!budget.take(std::time(nullptr))) {
+            ++m_overBudget;
+            return;
+        }
+        const auto dropped = std::exchange(m_overBudget, 0) + m_writer.takeDropped();
+        if (dropped > 0) {
+            m_writer.write(head("warning") + R"("event":"log_lines_dropped","lines":)"
+                           + std::to_string(dropped) + "}\n");
+        }
+        m_writer.write(head(level) + body.substr(1) + "\n");
     }
 
 private:
+    [[nodiscard]] std::string head(const char *level) const
+    {
+        return R"({"time":")" + utcTime() + R"(","level":")" + level + R"(","process":)"
+               + nlohmann::json(m_process).dump() + ",";
+    }
+
     std::string m_process;
+    std::mutex m_mutex;
+    line_budget m_infoBudget {infoLinesPerSecond};
+    line_budget m_otherBudget {otherLinesPerSecond};
+    std::uint64_t m_overBudget = 0;
+    line_writer m_writer {STDOUT_FILENO, maxWaitingBytes};
 };
 
 int severityOf(log_level level)
--- a/src/fleet/admission.cpp
+++ b/src/fleet/admission.cpp
@@ -1,19 +1,70 @@
 #include <ibishinge/fleet/admission.h>
 
-#include <ibishinge/fleet/placement.h>
-
 #include <algorithm>
 
 namespace ibishinge::fleet {
 
+namespace {
+
+/// When a job whose label no worker has may come back: workers join within seconds.
+constexpr milliseconds labelRetry {5000};
+
+bool hasLabel(const std::vector<std::string> &labels, const std::string &label)
+{
+    return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+struct step_fit
+{
+    bool anyFits = false; ///< some host is large enough
+    bool anyLabelled = false; ///< some host is large enough and has the label
+    bool hostsKnown = false;
+};
+
+/// Compares a step with the workers of its pool and with all hosts, as any of them can join it.
+step_fit fitOf(const fleet_tables &tables, const step_spec &step, const std::string &pool)
+{
+    step_fit fit;
+    const auto consider = [&](const resources &capacity, const std::vector<std::string> &labels) {
+        fit.hostsKnown = true;
+        if (fits(heldBy(step), capacity) && step.need.cpuMillis <= capacity.cpuMillis) {
+            fit.anyFits = true;
+            fit.anyLabelled = fit.anyLabelled || hasLabel(labels, step.requiredLabel);
+        }
+    };
+    for (const auto &[id, worker] : tables.workers) {
+        if (worker.entry.pool == pool) {
+            consider(worker.entry.capacity, worker.entry.labels);
+        }
+    }
+    for (const auto &[name, host] : tables.hosts) {
+        consider(host.capacity, host.labels);
+    }
+    return fit;
+}
+
+} // namespace
+
 admission_decision decideAdmission(const fleet_tables &tables, const job_entry &job,
-                                   const queue_rule & /*queue*/, instant now)
+                                   const queue_rule &queue, instant /*now*/)
 {
     admission_decision decision;
     decision.objective = since(job.submittedAt, job.objectiveAt);
     decision.predicted = job.chain;
-    static_cast<void>(tables);
-    static_cast<void>(now);
+    for (const auto &step : job.spec.steps) {
+        const auto fit = fitOf(tables, step, queue.pool);
+        if (fit.hostsKnown && !fit.anyFits) {
+            decision.verdict = admission_verdict::never;
+            decision.reason = "a task needs more than any host has";
+            return decision;
+        }
+        if (fit.hostsKnown && !fit.anyLabelled) {
+            decision.verdict = admission_verdict::later;
+            decision.reason = "no host has the label " + step.requiredLabel;
+            decision.retryAfter = labelRetry;
+            return decision;
+        }
+    }
     return decision;
 }
 
--- /dev/null
+++ b/standins/virtual_platform.h
@@ -0,0 +1,617 @@
+#pragma once
+
+#include "standins/virtual_loop.h"
+
+#include <ibishinge/fleet/platform_api.h>
+#include <ibishinge/fleet/tables.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ibishinge::standin {
+
+using namespace ibishinge::fleet;
+
+/// One worker of the virtual platform.
+struct virtual_worker
+{
+    struct live_run
+    {
+        std::int64_t run = 0;
+        instant startedAt;
+        instant endsAt; ///< epoch: never
+        bool fails = false;
+    };
+
+    worker_entry entry;
+    bool alive = true;
+    bool reachable = true;
+    std::int64_t fence = 0;
+    instant leaseEnd;
+    instant startedAt;
+    std::map<task_name, live_run> running;
+    std::map<task_name, std::int64_t> closedRuns; ///< highest run stopped or ended
+    std::vector<run_end> ended;
+    std::int64_t endCount = 0;
+    std::vector<std::function<void()>> waitingLooks;
+};
+
+/// The platform in virtual time: store, workers and hosts, shared by the clients of all processes.
+/// Checks what must hold for tasks whenever one starts.
+class virtual_world
+{
+public:
+    explicit virtual_world(virtual_loop &virtualLoop)
+        : loop(virtualLoop)
+    {
+    }
+
+    virtual_worker &addWorker(const std::string &id, const std::string &pool, std::int64_t cpu)
+    {
+        auto &worker = workers[id];
+        worker.entry.id = id;
+        worker.entry.address = id + ":1";
+        worker.entry.pool = pool;
+        worker.entry.host = "host-" + id;
+        worker.entry.capacity = {cpu, 100000, 0};
+        worker.entry.labels = {"a", "rack-1"};
+        worker.entry.born = ++lives;
+        worker.startedAt = loop.now();
+        auto &host = hosts[worker.entry.host];
+        host = {worker.entry.host,     pool, host_state::up, worker.entry.labels,
+                worker.entry.capacity, id};
+        putItem("workers/" + id, id, 0);
+        return worker;
+    }
+
+    /// Ends a worker without a word, as a crash does.
+    void crash(const std::string &id)
+    {
+        auto &worker = workers.at(id);
+        worker.alive = false;
+        worker.running.clear();
+        worker.ended.clear();
+    }
+
+    void putItem(const std::string &key, const std::string &value, std::int64_t lease)
+    {
+        auto &item = items[key];
+        item = {key, value, ++revision, false};
+        leaseOf[key] = lease;
+        notify(item);
+    }
+
+    void deleteItem(const std::string &key)
+    {
+        if (items.erase(key) > 0) {
+            leaseOf.erase(key);
+            notify({key, "", ++revision, true});
+        }
+    }
+
+    void endLease(std::int64_t lease)
+    {
+        leaseEnds.erase(lease);
+        std::vector<std::string> keys;
+        for (const auto &[key, id] : leaseOf) {
+            if (id == lease) {
+                keys.push_back(key);
+            }
+        }
+        for (const auto &key : keys) {
+            deleteItem(key);
+        }
+    }
+
+    void renew(std::int64_t lease, milliseconds ttl)
+    {
+        leaseEnds[lease] = loop.now() + ttl;
+        loop.after(ttl, [this, lease] {
+            const auto found = leaseEnds.find(lease);
+            if (found != leaseEnds.end() && found->second <= loop.now()) {
+                endLease(lease);
+            }
+        });
+    }
+
+    transaction_reply apply(const store_transaction &change)
+    {
+        transaction_reply answer;
+        for (const auto &condition : change.conditions) {
+            const auto found = items.find(condition.key);
+            const auto current = found == items.end() ? 0 : found->second.revision;
+            if (current != condition.revision) {
+                answer.current.clear();
+                for (const auto &each : change.conditions) {
+                    const auto item = items.find(each.key);
+                    if (item != items.end()) {
+                        answer.current.push_back(item->second);
+                    }
+                }
+                return answer;
+            }
+        }
+        for (const auto &put : change.puts) {
+            if (put.lease != 0 && leaseEnds.count(put.lease) == 0) {
+                answer.leaseGone = true;
+                return answer;
+            }
+        }
+        const auto changed = ++revision;
+        for (const auto &put : change.puts) {
+            items[put.key] = {put.key, put.value, changed, false};
+            leaseOf[put.key] = put.lease;
+            notify(items[put.key]);
+        }
+        for (const auto &key : change.deletes) {
+            items.erase(key);
+            notify({key, "", changed, true});
+        }
+        ++transactions;
+        answer.applied = true;
+        answer.revision = changed;
+        return answer;
+    }
+
+    start_reply start(virtual_worker &worker, const run_order &order)
+    {
+        const auto clock = clockOf(worker);
+        if (order.fencingToken < worker.fence) {
+            return {start_outcome::fenced, clock};
+        }
+        worker.fence = order.fencingToken;
+        const auto running = worker.running.find(order.task);
+        if (running != worker.running.end() && running->second.run == order.run) {
+            return {start_outcome::running, clock};
+        }
+        const auto closed = worker.closedRuns.find(order.task);
+        if (closed != worker.closedRuns.end() && order.run <= closed->second) {
+            return {start_outcome::old_run, clock};
+        }
+        for (const auto &[id, other] : workers) {
+            const auto run = other.running.find(order.task);
+            if (other.alive && run != other.running.end()) {
+                violations.push_back("two runs of " + order.task.job);
+            }
+        }
+        if (doneTasks.count(order.task) > 0) {
+            violations.push_back("start after the end of " + order.task.job);
+        }
+        if (static_cast<int>(failures[order.task]) >= maxAttempts) {
+            violations.push_back("start beyond the attempts of " + order.task.job);
+        }
+        ++starts;
+        worker.leaseEnd =
+            std::max(worker.leaseEnd, worker.startedAt + milliseconds(order.leaseUntil));
+        const auto planned = behaviourOf(order.task);
+        virtual_worker::live_run run;
+        run.run = order.run;
+        run.startedAt = loop.now();
+        run.fails = planned.fails;
+        if (planned.duration.count() > 0) {
+            run.endsAt = loop.now() + planned.duration;
+            loop.after(planned.duration, [this, id = worker.entry.id, order, planned,
+                                            life = worker.entry.born] {
+                auto &at = workers.at(id);
+                const auto found = at.running.find(order.task);
+                if (at.alive && at.entry.born == life && found != at.running.end()
+                    && found->second.run == order.run) {
+                    end(at, order.task, planned.fails ? end_kind::failed : end_kind::done);
+                }
+            });
+        }
+        worker.running[order.task] = run;
+        return {start_outcome::running, clock};
+    }
+
+    void end(virtual_worker &worker, const task_name &task, end_kind kind)
+    {
+        const auto run = worker.running.at(task).run;
+        worker.running.erase(task);
+        worker.closedRuns[task] = std::max(worker.closedRuns[task], run);
+        worker.ended.push_back({++worker.endCount, task, run, kind, ""});
+        if (kind == end_kind::done) {
+            doneTasks.insert(task);
+        }
+        if (kind == end_kind::failed) {
+            ++failures[task];
+        }
+        for (const auto &wake : std::exchange(worker.waitingLooks, {})) {
+            wake();
+        }
+    }
+
+    worker_report report(virtual_worker &worker)
+    {
+        worker_report out;
+        out.workerClock = clockOf(worker);
+        out.born = worker.entry.born;
+        for (const auto &[task, run] : worker.running) {
+            out.running.push_back({task, run.run, "", 100, 0});
+        }
+        out.ended = worker.ended;
+        return out;
+    }
+
+    [[nodiscard]] std::int64_t clockOf(const virtual_worker &worker) const
+    {
+        return (loop.now() - worker.startedAt).count() + 1;
+    }
+
+    struct behaviour
+    {
+        milliseconds duration {500}; ///< 0: runs until it is stopped
+        bool fails = false;
+    };
+
+    void notify(const store_item &item)
+    {
+        history.push_back(item);
+        for (const auto &wake : std::exchange(watchers, {})) {
+            wake();
+        }
+    }
+
+    virtual_loop &loop;
+    std::map<std::string, store_item> items;
+    std::map<std::string, std::int64_t> leaseOf;
+    std::map<std::int64_t, instant> leaseEnds;
+    std::int64_t nextLease = 1;
+    std::int64_t revision = 100;
+    std::vector<store_item> history;
+    std::vector<std::function<void()>> watchers;
+    std::map<std::string, virtual_worker> workers;
+    std::map<std::string, host_entry> hosts;
+    std::int64_t lives = 0;
+    std::function<behaviour(const task_name &)> behaviourOf = [](const task_name &) {
+        return behaviour {};
+    };
+    configuration config;
+    std::vector<maintenance_wave> waves;
+    int maxAttempts = 2;
+    std::set<task_name> doneTasks;
+    std::map<task_name, int> failures;
+    std::vector<std::string> violations;
+    std::vector<std::string> maintained; ///< hosts, in the order of their maintenance
+    std::vector<std::pair<std::string, std::string>> moved; ///< host and pool
+    int starts = 0;
+    int transactions = 0;
+};
+
+/// The platform as one process sees it. Faults are set by the fields.
+class virtual_platform final : public platform_api
+{
+public:
+    explicit virtual_platform(virtual_world &world)
+        : m_world(world)
+    {
+    }
+
+    bool storeCut = false; ///< the store does not answer this process
+    int loseCommits = 0; ///< so many commits take effect without an answer
+    bool workersCut = false;
+    std::set<std::string> unansweredStops; ///< workers whose stops fail
+    int refuseStarts = 0; ///< so many starts find no connection
+
+    void readItem(const std::string &key, reply<store_item> done) override
+    {
+        atStore<store_item>(done, [this, key]() -> result<store_item> {
+            const auto found = m_world.items.find(key);
+            return found == m_world.items.end() ? store_item {key, "", 0, true} : found->second;
+        });
+    }
+
+    void readRange(const std::string &prefix, const std::string &after,
+                   reply<store_page> done) override
+    {
+        atStore<store_page>(done, [this, prefix, after]() -> result<store_page> {
+            store_page page;
+            for (const auto &[key, item] : m_world.items) {
+                if (key.starts_with(prefix) && key > after) {
+                    page.items.push_back(item);
+                }
+            }
+            page.revision = m_world.revision;
+            return page;
+        });
+    }
+
+    void watch(const std::string &prefix, std::int64_t revision, milliseconds wait,
+               reply<store_page> done) override
+    {
+        waitForChange(prefix, revision, m_world.loop.now() + wait, std::move(done));
+    }
+
+    void commit(const store_transaction &change, reply<transaction_reply> done) override
+    {
+        if (loseCommits > 0 && !storeCut) {
+            --loseCommits;
+            m_world.loop.after(storeTime, [this, change] { m_world.apply(change); });
+            fail<transaction_reply>(std::move(done), error_kind::outcome_unknown);
+            return;
+        }
+        atStore<transaction_reply>(
+            done, [this, change]() -> result<transaction_reply> { return m_world.apply(change); });
+    }
+
+    void grantLease(milliseconds ttl, reply<store_lease> done) override
+    {
+        atStore<store_lease>(done, [this, ttl]() -> result<store_lease> {
+            const auto id = m_world.nextLease++;
+            m_world.renew(id, ttl);
+            m_ttl = ttl;
+            return store_lease {id, ttl};
+        });
+    }
+
+    void renewLease(std::int64_t lease, reply<store_lease> done) override
+    {
+        atStore<store_lease>(done, [this, lease]() -> result<store_lease> {
+            if (m_world.leaseEnds.count(lease) == 0) {
+                return makeError(error_kind::unknown_entity, "lease", "ended");
+            }
+            m_world.renew(lease, m_ttl);
+            return store_lease {lease, m_ttl};
+        });
+    }
+
+    void endLease(std::int64_t lease, reply<void> done) override
+    {
+        atStore<void>(done, [this, lease]() -> result<void> {
+            m_world.endLease(lease);
+            return {};
+        });
+    }
+
+    void startRun(const worker_entry &worker, const run_order &order,
+                  reply<start_reply> done) override
+    {
+        if (refuseStarts > 0) {
+            --refuseStarts;
+            fail<start_reply>(std::move(done), error_kind::unavailable);
+            return;
+        }
+        atWorker<start_reply>(worker.id, done,
+                              [this, order](virtual_worker &at) -> result<start_reply> {
+                                  return m_world.start(at, order);
+                              });
+    }
+
+    void stopRun(const worker_entry &worker, const task_name &task, std::int64_t run,
+                 std::int64_t fencingToken, reply<start_reply> done) override
+    {
+        if (unansweredStops.count(worker.id) > 0) {
+            fail<start_reply>(std::move(done), error_kind::outcome_unknown);
+            return;
+        }
+        atWorker<start_reply>(
+            worker.id, done, [=, this](virtual_worker &at) -> result<start_reply> {
+                if (fencingToken < at.fence) {
+                    return start_reply {start_outcome::fenced, m_world.clockOf(at)};
+                }
+                at.closedRuns[task] = std::max(at.closedRuns[task], run);
+                const auto found = at.running.find(task);
+                if (found != at.running.end() && found->second.run <= run) {
+                    m_world.end(at, task, end_kind::stopped);
+                }
+                return start_reply {start_outcome::running, m_world.clockOf(at)};
+            });
+    }
+
+    void paceRun(const worker_entry &worker, const task_name & /*task*/, std::int64_t /*run*/,
+                 int /*percent*/, std::int64_t /*fencingToken*/, reply<start_reply> done) override
+    {
+        atWorker<start_reply>(worker.id, done, [](virtual_worker &) -> result<start_reply> {
+            return start_reply {};
+        });
+    }
+
+    void look(const worker_entry &worker, const look_order &order,
+              reply<worker_report> done) override
+    {
+        m_world.loop.after(workerTime, [=, this] {
+            auto &at = m_world.workers.at(worker.id);
+            if (workersCut || !at.alive || !at.reachable) {
+                fail<worker_report>(done, error_kind::outcome_unknown);
+                return;
+            }
+            if (order.fencingToken < at.fence) {
+                worker_report fenced;
+                fenced.fenced = true;
+                done(fenced);
+                return;
+            }
+            at.fence = order.fencingToken;
+            std::erase_if(at.ended,
+                          [&](const run_end &end) { return end.number <= order.lastSeen; });
+            if (order.wait.count() == 0 || !at.ended.empty()) {
+                done(m_world.report(at));
+                return;
+            }
+            const auto answered = std::make_shared<bool>(false);
+            const auto answer = [this, done, answered, id = worker.id] {
+                if (!std::exchange(*answered, true)) {
+                    done(m_world.report(m_world.workers.at(id)));
+                }
+            };
+            at.waitingLooks.push_back([this, answer] { m_world.loop.after(workerTime, answer); });
+            m_world.loop.after(order.wait, answer);
+        });
+    }
+
+    void advise(const std::string & /*job*/, int /*occurrence*/, int /*step*/,
+                const std::vector<std::string> &workers, reply<advice_reply> done) override
+    {
+        advice_reply answer;
+        for (const auto &id : workers) {
+            answer.good.push_back({id, "proof"});
+        }
+        answer.validity = milliseconds(3000);
+        m_world.loop.after(workerTime, [done, answer] { done(answer); });
+    }
+
+    void listHosts(reply<std::vector<host_entry>> done) override
+    {
+        m_world.loop.after(workerTime, [this, done] {
+            std::vector<host_entry> hosts;
+            for (const auto &[name, host] : m_world.hosts) {
+                hosts.push_back(host);
+            }
+            done(hosts);
+        });
+    }
+
+    void moveHost(const std::string &host, const std::string &pool, std::int64_t /*fencingToken*/,
+                  reply<host_order_outcome> done) override
+    {
+        m_world.moved.emplace_back(host, pool);
+        takeDown(host, pool);
+        m_world.loop.after(workerTime, [done] { done(host_order_outcome::accepted); });
+    }
+
+    void maintainHost(const std::string &host, std::int64_t /*wave*/, std::int64_t /*fencingToken*/,
+                      reply<host_order_outcome> done) override
+    {
+        m_world.maintained.push_back(host);
+        takeDown(host, m_world.hosts.at(host).pool);
+        m_world.loop.after(workerTime, [done] { done(host_order_outcome::accepted); });
+    }
+
+    [[nodiscard]] std::optional<worker_entry> decodeWorker(const store_item &item) const override
+    {
+        const auto found = m_world.workers.find(item.value);
+        return found == m_world.workers.end() ? std::nullopt : std::optional(found->second.entry);
+    }
+    [[nodiscard]] result<configuration> decodeConfiguration(const store_item &) const override
+    {
+        return m_world.config;
+    }
+    [[nodiscard]] result<maintenance_wave> decodeWave(const store_item &item) const override
+    {
+        for (const auto &wave : m_world.waves) {
+            if ("waves/" + std::to_string(wave.number) == item.key) {
+                return wave;
+            }
+        }
+        return makeError(error_kind::invalid_request, item.key, "no wave");
+    }
+    [[nodiscard]] store_put encodeWaveStatus(std::int64_t wave, bool completed) const override
+    {
+        return {"wave-status/" + std::to_string(wave), completed ? "completed" : "running", 0};
+    }
+    [[nodiscard]] std::string configurationKey() const override
+    {
+        return "configuration";
+    }
+    [[nodiscard]] std::string workerPrefix() const override
+    {
+        return "workers/";
+    }
+    [[nodiscard]] std::string wavePrefix() const override
+    {
+        return "waves/";
+    }
+
+private:
+    static constexpr milliseconds storeTime {5};
+    static constexpr milliseconds workerTime {2};
+    static constexpr milliseconds silence {300}; ///< until a call without an answer is given up
+    static constexpr milliseconds downTime {1500};
+
+    template <class T>
+    void fail(reply<T> done, error_kind kind)
+    {
+        m_world.loop.after(kind == error_kind::unavailable ? workerTime : silence, [done, kind] {
+            done(makeError(kind, "virtual platform", "no answer"));
+        });
+    }
+
+    template <class T>
+    void atStore(const reply<T> &done, std::function<result<T>()> act)
+    {
+        if (storeCut) {
+            fail<T>(done, error_kind::outcome_unknown);
+            return;
+        }
+        m_world.loop.after(storeTime, [done, act] { done(act()); });
+    }
+
+    template <class T>
+    void atWorker(const std::string &id, const reply<T> &done,
+                  std::function<result<T>(virtual_worker &)> act)
+    {
+        m_world.loop.after(workerTime, [=, this] {
+            auto &worker = m_world.workers.at(id);
+            if (workersCut || !worker.alive || !worker.reachable) {
+                fail<T>(done, error_kind::outcome_unknown);
+                return;
+            }
+            done(act(worker));
+        });
+    }
+
+    void waitForChange(const std::string &prefix, std::int64_t revision, instant until,
+                       reply<store_page> done)
+    {
+        if (storeCut) {
+            fail<store_page>(std::move(done), error_kind::outcome_unknown);
+            return;
+        }
+        store_page page;
+        page.revision = m_world.revision;
+        for (const auto &item : m_world.history) {
+            if (item.revision > revision && item.key.starts_with(prefix)) {
+                page.items.push_back(item);
+            }
+        }
+        if (!page.items.empty() || m_world.loop.now() >= until) {
+            m_world.loop.after(storeTime, [done, page] { done(page); });
+            return;
+        }
+        const auto woken = std::make_shared<bool>(false);
+        const auto again = [=, this] {
+            if (!std::exchange(*woken, true)) {
+                waitForChange(prefix, revision, until, done);
+            }
+        };
+        m_world.watchers.push_back([this, again] { m_world.loop.after(milliseconds(0), again); });
+        m_world.loop.after(until - m_world.loop.now(), again);
+    }
+
+    void takeDown(const std::string &host, const std::string &pool)
+    {
+        auto &entry = m_world.hosts.at(host);
+        const auto worker = entry.worker;
+        entry.state = host_state::maintenance;
+        entry.pool = pool;
+        if (m_world.workers.count(worker) > 0) {
+            m_world.crash(worker);
+            m_world.deleteItem("workers/" + worker);
+        }
+        m_world.loop.after(downTime, [this, host, worker, pool] {
+            const bool spare = m_world.config.pools.at(pool).spare;
+            auto &back = m_world.hosts.at(host);
+            back.state = host_state::up;
+            back.worker.clear();
+            if (!spare) {
+                const auto id = "w" + std::to_string(++m_world.lives);
+                auto &fresh = m_world.addWorker(id, pool, back.capacity.cpuMillis);
+                m_world.hosts.erase(fresh.entry.host);
+                fresh.entry.host = host;
+                back.worker = id;
+                m_world.putItem("workers/" + id, id, 0);
+            }
+        });
+    }
+
+    virtual_world &m_world;
+    milliseconds m_ttl {3000};
+};
+
+} // namespace ibishinge::standin
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,448 @@
+#include "tests/support/fleet_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace ibishinge;
+using namespace ibishinge::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string jobPath = "/pool-a/00000000000000aa";
+
+} // namespace
+
+/// Whole processes on a virtual platform: callers' requests, take-over, faults of the store and of
+/// workers. After each test no rule for tasks may have been broken.
+class fleet_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(fleet_test);
+    CPPUNIT_TEST(jobRunsThroughAnyProcess);
+    CPPUNIT_TEST(stepsWaitForEarlierOnes);
+    CPPUNIT_TEST(repeatedSubmissionIsOneJob);
+    CPPUNIT_TEST(badRequestsGetClearAnswers);
+    CPPUNIT_TEST(cancelledJobStops);
+    CPPUNIT_TEST(hopelessJobFailsAfterItsAttempts);
+    CPPUNIT_TEST(failuresLearnedInAnyOrderCount);
+    CPPUNIT_TEST(killedLeaderIsReplacedAtOnce);
+    CPPUNIT_TEST(restartedLeaderTakesItsOwnPlace);
+    CPPUNIT_TEST(campaignLeavesALiveLeaderAlone);
+    CPPUNIT_TEST(leaderWithoutStoreOffersItsPlace);
+    CPPUNIT_TEST(leaderStaysWhileTheStoreIsAwayForAll);
+    CPPUNIT_TEST(lostAnswerOfTheStoreStoresOnce);
+    CPPUNIT_TEST(startsWithoutConnectionArePlacedAgain);
+    CPPUNIT_TEST(unansweredStopsEndWithTheRunGone);
+    CPPUNIT_TEST(crashedWorkerRunsAgainAfterItsLease);
+    CPPUNIT_TEST(restartedWorkerRunsAgainAtOnce);
+    CPPUNIT_TEST(waveIsDoneWithinItsBound);
+    CPPUNIT_TEST(lastingTasksMoveOneByOne);
+    CPPUNIT_TEST(resignationHandsOver);
+    CPPUNIT_TEST_SUITE_END();
+
+    fleet_world m_fleet;
+
+    fleet_world::process &startThree()
+    {
+        for (const std::string name : {"one", "two", "three"}) {
+            m_fleet.addProcess(name);
+        }
+        CPPUNIT_ASSERT(m_fleet.waitForLeader());
+        m_fleet.loop.run(500ms);
+        return *m_fleet.leader();
+    }
+
+    fleet_world::process &other(const fleet_world::process &than)
+    {
+        for (auto &[name, each] : m_fleet.processes) {
+            if (name != than.name && each.node) {
+                return each;
+            }
+        }
+        throw std::runtime_error("no other process");
+    }
+
+    void submit(fleet_world::process &through, const std::string &path, const job_spec &spec)
+    {
+        const auto answer = m_fleet.ask(through, caller_operation::submit, path, spec);
+        CPPUNIT_ASSERT_EQUAL(std::string("accepted"), std::string(nameOf(answer.kind)));
+    }
+
+public:
+    void tearDown() override
+    {
+        for (const auto &violation : m_fleet.world.violations) {
+            CPPUNIT_FAIL(violation);
+        }
+    }
+
+    void jobRunsThroughAnyProcess()
+    {
+        auto &leader = startThree();
+        submit(other(leader), jobPath, simpleJob(4));
+        CPPUNIT_ASSERT(m_fleet.waitForState(other(leader), jobPath, job_state::completed, 2s));
+        CPPUNIT_ASSERT_EQUAL(4, m_fleet.world.starts);
+        // Asked at every process, also after it has ended.
+        for (auto &[name, each] : m_fleet.processes) {
+            CPPUNIT_ASSERT(m_fleet.stateOf(each, jobPath) == job_state::completed);
+        }
+    }
+
+    void stepsWaitForEarlierOnes()
+    {
+        auto &leader = startThree();
+        auto spec = simpleJob(2);
+        spec.steps.push_back(spec.steps.front());
+        spec.steps.back().after = {0};
+        std::vector<int> order;
+        m_fleet.world.behaviourOf = [&](const task_name &task) {
+            order.push_back(task.step);
+            return virtual_world::behaviour {};
+        };
+        submit(leader, jobPath, spec);
+        CPPUNIT_ASSERT(m_fleet.waitForState(leader, jobPath, job_state::completed, 3s));
+        CPPUNIT_ASSERT(order == (std::vector<int> {0, 0, 1, 1}));
+    }
+
+    void repeatedSubmissionIsOneJob()
+    {
+        auto &leader = startThree();
+        submit(leader, jobPath, simpleJob(1));
+        submit(other(leader), jobPath, simpleJob(1));
+        CPPUNIT_ASSERT(m_fleet.waitForState(leader, jobPath, job_state::completed, 2s));
+        submit(other(leader), jobPath, simpleJob(1));
+        m_fleet.loop.run(1s);
+        CPPUNIT_ASSERT_EQUAL(1, m_fleet.world.starts);
+    }
+
+    void badRequestsGetClearAnswers()
+    {
+        auto &leader = startThree();
+        auto circle = simpleJob(1);
+        circle.steps[0].after = {0};
+        auto empty = simpleJob(0);
+        auto large = simpleJob(1);
+        large.payload.assign(maxPayloadBytes + 1, 'x');
+        auto huge = simpleJob(1, 1'000'000);
+        for (const auto &spec : {circle, empty, large, huge}) {
+            const auto answer = m_fleet.ask(leader, caller_operation::submit, jobPath, spec);
+            CPPUNIT_ASSERT_EQUAL(std::string("invalid"), std::string(nameOf(answer.kind)));
+            CPPUNIT_ASSERT(!answer.message.empty());
+        }
+        const auto show = caller_operation::show;
+        CPPUNIT_ASSERT(m_fleet.ask(leader, show, "/none/00").kind == answer_kind::no_such_queue);
+        CPPUNIT_ASSERT(m_fleet.ask(leader, show, jobPath).kind == answer_kind::no_such_job);
+        CPPUNIT_ASSERT_EQUAL(0, m_fleet.world.starts);
+        submit(leader, jobPath, simpleJob(1)); // the id is still free
+    }
+
+    void cancelledJobStops()
+    {
+        auto &leader = startThree();
+        m_fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {0ms, false};
+        };
+        submit(leader, jobPath, simpleJob(3));
+        m_fleet.loop.run(200ms);
+        CPPUNIT_ASSERT_EQUAL(3, m_fleet.world.starts);
+        const auto answer = m_fleet.ask(leader, caller_operation::cancel, jobPath);
+        CPPUNIT_ASSERT(answer.kind == answer_kind::cancelled);
+        m_fleet.loop.run(200ms);
+        for (const auto &[id, worker] : m_fleet.world.workers) {
+            CPPUNIT_ASSERT(worker.running.empty());
+        }
+        CPPUNIT_ASSERT(m_fleet.stateOf(leader, jobPath) == job_state::cancelled);
+    }
+
+    void hopelessJobFailsAfterItsAttempts()
+    {
+        auto &leader = startThree();
+        m_fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {100ms, true};
+        };
+        submit(leader, jobPath, simpleJob(1));
+        CPPUNIT_ASSERT(m_fleet.waitForState(leader, jobPath, job_state::failed, 3s));
+        CPPUNIT_ASSERT_EQUAL(2, m_fleet.world.starts);
+    }
+
+    /// The failure of the second run was learned first after a take-over, and that of the first run
+    /// did not count then.
+    void failuresLearnedInAnyOrderCount()
+    {
+        auto &leader = startThree();
+        m_fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {100ms, true};
+        };
+        submit(leader, jobPath, simpleJob(1));
+        // The first coordinator sees the failures, but cannot store them.
+        leader.platform->storeCut = true;
+        m_fleet.loop.runUntil([&] { return m_fleet.world.starts == 2; }, 2s);
+        m_fleet.loop.run(200ms);
+        m_fleet.kill(leader.name, false);
+        // The worker of the first run is reached later than the other.
+        auto &world = m_fleet.world;
+        for (auto &[id, worker] : world.workers) {
+            worker.reachable = worker.ended.empty() || worker.ended.front().run != 1;
+        }
+        CPPUNIT_ASSERT(m_fleet.waitForLeader());
+        m_fleet.loop.run(800ms);
+        for (auto &[id, worker] : world.workers) {
+            worker.reachable = true;
+        }
+        auto &next = *m_fleet.leader();
+        CPPUNIT_ASSERT(m_fleet.waitForState(next, jobPath, job_state::failed, 8s));
+        CPPUNIT_ASSERT_EQUAL(2, world.starts);
+    }
+
+    void killedLeaderIsReplacedAtOnce()
+    {
+        auto &leader = startThree();
+        auto &through = other(leader);
+        submit(through, jobPath, simpleJob(4));
+        m_fleet.loop.run(100ms);
+        m_fleet.kill(leader.name, false);
+        // A refused connection shows that the process is gone: nobody waits for its lease.
+        CPPUNIT_ASSERT(m_fleet.waitForState(through, jobPath, job_state::completed, 1500ms));
+        CPPUNIT_ASSERT_EQUAL(4, m_fleet.world.starts);
+    }
+
+    /// A restarted leader passed requests on to itself and took the answers for a sign of life.
+    void restartedLeaderTakesItsOwnPlace()
+    {
+        auto &leader = m_fleet.addProcess("only");
+        CPPUNIT_ASSERT(m_fleet.waitForLeader());
+        m_fleet.loop.run(500ms);
+        submit(leader, jobPath, simpleJob(1));
+        m_fleet.kill("only", true);
+        caller_request request;
+        request.host = "jobs.example";
+        request.path = jobPath;
+        request.key = "key-north";
+        for (int i = 0; i < 20; ++i) {
+            m_fleet.loop.after(milliseconds(10 * i), [&, request] {
+                leader.node->handle(request, [](const caller_answer &) {});
+            });
+        }
+        CPPUNIT_ASSERT(m_fleet.waitForLeader(500ms));
+    }
+
+    /// A campaign used the newest revision it saw as its condition and so replaced a live leader.
+    void campaignLeavesALiveLeaderAlone()
+    {
+        for (const std::string name : {"one", "two", "three", "four", "five", "six"}) {
+            m_fleet.addProcess(name);
+        }
+        CPPUNIT_ASSERT(m_fleet.waitForLeader());
+        m_fleet.loop.run(3s);
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), m_fleet.world.items.at("fleet/term").value);
+    }
+
+    void leaderWithoutStoreOffersItsPlace()
+    {
+        auto &leader = startThree();
+        submit(other(leader), jobPath, simpleJob(1));
+        leader.platform->storeCut = true;
+        const auto before = m_fleet.loop.now();
+        CPPUNIT_ASSERT(m_fleet.loop.runUntil(
+            [&] {
+                // Requests of the others tell the leader whom to ask.
+                auto *now = m_fleet.leader();
+                if (now != nullptr && now->name != leader.name) {
+                    return true;
+                }
+                m_fleet.ask(other(leader), caller_operation::show, jobPath);
+                return false;
+            },
+            4s));
+        CPPUNIT_ASSERT(m_fleet.loop.now() - before < 2500ms);
+    }
+
+    void leaderStaysWhileTheStoreIsAwayForAll()
+    {
+        auto &leader = startThree();
+        m_fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {3000ms, false};
+        };
+        submit(other(leader), jobPath, simpleJob(2));
+        m_fleet.loop.run(100ms);
+        for (auto &[name, each] : m_fleet.processes) {
+            each.platform->storeCut = true;
+        }
+        m_fleet.loop.run(1500ms);
+        for (auto &[name, each] : m_fleet.processes) {
+            each.platform->storeCut = false;
+        }
+        CPPUNIT_ASSERT(m_fleet.waitForState(leader, jobPath, job_state::completed, 4s));
+        CPPUNIT_ASSERT_EQUAL(2, m_fleet.world.starts);
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), m_fleet.world.items.at("fleet/term").value);
+    }
+
+    void lostAnswerOfTheStoreStoresOnce()
+    {
+        auto &leader = startThree();
+        leader.platform->loseCommits = 1;
+        submit(leader, jobPath, simpleJob(2));
+        CPPUNIT_ASSERT(m_fleet.waitForState(leader, jobPath, job_state::completed, 3s));
+        CPPUNIT_ASSERT_EQUAL(2, m_fleet.world.starts);
+    }
+
+    /// A worker's bound on connections refused a burst of starts, which stayed open for seconds.
+    void startsWithoutConnectionArePlacedAgain()
+    {
+        auto &leader = startThree();
+        leader.platform->refuseStarts = 3;
+        submit(leader, jobPath, simpleJob(4));
+        CPPUNIT_ASSERT(m_fleet.waitForState(leader, jobPath, job_state::completed, 1500ms));
+        CPPUNIT_ASSERT_EQUAL(4, m_fleet.world.starts);
+    }
+
+    /// Each repetition of a stop moved the time after which a report counted, so that a run that
+    /// never began stayed 'stopping' for good.
+    void unansweredStopsEndWithTheRunGone()
+    {
+        auto &leader = startThree();
+        m_fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {0ms, false};
+        };
+        submit(leader, jobPath, simpleJob(2));
+        m_fleet.loop.run(200ms);
+        for (const auto &[id, worker] : m_fleet.world.workers) {
+            leader.platform->unansweredStops.insert(id);
+        }
+        m_fleet.ask(leader, caller_operation::cancel, jobPath);
+        m_fleet.loop.run(2500ms);
+        leader.platform->unansweredStops.clear();
+        CPPUNIT_ASSERT(m_fleet.loop.runUntil(
+            [&] {
+                for (const auto &[id, worker] : m_fleet.world.workers) {
+                    if (!worker.running.empty()) {
+                        return false;
+                    }
+                }
+                return true;
+            },
+            2s));
+        // What the run held is free again: a job that needs all workers whole can run.
+        m_fleet.world.behaviourOf = [](const task_name &) { return virtual_world::behaviour {}; };
+        const std::string next = "/pool-a/00000000000000ab";
+        submit(leader, next, simpleJob(2, 8000));
+        CPPUNIT_ASSERT(m_fleet.waitForState(leader, next, job_state::completed, 3s));
+    }
+
+    void crashedWorkerRunsAgainAfterItsLease()
+    {
+        auto &leader = startThree();
+        m_fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {1000ms, false};
+        };
+        submit(leader, jobPath, simpleJob(1));
+        m_fleet.loop.run(200ms);
+        std::string where;
+        for (auto &[id, worker] : m_fleet.world.workers) {
+            where = worker.running.empty() ? where : id;
+        }
+        const auto leaseEnd = m_fleet.world.workers.at(where).leaseEnd;
+        m_fleet.world.workers.at(where).reachable = false;
+        CPPUNIT_ASSERT(m_fleet.loop.runUntil([&] { return m_fleet.world.starts == 2; }, 8s));
+        CPPUNIT_ASSERT(m_fleet.loop.now() > leaseEnd);
+        m_fleet.world.violations.clear(); // the virtual worker does not end runs with their lease
+    }
+
+    void restartedWorkerRunsAgainAtOnce()
+    {
+        auto &leader = startThree();
+        m_fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {1000ms, false};
+        };
+        submit(leader, jobPath, simpleJob(1));
+        m_fleet.loop.run(200ms);
+        for (auto &[id, worker] : m_fleet.world.workers) {
+            if (!worker.running.empty()) {
+                m_fleet.world.crash(id);
+                worker.alive = true;
+                worker.entry.born = ++m_fleet.world.lives;
+                worker.endCount = 0;
+                worker.closedRuns.clear();
+                worker.fence = 0;
+            }
+        }
+        CPPUNIT_ASSERT(m_fleet.waitForState(leader, jobPath, job_state::completed, 3s));
+        CPPUNIT_ASSERT_EQUAL(2, m_fleet.world.starts);
+    }
+
+    void waveIsDoneWithinItsBound()
+    {
+        auto &leader = startThree();
+        maintenance_wave wave;
+        wave.number = 1;
+        wave.deadline = 20s;
+        wave.atOnce = 1;
+        for (const auto &[name, host] : m_fleet.world.hosts) {
+            wave.hosts.push_back(name);
+        }
+        m_fleet.world.waves.push_back(wave);
+        m_fleet.world.putItem("waves/1", "", 0);
+        CPPUNIT_ASSERT(m_fleet.loop.runUntil(
+            [&] {
+                int down = 0;
+                for (const auto &[name, host] : m_fleet.world.hosts) {
+                    down += host.state == host_state::maintenance ? 1 : 0;
+                }
+                CPPUNIT_ASSERT(down <= wave.atOnce);
+                const auto status = m_fleet.world.items.find("wave-status/1");
+                return status != m_fleet.world.items.end() && status->second.value == "completed";
+            },
+            20s));
+        CPPUNIT_ASSERT_EQUAL(wave.hosts.size(), m_fleet.world.maintained.size());
+        static_cast<void>(leader);
+    }
+
+    void lastingTasksMoveOneByOne()
+    {
+        auto &leader = startThree();
+        m_fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {0ms, false};
+        };
+        auto spec = simpleJob(3);
+        spec.steps[0].lasting = true;
+        spec.steps[0].maxUnavailable = 1;
+        submit(leader, jobPath, spec);
+        m_fleet.loop.run(1500ms);
+        maintenance_wave wave;
+        wave.number = 1;
+        wave.deadline = 20s;
+        wave.atOnce = 2;
+        for (const auto &[name, host] : m_fleet.world.hosts) {
+            if (host.pool == "pool-a") {
+                wave.hosts.push_back(name);
+            }
+        }
+        m_fleet.world.waves.push_back(wave);
+        m_fleet.world.putItem("waves/1", "", 0);
+        const bool done = m_fleet.loop.runUntil(
+            [&] {
+                int running = 0;
+                for (const auto &[id, worker] : m_fleet.world.workers) {
+                    running += static_cast<int>(worker.running.size());
+                }
+                CPPUNIT_ASSERT(running >= 2);
+                return m_fleet.world.maintained.size() == wave.hosts.size();
+            },
+            20s);
+        CPPUNIT_ASSERT(done);
+    }
+
+    void resignationHandsOver()
+    {
+        auto &leader = startThree();
+        submit(other(leader), jobPath, simpleJob(4));
+        leader.node->resign();
+        auto &through = other(leader);
+        CPPUNIT_ASSERT(m_fleet.waitForState(through, jobPath, job_state::completed, 1500ms));
+        CPPUNIT_ASSERT(m_fleet.leader() != nullptr);
+        CPPUNIT_ASSERT(m_fleet.leader()->name != leader.name);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_test);
--- /dev/null
+++ b/tests/support/fleet_world.h
@@ -0,0 +1,231 @@
+#pragma once
+
+#include "standins/virtual_platform.h"
+
+#include <ibishinge/base/metrics.h>
+#include <ibishinge/fleet/node.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ibishinge::fleet {
+
+using standin::virtual_loop;
+using standin::virtual_platform;
+using standin::virtual_world;
+
+/// Some processes on a virtual platform, connected with each other.
+class fleet_world
+{
+public:
+    struct process
+    {
+        std::string name;
+        std::unique_ptr<virtual_platform> platform;
+        std::unique_ptr<peer_link> peers;
+        std::unique_ptr<metrics_registry> metrics = std::make_unique<metrics_registry>();
+        std::unique_ptr<fleet_node> node;
+    };
+
+    /// Two pools of `workers` workers with 8 cores each, and a spare pool.
+    explicit fleet_world(int workers = 2)
+        : world(loop)
+    {
+        for (const std::string pool : {"pool-a", "pool-b", "spare"}) {
+            world.config.pools[pool] = {pool, true, pool == "spare"};
+        }
+        for (const std::string pool : {"pool-a", "pool-b"}) {
+            queue_rule queue;
+            queue.name = "queue-" + pool;
+            queue.host = "jobs.example";
+            queue.prefix = "/" + pool + "/";
+            queue.pool = pool;
+            queue.maxAttempts = 2;
+            queue.stretch = 1.6;
+            queue.objectiveSlack = milliseconds(600);
+            world.config.queues.push_back(queue);
+            for (int i = 0; i < workers; ++i) {
+                world.addWorker(pool + "-" + std::to_string(i), pool, 8000);
+            }
+        }
+        world.config.version = 1;
+        world.config.customers["north"] = {"north", {"key-north"}, 10, {}};
+        world.config.customerOfKey["key-north"] = "north";
+        world.putItem("configuration", "", 0);
+    }
+
+    process &addProcess(const std::string &name)
+    {
+        auto &each = processes[name];
+        each.name = name;
+        each.platform = std::make_unique<virtual_platform>(world);
+        each.peers = std::make_unique<direct_link>(*this);
+        startNode(each);
+        return each;
+    }
+
+    /// Ends a process without a word and, if `again`, starts it anew at the same address.
+    void kill(const std::string &name, bool again)
+    {
+        auto &each = processes.at(name);
+        each.node.reset();
+        if (again) {
+            startNode(each);
+        }
+    }
+
+    /// Returns the process that serves as coordinator; null if none does.
+    process *leader()
+    {
+        for (auto &[name, each] : processes) {
+            caller_request probe;
+            probe.operation = caller_operation::count_waiting;
+            probe.host = "jobs.example";
+            probe.path = "/pool-a/";
+            probe.key = "key-north";
+            std::optional<caller_answer> answer;
+            if (each.node) {
+                each.node->handleForwarded(probe,
+                                           [&](const caller_answer &value) { answer = value; });
+            }
+            if (answer && answer->kind == answer_kind::counted) {
+                return &each;
+            }
+        }
+        return nullptr;
+    }
+
+    bool waitForLeader(milliseconds limit = milliseconds(6000))
+    {
+        return loop.runUntil([this] { return leader() != nullptr; }, limit);
+    }
+
+    /// Sends a request through a process and waits for the answer.
+    caller_answer ask(process &through, caller_operation operation, const std::string &path,
+                      const std::optional<job_spec> &spec = std::nullopt)
+    {
+        caller_request request;
+        request.operation = operation;
+        request.host = "jobs.example";
+        request.path = path;
+        request.key = "key-north";
+        request.spec = spec;
+        request.patience = milliseconds(3000);
+        const auto answer = std::make_shared<std::optional<caller_answer>>();
+        through.node->handle(request, [answer](const caller_answer &value) { *answer = value; });
+        loop.runUntil([&] { return answer->has_value(); }, milliseconds(4000));
+        return answer->value_or(caller_answer {});
+    }
+
+    job_state stateOf(process &through, const std::string &path)
+    {
+        const auto answer = ask(through, caller_operation::show, path);
+        return answer.state;
+    }
+
+    bool waitForState(process &through, const std::string &path, job_state wanted,
+                      milliseconds limit)
+    {
+        return loop.runUntil(
+            [&] {
+                const auto answer = ask(through, caller_operation::show, path);
+                return answer.kind == answer_kind::shown && answer.state == wanted;
+            },
+            limit);
+    }
+
+    virtual_loop loop;
+    virtual_world world;
+    std::map<std::string, process> processes;
+
+private:
+    class direct_link final : public peer_link
+    {
+    public:
+        explicit direct_link(fleet_world &fleet)
+            : m_fleet(fleet)
+        {
+        }
+
+        void forward(const std::string &address, const std::string &request,
+                     milliseconds /*timeout*/, reply<std::string> done) override
+        {
+            m_fleet.loop.after(hop, [this, address, request, done] {
+                auto *node = m_fleet.nodeAt(address);
+                if (node == nullptr) {
+                    done(tl::unexpected(refused()));
+                    return;
+                }
+                node->handleForwarded(*decodeRequest(request),
+                                      [this, done](const caller_answer &answer) {
+                                          const auto text = encodeAnswer(answer);
+                                          m_fleet.loop.after(hop, [done, text] { done(text); });
+                                      });
+            });
+        }
+
+        void offerLeadership(const std::string &address, std::int64_t revision,
+                             reply<bool> done) override
+        {
+            m_fleet.loop.after(hop, [this, address, revision, done] {
+                auto *node = m_fleet.nodeAt(address);
+                if (node == nullptr) {
+                    done(tl::unexpected(refused()));
+                    return;
+                }
+                node->acceptLeadership(revision, [done](bool accepted) { done(accepted); });
+            });
+        }
+
+    private:
+        static constexpr milliseconds hop {2};
+
+        static error refused()
+        {
+            error failure;
+            failure.kind = error_kind::unavailable;
+            failure.systemError = ECONNREFUSED;
+            return failure;
+        }
+
+        fleet_world &m_fleet;
+    };
+
+    fleet_node *nodeAt(const std::string &address)
+    {
+        const auto found = processes.find(address.substr(0, address.find(':')));
+        return found == processes.end() ? nullptr : found->second.node.get();
+    }
+
+    void startNode(process &each)
+    {
+        node_settings settings;
+        settings.name = each.name;
+        settings.incarnation = each.name + "-" + std::to_string(++m_runs);
+        settings.peerAddress = each.name + ":7000";
+        settings.seed = static_cast<std::uint64_t>(m_runs);
+        each.node = std::make_unique<fleet_node>(*each.platform, *each.peers, loop, *each.metrics,
+                                                 settings);
+        each.node->start();
+    }
+
+    int m_runs = 0;
+};
+
+/// A job of one step.
+inline job_spec simpleJob(int tasks, std::int64_t cpuMillis = 1000)
+{
+    job_spec spec;
+    spec.payload = "payload";
+    step_spec step;
+    step.count = tasks;
+    step.need = {cpuMillis, 100, 0};
+    step.estimate = milliseconds(500);
+    spec.steps.push_back(step);
+    return spec;
+}
+
+} // namespace ibishinge::fleet
