--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -6,9 +6,11 @@
 #include <ibishinge/fleet/host_care.h>
 #include <ibishinge/fleet/platform_api.h>
 #include <ibishinge/fleet/pool_sizing.h>
-#include <ibishinge/fleet/store_writer.h>
+#include <ibishinge/fleet/record_writer.h>
 #include <ibishinge/fleet/tables.h>
 
+#include <nlohmann/json.hpp>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -27,6 +29,7 @@
     milliseconds maintenanceTime {2000}; ///< a host is down for maintenance this long
     milliseconds unavailableNotice {4500}; ///< a lasting task away this long counts as unavailable
     milliseconds harmTime {4000}; ///< a serving task may be over its target this long
+    int writeLanes = 2; ///< transactions on their way at once
 };
 
 /// Who leads: what the leader's record says and proves.
@@ -188,7 +191,7 @@
     const coordinator_settings m_settings;
     const leadership m_lead;
     std::function<void()> m_onDeposed;
-    std::shared_ptr<store_writer> m_writer;
+    std::unique_ptr<record_writer> m_writer;
     fleet_tables m_tables;
     host_care_state m_care;
     pool_sizing_state m_sizing;
@@ -206,7 +209,9 @@
     std::map<std::string, std::vector<answer_handler>> m_cancelWaiters;
     std::set<std::string> m_dirty; ///< jobs with progress to write
     bool m_flushPending = false;
+    nlohmann::json m_endsToLog = nlohmann::json::array(); ///< of the report being applied
     bool m_passPending = false;
+    instant m_lastPass;
     bool m_hostsPending = false;
     bool m_plannedWork = false; ///< a wave is open
     instant m_nextHosts;
--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -37,6 +37,7 @@
     std::string incarnation; ///< of this run of it
     std::string peerAddress; ///< where it takes forwarded requests, "ip:port"
     std::uint64_t seed = 0;
+    double processorShare = 1; ///< of this process, in cores
     milliseconds leaderTtl {3000}; ///< lease of the leader's record
     milliseconds configurationLimit {3000}; ///< older proof of the configuration stops service
     coordinator_settings coordination;
@@ -78,6 +79,11 @@
 
 private:
     struct attempt;
+    struct peer_state
+    {
+        instant heardAt; ///< it last passed on a request
+        double processorShare = 0;
+    };
 
     void later(milliseconds delay, std::function<void()> function);
     template <class T, class Function>
@@ -105,6 +111,8 @@
     void stopLeading(std::string_view reason);
     void giveUpLease(std::int64_t lease);
     void considerAbdication();
+    void considerStrongerPeer();
+    void offerLeadershipTo(const std::string &heir, std::string_view reason);
     void tryRequest(const std::shared_ptr<attempt> &request);
     void retryRequest(const std::shared_ptr<attempt> &request, milliseconds delay);
     void finishRequest(const std::shared_ptr<attempt> &request, caller_answer answer);
@@ -134,7 +142,8 @@
 
     std::shared_ptr<coordinator> m_coordinator;
     std::int64_t m_lease = 0;
-    std::map<std::string, instant> m_peersHeard; ///< when a process last passed on a request
+    instant m_leadingSince;
+    std::map<std::string, peer_state> m_peersHeard; ///< by address
     std::string m_declinedBy;
     bool m_abdicating = false;
     bool m_campaigning = false;
--- a/include/ibishinge/fleet/store_writer.h
+++ b/include/ibishinge/fleet/store_writer.h
@@ -59,6 +59,12 @@
     /// Returns how long the oldest transaction has been without success; 0 if none is open.
     [[nodiscard]] milliseconds stalledFor() const;
 
+    /// Returns how many units wait behind the transaction in progress.
+    [[nodiscard]] std::size_t waiting() const noexcept
+    {
+        return m_waiting.size();
+    }
+
     /// Stops writing; open units are answered with `outcome_unknown`.
     void close();
 
--- a/src/base/logging.cpp
+++ b/src/base/logging.cpp
@@ -26,13 +26,20 @@
     const auto millis =
         std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count()
         % 1000;
-    std::tm parts {};
-    gmtime_r(&seconds, &parts);
-    std::array<char, 40> text {};
-    const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    // The text of a second is made once for each thread: lines come in hundreds a second.
+    thread_local std::time_t cachedSecond = -1;
+    thread_local std::string cachedText;
+    if (seconds != cachedSecond) {
+        std::tm parts {};
+        gmtime_r(&seconds, &parts);
+        std::array<char, 40> text {};
+        const auto length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+        cachedText.assign(text.data(), length);
+        cachedSecond = seconds;
+    }
     std::array<char, 8> fraction {};
     std::snprintf(fraction.data(), fraction.size(), ".%03dZ", static_cast<int>(millis));
-    return std::string(text.data(), length) + fraction.data();
+    return cachedText + fraction.data();
 }
 
 /// Lines that wait for a slow reader of standard output.
--- a/src/fleet/caller.cpp
+++ b/src/fleet/caller.cpp
@@ -44,6 +44,7 @@
                 {"key", request.key},
                 {"patience", request.patience.count()},
                 {"sender", request.sender},
+                {"sender_share", request.senderShare},
                 {"version", request.seenVersion}};
     if (request.spec) {
         out["spec"] = encodeSpec(*request.spec);
@@ -61,6 +62,7 @@
         request.path = in.at("path").get<std::string>();
         request.key = in.at("key").get<std::string>();
         request.patience = milliseconds(in.at("patience").get<std::int64_t>());
+        request.senderShare = in.value("sender_share", 0.0);
         request.sender = in.value("sender", std::string());
         request.seenVersion = in.at("version").get<std::int64_t>();
         if (in.contains("spec")) {
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -17,6 +17,9 @@
 /// The load of each pool is logged this often.
 constexpr milliseconds summaryInterval {1000};
 
+/// Events within this time share one pass over what waits: a pass looks at all live jobs.
+constexpr milliseconds passInterval {4};
+
 /// Starts a pass makes before it lets replies in, so that one burst does not delay lease renewals.
 constexpr int startsPerPass = 64;
 
@@ -56,12 +59,14 @@
 
 void coordinator::start()
 {
-    m_writer = store_writer::make(m_platform, m_timers, m_lead.record, [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-            self->close();
-            self->m_onDeposed();
-        }
-    });
+    m_writer = std::make_unique<record_writer>(m_platform, m_timers, m_lead.record,
+                                               m_settings.writeLanes, [weak = weak_from_this()] {
+                                                   const auto self = weak.lock();
+                                                   if (self && !self->m_closed) {
+                                                       self->close();
+                                                       self->m_onDeposed();
+                                                   }
+                                               });
     readRoster();
     later(tickInterval, [this] { tick(); });
 }
@@ -182,8 +187,11 @@
         return;
     }
     m_passPending = true;
-    later(milliseconds(0), [this] {
+    const auto earliest = m_lastPass + passInterval;
+    const auto now = m_timers.now();
+    later(earliest > now ? earliest - now : milliseconds(0), [this] {
         m_passPending = false;
+        m_lastPass = m_timers.now();
         pass();
     });
 }
@@ -219,6 +227,7 @@
             queue.advice ? &job.tickets.at({where.occurrence, where.step}) : nullptr;
         auto &tasks =
             job.occurrences.at(where.occurrence).steps[static_cast<std::size_t>(where.step)];
+        auto placed = nlohmann::json::array();
         for (std::size_t index = 0; index < tasks.size(); ++index) {
             auto &task = tasks[index];
             if (task.phase != task_phase::waiting || task.notBefore > now) {
@@ -234,13 +243,25 @@
             const auto proof =
                 tickets != nullptr ? tickets->proofByWorker.at(worker->entry.id) : std::string();
             const auto run = (m_lead.term - 1) * runsPerTerm + ++task.startsInTerm;
+            placed.push_back({index, worker->entry.id, run});
             startTask(job, {job.id, where.occurrence, where.step, static_cast<int>(index)}, *worker,
                       proof, run);
             if (++starts >= startsPerPass) {
-                requestPass();
-                return;
+                break;
             }
         }
+        if (!placed.empty()) {
+            logEvent(log_level::info, "tasks_placed",
+                     {{"job", job.id},
+                      {"occurrence", where.occurrence},
+                      {"step", where.step},
+                      {"waited_ms", since(job.submittedAt, now).count()},
+                      {"index_worker_run", placed}});
+        }
+        if (starts >= startsPerPass) {
+            requestPass();
+            return;
+        }
     }
 }
 
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -24,6 +24,7 @@
 /// Final states are kept this long; callers may ask for two minutes.
 constexpr std::int64_t keepEndedMs = 240'000;
 constexpr milliseconds pruneInterval {5000};
+constexpr std::size_t prunedAtOnce = 200;
 
 /// Length of a job's id, in hexadecimal digits. From the callers' protocol.
 constexpr std::size_t jobIdLength = 16;
@@ -188,7 +189,7 @@
         requestPass();
     };
     m_tables.jobs.emplace(id, std::move(job));
-    m_writer->add(std::move(unit));
+    m_writer->add(id, std::move(unit));
     // The caller learns that the outcome is open while it can still ask again.
     later(storeAway, [this, id] {
         const auto found = m_tables.jobs.find(id);
@@ -308,7 +309,7 @@
         m_cancelWaiters.erase(id);
         requestPass();
     };
-    m_writer->add(std::move(unit));
+    m_writer->add(job.id, std::move(unit));
 }
 
 void coordinator::markDirty(const std::string &id)
@@ -322,6 +323,11 @@
 
 void coordinator::flush()
 {
+    if (m_writer->waiting() > 0) {
+        // Progress gathers until the writers are free: one record then covers more of it.
+        later(flushDelay, [this] { flush(); });
+        return;
+    }
     m_flushPending = false;
     // What workers may forget once the records below are in the store.
     auto marks = std::make_shared<std::vector<flush_mark>>();
@@ -349,7 +355,7 @@
         }
         write_unit unit;
         unit.changes.push_back({std::string(progressPrefix) + id, encodeProgress(found->second)});
-        m_writer->add(std::move(unit));
+        m_writer->add(id, std::move(unit));
     }
     m_writer->addMark(onStored);
 }
@@ -358,20 +364,18 @@
 {
     m_nextPrune = m_timers.now() + pruneInterval;
     const auto oldest = m_timers.wallMs() - keepEndedMs;
-    write_unit unit;
-    for (auto entry = m_tables.ended.begin(); entry != m_tables.ended.end();) {
+    std::size_t pruned = 0;
+    for (auto entry = m_tables.ended.begin();
+         entry != m_tables.ended.end() && pruned < prunedAtOnce;) {
         if (entry->second.second > oldest) {
             ++entry;
             continue;
         }
+        write_unit unit;
         unit.changes.push_back({std::string(endedPrefix) + entry->first, std::nullopt});
+        m_writer->add(entry->first, std::move(unit));
         entry = m_tables.ended.erase(entry);
-        if (unit.changes.size() == maxUnitChanges) {
-            break;
-        }
-    }
-    if (!unit.changes.empty()) {
-        m_writer->add(std::move(unit));
+        ++pruned;
     }
 }
 
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -63,7 +63,7 @@
                             }
                             auto &care = m_care.waves.at(number);
                             if (item->revision != 0) {
-                                m_writer->learnRevision(key, item->revision);
+                                m_writer->learnRevision(key, key, item->revision);
                                 const auto record = decodeWaveRecord(item->value);
                                 if (record) {
                                     care.completed = record->completed;
@@ -75,7 +75,7 @@
                                 }
                             }
                             const auto status = m_platform.encodeWaveStatus(number, care.completed);
-                            m_writer->add({{{status.key, status.value}}, false, nullptr});
+                            m_writer->add(key, {{{status.key, status.value}}, false, nullptr});
                             care.known = true;
                             refreshHosts();
                         }));
@@ -98,7 +98,8 @@
         const auto status = m_platform.encodeWaveStatus(number, true);
         unit.changes.push_back({status.key, status.value});
     }
-    m_writer->add(std::move(unit));
+    const auto owner = unit.changes.front().key;
+    m_writer->add(owner, std::move(unit));
 }
 
 void coordinator::refreshHosts()
@@ -261,7 +262,7 @@
     if (!m_sizing.homesKnown && !m_tables.hosts.empty()) {
         const auto homes = countHosts(m_tables);
         setHomes(homes);
-        m_writer->add({{{std::string(homesKey), encodeHomes(homes)}}, false, nullptr});
+        m_writer->add(homesKey, {{{std::string(homesKey), encodeHomes(homes)}}, false, nullptr});
     }
     if (now >= m_nextHosts + hostListInterval) {
         refreshHosts();
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -20,6 +20,17 @@
 constexpr double slowClockFactor = 1.021;
 constexpr milliseconds inheritedSlack {150};
 
+/// Returns the job that a record belongs to, or the key of a record of its own.
+std::string_view ownerOf(std::string_view key)
+{
+    for (const auto prefix : {jobPrefix, progressPrefix, endedPrefix}) {
+        if (key.starts_with(prefix)) {
+            return key.substr(prefix.size());
+        }
+    }
+    return key;
+}
+
 } // namespace
 
 void coordinator::readRecords(const std::string &prefix, const std::string &after,
@@ -38,7 +49,7 @@
                 return;
             }
             for (const auto &item : page->items) {
-                m_writer->learnRevision(item.key, item.revision);
+                m_writer->learnRevision(ownerOf(item.key), item.key, item.revision);
                 apply(item);
             }
             if (page->more && !page->items.empty()) {
@@ -330,7 +341,7 @@
         }
         requestPass();
     };
-    m_writer->add(std::move(unit));
+    m_writer->add(rosterKey, std::move(unit));
 }
 
 } // namespace ibishinge::fleet
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -190,6 +190,12 @@
             applyEnd(worker, end);
         }
     }
+    if (!m_endsToLog.empty()) {
+        logEvent(
+            log_level::info, "runs_ended",
+            {{"worker", id}, {"life", worker.life}, {"number_job_task_run_end_ms", m_endsToLog}});
+        m_endsToLog = nlohmann::json::array();
+    }
     for (const auto &seen : report.running) {
         applyRunning(worker, seen);
     }
@@ -241,12 +247,10 @@
     const auto found = m_tables.runs.find(key);
     const bool known = found != m_tables.runs.end() && found->second.worker == worker.entry.id;
     const auto ranFor = known ? since(found->second.settledAt, m_timers.now()) : milliseconds(0);
-    auto line = describeRun(key);
-    line["worker"] = worker.entry.id;
-    line["end"] = nameOf(end.kind);
-    line["number"] = end.number;
-    line["ran_ms"] = ranFor.count();
-    logEvent(log_level::info, "run_ended", line);
+    m_endsToLog.push_back({end.number, end.task.job,
+                           std::to_string(end.task.occurrence) + "." + std::to_string(end.task.step)
+                               + "." + std::to_string(end.task.index),
+                           end.run, nameOf(end.kind), ranFor.count()});
     m_metrics.add("ibishinge_runs_ended_total", {{"end", std::string(nameOf(end.kind))}});
     if (known) {
         removeRun(m_tables, key);
@@ -541,12 +545,12 @@
     order.ticket = run.ticket;
     ++run.orders;
     run.callOpen = true;
-    auto line = describeRun(key);
-    line["worker"] = run.worker;
-    line["attempt"] = run.orders;
-    line["waited_ms"] = since(job.submittedAt, m_timers.now()).count();
-    line["free_cpu"] = (worker.entry.capacity - worker.held).cpuMillis;
-    logEvent(log_level::info, "run_ordered", line);
+    if (run.orders > 1) {
+        auto line = describeRun(key);
+        line["worker"] = run.worker;
+        line["attempt"] = run.orders;
+        logEvent(log_level::info, "start_repeated", line);
+    }
     m_platform.startRun(worker.entry, order,
                         whileOpen<start_reply>([this, key](const result<start_reply> &answer) {
                             onStarted(key, answer);
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -34,6 +34,16 @@
 
 constexpr milliseconds campaignRetry {200};
 
+/// Processes with less than this share of a core campaign later, up to the delay, so that a strong
+/// one comes first: coordinating a few hundred workers takes about a third of a core.
+constexpr double strongShare = 0.5;
+constexpr double weakDelayMs = 150;
+
+/// A weak coordinator offers its place to a process with this many times its share, once it has
+/// read the records and served for a while.
+constexpr double strongerPeerFactor = 2;
+constexpr milliseconds strongerPeerDelay {2000};
+
 /// Refused connections in a row that show that the leader's process is gone.
 constexpr int refusalsOfDeadLeader = 2;
 
@@ -257,8 +267,10 @@
         return;
     }
     m_campaignPlanned = true;
-    const auto spread =
-        milliseconds(std::uniform_int_distribution<int>(0, campaignSpreadMs)(m_random));
+    const auto spread = milliseconds(
+        std::uniform_int_distribution<int>(0, campaignSpreadMs)(m_random)
+        + static_cast<int>(weakDelayMs
+                           * (1 - std::min(1.0, m_settings.processorShare / strongShare))));
     later(delay + spread, [this] {
         m_campaignPlanned = false;
         const bool still = !m_coordinator && !m_campaigning && !m_resigned
@@ -338,6 +350,7 @@
                       std::int64_t term)
 {
     m_lease = lease.id;
+    m_leadingSince = sentAt;
     m_leaderRevision = revision;
     m_leader =
         leader_record {m_settings.name, m_settings.incarnation, m_settings.peerAddress, term};
@@ -369,6 +382,7 @@
                                   if (lease) {
                                       m_storeAnsweredAt = m_timers.now();
                                       m_coordinator->extend(sentAt + lease->ttl - leaseMargin);
+                                      considerStrongerPeer();
                                   } else if (lease.error().kind == error_kind::unknown_entity) {
                                       stopLeading("lease_ended");
                                       m_leader.reset();
@@ -393,40 +407,66 @@
     // The process heard of last is the most likely to be sound.
     std::string heir;
     instant heardAt = now - peerMemory;
-    for (const auto &[address, at] : m_peersHeard) {
-        if (at > heardAt && address != m_declinedBy) {
+    for (const auto &[address, peer] : m_peersHeard) {
+        if (peer.heardAt > heardAt && address != m_declinedBy) {
             heir = address;
-            heardAt = at;
+            heardAt = peer.heardAt;
         }
     }
     if (heir.empty()) {
         m_declinedBy.clear();
         return;
     }
+    offerLeadershipTo(heir, "store_away");
+}
+
+void fleet_node::considerStrongerPeer()
+{
+    const auto now = m_timers.now();
+    if (m_abdicating || !m_coordinator->isServing()
+        || since(m_leadingSince, now) < strongerPeerDelay) {
+        return;
+    }
+    std::string heir;
+    double share = m_settings.processorShare * strongerPeerFactor;
+    for (const auto &[address, peer] : m_peersHeard) {
+        if (since(peer.heardAt, now) < peerMemory && peer.processorShare >= share
+            && address != m_declinedBy) {
+            heir = address;
+            share = peer.processorShare;
+        }
+    }
+    if (!heir.empty()) {
+        offerLeadershipTo(heir, "stronger_peer");
+    }
+}
+
+void fleet_node::offerLeadershipTo(const std::string &heir, std::string_view reason)
+{
     m_abdicating = true;
     // From here on nothing is ordered: the heir may lead before its answer arrives.
     m_coordinator->suspend();
-    logEvent(log_level::warning, "abdication_offered",
-             {{"heir", heir}, {"store_silent_ms", since(m_storeAnsweredAt, now).count()}});
-    m_peers.offerLeadership(heir, m_leaderRevision,
-                            whileAlive<bool>([this, heir](const result<bool> &accepted) {
-                                m_abdicating = false;
-                                if (accepted && !*accepted) {
-                                    m_declinedBy = heir;
-                                    if (m_coordinator) {
-                                        m_coordinator->endSuspension();
-                                    }
-                                    return;
-                                }
-                                if (!accepted && accepted.error().kind == error_kind::unavailable) {
-                                    m_peersHeard.erase(heir);
-                                    if (m_coordinator) {
-                                        m_coordinator->endSuspension();
-                                    }
-                                    return;
-                                }
-                                stopLeading("abdicated");
-                            }));
+    logEvent(log_level::warning, "leadership_offered_to",
+             {{"heir", heir},
+              {"reason", reason},
+              {"store_silent_ms", since(m_storeAnsweredAt, m_timers.now()).count()}});
+    m_peers.offerLeadership(
+        heir, m_leaderRevision, whileAlive<bool>([this, heir](const result<bool> &accepted) {
+            m_abdicating = false;
+            const bool declined = accepted && !*accepted;
+            const bool notReached = !accepted && accepted.error().kind == error_kind::unavailable;
+            if (!declined && !notReached) {
+                stopLeading("abdicated");
+                return;
+            }
+            m_declinedBy = heir;
+            if (notReached) {
+                m_peersHeard.erase(heir);
+            }
+            if (m_coordinator) {
+                m_coordinator->endSuspension();
+            }
+        }));
 }
 
 void fleet_node::acceptLeadership(std::int64_t revision, std::function<void(bool)> done)
@@ -500,7 +540,7 @@
 void fleet_node::handleForwarded(const caller_request &request, answer_handler done)
 {
     if (!request.sender.empty() && request.sender != m_settings.peerAddress) {
-        m_peersHeard[request.sender] = m_timers.now();
+        m_peersHeard[request.sender] = {m_timers.now(), request.senderShare};
     }
     const bool fresh = since(m_configProvedAt, m_timers.now()) < m_settings.configurationLimit;
     if (!m_coordinator || !m_coordinator->isServing() || !fresh) {
@@ -520,6 +560,7 @@
     }
     each->request.seenVersion = m_shownVersion;
     each->request.sender = m_settings.peerAddress;
+    each->request.senderShare = m_settings.processorShare;
     const auto onAnswer = [this, each](const caller_answer &answer) {
         if (answer.kind == answer_kind::not_ready && m_timers.now() < each->giveUpAt
             && !(answer.version > 0 && each->request.operation == caller_operation::submit)) {
--- /dev/null
+++ b/src/fleet/record_writer.cpp
@@ -0,0 +1,70 @@
+#include <ibishinge/fleet/record_writer.h>
+
+#include <algorithm>
+#include <functional>
+
+namespace ibishinge::fleet {
+
+record_writer::record_writer(platform_api &platform, scheduler &timers,
+                             const store_condition &leader, int lanes,
+                             const std::function<void()> &onDeposed)
+{
+    for (int i = 0; i < lanes; ++i) {
+        m_lanes.push_back(store_writer::make(platform, timers, leader, onDeposed));
+    }
+}
+
+store_writer &record_writer::laneOf(std::string_view owner) const
+{
+    return *m_lanes[std::hash<std::string_view> {}(owner) % m_lanes.size()];
+}
+
+void record_writer::add(std::string_view owner, write_unit unit)
+{
+    laneOf(owner).add(std::move(unit));
+}
+
+void record_writer::addMark(const std::function<void(result<void>)> &done)
+{
+    const auto open = std::make_shared<std::size_t>(m_lanes.size());
+    for (const auto &lane : m_lanes) {
+        lane->addMark([open, done](const result<void> &stored) {
+            if (stored && --*open == 0) {
+                done({});
+            }
+        });
+    }
+}
+
+void record_writer::learnRevision(std::string_view owner, const std::string &key,
+                                  std::int64_t revision)
+{
+    laneOf(owner).learnRevision(key, revision);
+}
+
+milliseconds record_writer::stalledFor() const
+{
+    milliseconds longest {0};
+    for (const auto &lane : m_lanes) {
+        longest = std::max(longest, lane->stalledFor());
+    }
+    return longest;
+}
+
+std::size_t record_writer::waiting() const
+{
+    std::size_t count = 0;
+    for (const auto &lane : m_lanes) {
+        count += lane->waiting();
+    }
+    return count;
+}
+
+void record_writer::close()
+{
+    for (const auto &lane : m_lanes) {
+        lane->close();
+    }
+}
+
+} // namespace ibishinge::fleet
--- a/src/outside/io_loop.cpp
+++ b/src/outside/io_loop.cpp
@@ -1,10 +1,16 @@
 #include <ibishinge/outside/io_loop.h>
 
 #include <curl/curl.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <utility>
 
 namespace ibishinge {
@@ -51,9 +57,14 @@
 
 } // namespace
 
+/// libcurl is driven by events of single sockets: its simpler interface visits each open request in
+/// every round, which a few hundred waiting looks make expensive.
 struct io_loop::impl
 {
     CURLM *multi = nullptr;
+    int epoll = -1;
+    int wakeUp = -1;
+    std::optional<instant> curlTimer;
     std::vector<CURL *> idleHandles;
     std::map<CURL *, std::unique_ptr<exchange>> exchanges;
     std::map<std::string, instant, std::less<>> freshUntil; ///< by address
@@ -63,10 +74,57 @@
     std::atomic<bool> stopping = false;
 
     void finish(CURL *handle, CURLcode code);
+    void finishDone();
     void runPosted();
     void runTimers();
+    void runCurlTimer();
+    [[nodiscard]] milliseconds waitTime() const;
+    void wake() const
+    {
+        const std::uint64_t one = 1;
+        static_cast<void>(!write(wakeUp, &one, sizeof one));
+    }
 };
 
+namespace {
+
+/// Called by libcurl when it wants to hear of a socket, or no longer.
+template <class Impl>
+int onSocket(CURL * /*handle*/, curl_socket_t socket, int what, void *user, void *known)
+{
+    auto &state = *static_cast<Impl *>(user);
+    if (what == CURL_POLL_REMOVE) {
+        epoll_ctl(state.epoll, EPOLL_CTL_DEL, socket, nullptr);
+        curl_multi_assign(state.multi, socket, nullptr);
+        return 0;
+    }
+    epoll_event event {};
+    event.data.fd = socket;
+    event.events =
+        ((what & CURL_POLL_IN) != 0 ? EPOLLIN : 0U) | ((what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U);
+    if (known == nullptr) {
+        epoll_ctl(state.epoll, EPOLL_CTL_ADD, socket, &event);
+        curl_multi_assign(state.multi, socket, user); // any value but null: it is registered
+    } else {
+        epoll_ctl(state.epoll, EPOLL_CTL_MOD, socket, &event);
+    }
+    return 0;
+}
+
+/// Called by libcurl when it wants to be called after a time; -1: not at all.
+template <class Impl>
+int onTimer(CURLM * /*multi*/, long delayMs, void *user)
+{
+    auto &state = *static_cast<Impl *>(user);
+    state.curlTimer.reset();
+    if (delayMs >= 0) {
+        state.curlTimer = boot_clock::now() + milliseconds(delayMs);
+    }
+    return 0;
+}
+
+} // namespace
+
 result<std::unique_ptr<io_loop>> io_loop::make()
 {
     curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -77,6 +135,19 @@
     }
     curl_multi_setopt(state->multi, CURLMOPT_MAXCONNECTS, keptConnections);
     curl_multi_setopt(state->multi, CURLMOPT_MAX_HOST_CONNECTIONS, connectionsPerAddress);
+    curl_multi_setopt(state->multi, CURLMOPT_SOCKETFUNCTION, onSocket<impl>);
+    curl_multi_setopt(state->multi, CURLMOPT_SOCKETDATA, state.get());
+    curl_multi_setopt(state->multi, CURLMOPT_TIMERFUNCTION, onTimer<impl>);
+    curl_multi_setopt(state->multi, CURLMOPT_TIMERDATA, state.get());
+    state->epoll = epoll_create1(EPOLL_CLOEXEC);
+    state->wakeUp = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    if (state->epoll < 0 || state->wakeUp < 0) {
+        return makeError(error_kind::internal, "epoll", "cannot be set up");
+    }
+    epoll_event event {};
+    event.data.fd = state->wakeUp;
+    event.events = EPOLLIN;
+    epoll_ctl(state->epoll, EPOLL_CTL_ADD, state->wakeUp, &event);
     return std::unique_ptr<io_loop>(new io_loop(std::move(state)));
 }
 
@@ -96,6 +167,8 @@
         curl_easy_cleanup(handle);
     }
     curl_multi_cleanup(m_impl->multi);
+    close(m_impl->epoll);
+    close(m_impl->wakeUp);
 }
 
 instant io_loop::now() const
@@ -226,35 +299,71 @@
         const std::lock_guard lock(m_impl->mutex);
         m_impl->posted.push_back(std::move(function));
     }
-    curl_multi_wakeup(m_impl->multi);
+    m_impl->wake();
+}
+
+void io_loop::impl::finishDone()
+{
+    int left = 0;
+    while (const CURLMsg *message = curl_multi_info_read(multi, &left)) {
+        if (message->msg == CURLMSG_DONE) {
+            finish(message->easy_handle, message->data.result);
+        }
+    }
+}
+
+void io_loop::impl::runCurlTimer()
+{
+    if (curlTimer && *curlTimer <= boot_clock::now()) {
+        curlTimer.reset();
+        int running = 0;
+        curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    }
+}
+
+milliseconds io_loop::impl::waitTime() const
+{
+    auto end = boot_clock::now() + longestWait;
+    if (!timers.empty()) {
+        end = std::min(end, timers.begin()->first);
+    }
+    if (curlTimer) {
+        end = std::min(end, *curlTimer);
+    }
+    return std::max(milliseconds(0), end - boot_clock::now());
 }
 
 void io_loop::run()
 {
+    std::array<epoll_event, 64> events {};
     while (!m_impl->stopping) {
-        int running = 0;
-        curl_multi_perform(m_impl->multi, &running);
-        int left = 0;
-        while (const CURLMsg *message = curl_multi_info_read(m_impl->multi, &left)) {
-            if (message->msg == CURLMSG_DONE) {
-                m_impl->finish(message->easy_handle, message->data.result);
+        const int count = epoll_wait(m_impl->epoll, events.data(), static_cast<int>(events.size()),
+                                     static_cast<int>(m_impl->waitTime().count()));
+        for (int i = 0; i < count; ++i) {
+            const auto &event = events[static_cast<std::size_t>(i)];
+            if (event.data.fd == m_impl->wakeUp) {
+                std::uint64_t value = 0;
+                static_cast<void>(!read(m_impl->wakeUp, &value, sizeof value));
+                continue;
             }
+            const int flags =
+                ((event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0)
+                | ((event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0)
+                | ((event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
+            int running = 0;
+            curl_multi_socket_action(m_impl->multi, event.data.fd, flags, &running);
         }
+        m_impl->runCurlTimer();
+        m_impl->finishDone();
         m_impl->runPosted();
         m_impl->runTimers();
-        curl_multi_perform(m_impl->multi, &running);
-        milliseconds wait = longestWait;
-        if (!m_impl->timers.empty()) {
-            wait = std::clamp(m_impl->timers.begin()->first - now(), milliseconds(0), longestWait);
-        }
-        curl_multi_poll(m_impl->multi, nullptr, 0, static_cast<int>(wait.count()), nullptr);
     }
 }
 
 void io_loop::stop()
 {
     m_impl->stopping = true;
-    curl_multi_wakeup(m_impl->multi);
+    m_impl->wake();
 }
 
 } // namespace ibishinge
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -197,7 +197,7 @@
         if (planned.duration.count() > 0) {
             run.endsAt = loop.now() + planned.duration;
             loop.after(planned.duration, [this, id = worker.entry.id, order, planned,
-                                            life = worker.entry.born] {
+                                          life = worker.entry.born] {
                 auto &at = workers.at(id);
                 const auto found = at.running.find(order.task);
                 if (at.alive && at.entry.born == life && found != at.running.end()
@@ -436,8 +436,14 @@
             }
             const auto answered = std::make_shared<bool>(false);
             const auto answer = [this, done, answered, id = worker.id] {
-                if (!std::exchange(*answered, true)) {
-                    done(m_world.report(m_world.workers.at(id)));
+                auto &then = m_world.workers.at(id);
+                if (std::exchange(*answered, true)) {
+                    return;
+                }
+                if (workersCut || !then.alive || !then.reachable) {
+                    fail<worker_report>(done, error_kind::outcome_unknown);
+                } else {
+                    done(m_world.report(then));
                 }
             };
             at.waitingLooks.push_back([this, answer] { m_world.loop.after(workerTime, answer); });
