--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -169,6 +169,8 @@
     void summarize();
     void expireWorkers();
     void checkRuns();
+    void evacuate();
+    void stopStuckRuns();
     void pace();
 
     // coordinator_hosts.cpp
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -139,6 +139,8 @@
         return;
     }
     checkRuns();
+    evacuate();
+    stopStuckRuns();
     pace();
     const auto wall = m_timers.wallMs();
     for (auto &[id, job] : m_tables.jobs) {
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -11,9 +11,9 @@
 
 namespace {
 
-/// A store that has not answered a write for this long counts as away: a few times its response
-/// time when it is slow.
-constexpr milliseconds storeAway {900};
+/// A store that has not answered a write for this long counts as away: twice its response time when
+/// it is slow.
+constexpr milliseconds storeAway {500};
 
 /// When callers are told to come back while the store is away or the coordinator is not ready.
 constexpr milliseconds comeBack {1000};
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -15,6 +15,14 @@
 constexpr milliseconds lookWait {1000};
 /// While serving tasks share a worker with filling ones, their latency is watched closely.
 constexpr milliseconds sharedLookWait {400};
+/// A run without progress for this long, and longer than it was expected to take, is stopped and
+/// placed elsewhere: reports show progress in percent at least once a second.
+constexpr milliseconds stuckTime {2500};
+constexpr milliseconds stuckReportAge {1500};
+
+/// Left for the stop's end to be seen and stored before a draining worker leaves.
+constexpr milliseconds evacuationMargin {700};
+
 /// Pause between looks at a worker whose ends are not stored yet.
 constexpr milliseconds unstoredPause {100};
 /// Pause before a worker that did not answer is asked again.
@@ -682,4 +690,59 @@
     }
 }
 
+void coordinator::evacuate()
+{
+    const auto now = m_timers.now();
+    std::vector<run_key> toStop;
+    for (const auto &[id, worker] : m_tables.workers) {
+        if (worker.entry.state != worker_state::draining || !worker.verified) {
+            continue;
+        }
+        const auto left = worker.drainingSince + worker.entry.remaining - now;
+        for (const auto &key : worker.runs) {
+            const auto &run = m_tables.runs.at(key);
+            if (run.phase != run_phase::running) {
+                continue;
+            }
+            // Lasting tasks lose least if they move at once; others may still end in time.
+            if (run.lasting || left <= m_settings.stopTime + evacuationMargin) {
+                toStop.push_back(key);
+            }
+        }
+    }
+    for (const auto &key : toStop) {
+        orderStop(key, "worker_draining");
+    }
+}
+
+void coordinator::stopStuckRuns()
+{
+    const auto now = m_timers.now();
+    std::vector<run_key> toStop;
+    for (const auto &[key, run] : m_tables.runs) {
+        const auto job = m_tables.jobs.find(key.task.job);
+        if (run.phase != run_phase::running || run.lasting || job == m_tables.jobs.end()
+            || run.pace != 100) {
+            continue;
+        }
+        const auto &step = job->second.spec.steps[static_cast<std::size_t>(key.task.step)];
+        const auto expected = milliseconds(
+            static_cast<std::int64_t>(expectedRunMs(m_tables, job->second.queue, step)));
+        const auto &worker = m_tables.workers.at(run.worker);
+        const bool reportIsYoung = since(worker.reportAt, now) < stuckReportAge;
+        if (worker.verified && reportIsYoung && !step.gang
+            && since(run.progressAt, now) > std::max(stuckTime, expected)) {
+            toStop.push_back(key);
+        }
+    }
+    for (const auto &key : toStop) {
+        const auto &run = m_tables.runs.at(key);
+        if (auto *task = findTask(m_tables, key.task)) {
+            task->avoidWorker = run.worker;
+        }
+        noteFailure(m_tables, m_tables.workers.at(run.worker), now);
+        orderStop(key, "no_progress");
+    }
+}
+
 } // namespace ibishinge::fleet
