--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -71,7 +71,7 @@
 
     /// Takes the place of a leader that offers it, if this process reaches the store. Passes on
     /// whether it tries.
-    void acceptLeadership(std::int64_t revision, std::function<void(bool)> done);
+    void acceptLeadership(std::int64_t revision, const std::function<void(bool)> &done);
 
     /// Returns true if requests can be served: the configuration is fresh and there is a
     /// coordinator.
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -28,9 +28,6 @@
 constexpr milliseconds abdicationDelay {600};
 /// Processes heard of longer ago are not asked.
 constexpr milliseconds peerMemory {5000};
-/// A process accepts only if the store has answered it this recently: its poll's interval and a
-/// bit.
-constexpr milliseconds soundStoreContact {1500};
 
 constexpr milliseconds campaignRetry {200};
 
@@ -469,7 +466,7 @@
         }));
 }
 
-void fleet_node::acceptLeadership(std::int64_t revision, std::function<void(bool)> done)
+void fleet_node::acceptLeadership(std::int64_t revision, const std::function<void(bool)> &done)
 {
     // The store may be away for all: only an answer to a read now shows that it is not.
     m_platform.readItem(
--- a/src/fleet/pool_sizing.cpp
+++ b/src/fleet/pool_sizing.cpp
@@ -246,6 +246,7 @@
         return state.pools.at(a->name).peakAt > state.pools.at(b->name).peakAt;
     });
     std::vector<pool_state *> takers;
+    takers.reserve(pools.size());
     for (auto &pool : pools) {
         takers.push_back(&pool);
     }
