End within the grace time; learn of replaced workers from the list of hosts; repeat unanswered starts

A stopping process now ends when its last answers are written. A silent worker whose host runs another one, or none, is gone.

--- a/include/ibishinge/base/line_writer.h
+++ b/include/ibishinge/base/line_writer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <condition_variable>
 #include <cstddef>
 #include <cstdint>
@@ -26,6 +27,9 @@
     /// Queues a line, which ends with a line feed. Returns false if it was dropped.
     bool write(std::string line);
 
+    /// Waits until all lines so far are written, or `limit` has passed.
+    void flush(std::chrono::milliseconds limit);
+
     /// Returns how many lines were dropped since the last call.
     [[nodiscard]] std::uint64_t takeDropped();
 
--- a/include/ibishinge/base/logging.h
+++ b/include/ibishinge/base/logging.h
@@ -17,6 +17,10 @@
 /// of `main`.
 void startLogging(const std::string &process, log_level lowest);
 
+/// Waits until the lines so far are written, for a bounded time. For processes that end without
+/// destructors. Thread-safe.
+void flushLogs();
+
 /// Writes one line. Thread-safe. Fields must not hold keys or other secrets.
 ///
 /// \code
--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -186,6 +186,7 @@
     void setHomes(const std::map<std::string, int> &homes);
     void orderMove(const host_move &move);
     void retireWorker(const std::string &host);
+    void retireReplacedWorkers();
 
     platform_api &m_platform;
     scheduler &m_timers;
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -141,6 +141,7 @@
     instant lookSentAt;
     instant nextLook;
     int failedLooks = 0; ///< in a row
+    instant silentSince; ///< of the first failed look in a row
     resources held;
     std::set<run_key> runs;
     instant drainingSince;
--- a/src/base/line_writer.cpp
+++ b/src/base/line_writer.cpp
@@ -52,6 +52,12 @@
     return true;
 }
 
+void line_writer::flush(std::chrono::milliseconds limit)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait_for(lock, limit, [this] { return m_bytes == 0; });
+}
+
 std::uint64_t line_writer::takeDropped()
 {
     const std::lock_guard lock(m_mutex);
@@ -70,6 +76,9 @@
             m_bytes -= text.size();
             text.clear();
             written = 0;
+            if (m_bytes == 0) {
+                m_changed.notify_all();
+            }
             m_changed.wait(lock, [this] { return m_stopping || !m_lines.empty(); });
             for (const auto &line : m_lines) {
                 text += line;
--- a/src/base/logging.cpp
+++ b/src/base/logging.cpp
@@ -45,6 +45,9 @@
 /// Lines that wait for a slow reader of standard output.
 constexpr std::size_t maxWaitingBytes = 1U << 20U;
 
+/// A process that ends waits this long for its reader.
+constexpr std::chrono::milliseconds longestFlush {200};
+
 /// Lines of level `info` in one second; more are dropped and counted, so that the volume stays
 /// bounded under load. Warnings and errors have a bound of their own.
 constexpr int infoLinesPerSecond = 4000;
@@ -116,6 +119,11 @@
         m_writer.write(head(level) + body.substr(1) + "\n");
     }
 
+    void flush()
+    {
+        m_writer.flush(longestFlush);
+    }
+
 private:
     [[nodiscard]] std::string head(const char *level) const
     {
@@ -144,11 +152,14 @@
     return google::ERROR;
 }
 
+json_line_sink *startedSink = nullptr;
+
 } // namespace
 
 void startLogging(const std::string &process, log_level lowest)
 {
     static json_line_sink sink(process);
+    startedSink = &sink;
     google::InitGoogleLogging(process.c_str());
     // glog's own files and standard error output are off; the sink writes every line.
     for (int severity = google::INFO; severity <= google::FATAL; ++severity) {
@@ -159,6 +170,13 @@
     google::AddLogSink(&sink);
 }
 
+void flushLogs()
+{
+    if (startedSink != nullptr) {
+        startedSink->flush();
+    }
+}
+
 void logEvent(log_level level, std::string_view event, const nlohmann::json &fields)
 {
     nlohmann::json line = fields;
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -122,6 +122,7 @@
             m_tables.hosts[host.name] = host;
         }
         m_tables.hostsReadAt = sentAt;
+        retireReplacedWorkers();
         careForHosts();
     }));
 }
@@ -286,6 +287,33 @@
     }
 }
 
+void coordinator::retireReplacedWorkers()
+{
+    const auto now = m_timers.now();
+    bool retired = false;
+    for (auto &[id, worker] : m_tables.workers) {
+        const auto host = m_tables.hosts.find(worker.entry.host);
+        // A worker is one life of its host: another one there, or a host that is off or restarting,
+        // proves that it has ended. The list is older than a worker that answers.
+        if (host == m_tables.hosts.end() || worker.failedLooks == 0 || worker.verified
+            || worker.silentSince >= m_tables.hostsReadAt || host->second.worker == id) {
+            continue;
+        }
+        logEvent(log_level::info, "worker_replaced",
+                 {{"worker", id},
+                  {"host", worker.entry.host},
+                  {"runs", worker.runs.size()},
+                  {"worker_now", host->second.worker}});
+        worker.registered = false;
+        worker.leasesEndBy = now;
+        retired = true;
+    }
+    if (retired) {
+        expireWorkers();
+        onContact();
+    }
+}
+
 void coordinator::setHomes(const std::map<std::string, int> &homes)
 {
     for (const auto &[pool, count] : homes) {
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -172,6 +172,7 @@
                                       {"took_ms", since(m_startedAt, m_timers.now()).count()}});
                                  onContact();
                              }
+                             refreshHosts();
                              writeRoster();
                              requestPass();
                          }));
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -29,9 +29,6 @@
 constexpr milliseconds firstRetry {80};
 constexpr milliseconds longestRetry {800};
 
-/// A run without an answer is ordered again this often before it is stopped instead.
-constexpr int startAttempts = 3;
-
 /// Lists of ends are cut at this length by the worker.
 constexpr std::size_t longestEndList = 500;
 
@@ -150,6 +147,7 @@
 {
     auto &worker = m_tables.workers.at(id);
     if (worker.failedLooks++ == 0) {
+        worker.silentSince = m_timers.now();
         logEvent(log_level::warning, "worker_silent",
                  {{"worker", id},
                   {"error", describe(failure)},
@@ -676,7 +674,13 @@
         const bool live =
             findTask(m_tables, key.task) != nullptr && !m_tables.jobs.at(key.task.job).ending;
         if (run.phase == run_phase::starting) {
-            (live && run.orders < startAttempts ? toResend : toStop).push_back(key);
+            // The order may have been carried out, or may be later. Repeating it is answered in the
+            // same way; at a silent worker its lease runs out.
+            if (!live) {
+                toStop.push_back(key);
+            } else if (m_tables.workers.at(run.worker).verified) {
+                toResend.push_back(key);
+            }
         } else if (run.phase == run_phase::stopping
                    && (!run.stopAnswered || now - run.stopSentAt > stopRepeat)) {
             toStop.push_back(key);
--- a/src/fleet/record_codec.cpp
+++ b/src/fleet/record_codec.cpp
@@ -249,7 +249,7 @@
 {
     json out = json::array();
     for (const auto &worker : workers) {
-        out.push_back({worker.id, worker.address, worker.pool});
+        out.push_back({worker.id, worker.address, worker.pool, worker.host});
     }
     return out.dump();
 }
@@ -263,6 +263,7 @@
             worker.id = row.at(0).get<std::string>();
             worker.address = row.at(1).get<std::string>();
             worker.pool = row.at(2).get<std::string>();
+            worker.host = row.at(3).get<std::string>();
             workers.push_back(std::move(worker));
         }
         return workers;
