--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -187,6 +187,7 @@
             violations.push_back("start beyond the attempts of " + order.task.job);
         }
         ++starts;
+        startsWithTicket += order.ticket.empty() ? 0 : 1;
         worker.leaseEnd =
             std::max(worker.leaseEnd, worker.startedAt + milliseconds(order.leaseUntil));
         const auto planned = behaviourOf(order.task);
@@ -280,7 +281,10 @@
     std::vector<std::string> violations;
     std::vector<std::string> maintained; ///< hosts, in the order of their maintenance
     std::vector<std::pair<std::string, std::string>> moved; ///< host and pool
+    bool refuseMoves = false;
+    std::function<void(const virtual_worker &)> onTakeDown; ///< before a move or maintenance
     int starts = 0;
+    int startsWithTicket = 0;
     int transactions = 0;
 };
 
@@ -294,8 +298,23 @@
     }
 
     bool storeCut = false; ///< the store does not answer this process
+    bool refuseCommits = false; ///< commits are answered, and certainly not done
     int loseCommits = 0; ///< so many commits take effect without an answer
     bool workersCut = false;
+
+    /// The process stands still: it hears no replies until it goes on, and then all of them.
+    void freeze()
+    {
+        m_frozen = true;
+    }
+    void thaw()
+    {
+        m_frozen = false;
+        for (const auto &reply : std::exchange(m_heldReplies, {})) {
+            reply();
+        }
+    }
+
     std::set<std::string> unansweredStops; ///< workers whose stops fail
     int refuseStarts = 0; ///< so many starts find no connection
 
@@ -330,6 +349,10 @@
 
     void commit(const store_transaction &change, reply<transaction_reply> done) override
     {
+        if (refuseCommits) {
+            fail<transaction_reply>(std::move(done), error_kind::unavailable);
+            return;
+        }
         if (loseCommits > 0 && !storeCut) {
             --loseCommits;
             m_world.loop.after(storeTime, [this, change] { m_world.apply(change); });
@@ -476,6 +499,10 @@
     void moveHost(const std::string &host, const std::string &pool, std::int64_t /*fencingToken*/,
                   reply<host_order_outcome> done) override
     {
+        if (m_world.refuseMoves) {
+            m_world.loop.after(workerTime, [done] { done(host_order_outcome::busy); });
+            return;
+        }
         m_world.moved.emplace_back(host, pool);
         takeDown(host, pool);
         m_world.loop.after(workerTime, [done] { done(host_order_outcome::accepted); });
@@ -530,6 +557,15 @@
     static constexpr milliseconds silence {300}; ///< until a call without an answer is given up
     static constexpr milliseconds downTime {1500};
 
+    void deliver(std::function<void()> reply)
+    {
+        if (m_frozen) {
+            m_heldReplies.push_back(std::move(reply));
+        } else {
+            reply();
+        }
+    }
+
     template <class T>
     void fail(reply<T> done, error_kind kind)
     {
@@ -545,7 +581,8 @@
             fail<T>(done, error_kind::outcome_unknown);
             return;
         }
-        m_world.loop.after(storeTime, [done, act] { done(act()); });
+        m_world.loop.after(storeTime,
+                           [this, done, act] { deliver([done, value = act()] { done(value); }); });
     }
 
     template <class T>
@@ -558,7 +595,7 @@
                 fail<T>(done, error_kind::outcome_unknown);
                 return;
             }
-            done(act(worker));
+            deliver([done, value = act(worker)] { done(value); });
         });
     }
 
@@ -597,6 +634,9 @@
         entry.state = host_state::maintenance;
         entry.pool = pool;
         if (m_world.workers.count(worker) > 0) {
+            if (m_world.onTakeDown) {
+                m_world.onTakeDown(m_world.workers.at(worker));
+            }
             m_world.crash(worker);
             m_world.deleteItem("workers/" + worker);
         }
@@ -618,6 +658,8 @@
 
     virtual_world &m_world;
     milliseconds m_ttl {3000};
+    bool m_frozen = false;
+    std::vector<std::function<void()>> m_heldReplies;
 };
 
 } // namespace ibishinge::standin
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -39,6 +39,16 @@
     CPPUNIT_TEST(waveIsDoneWithinItsBound);
     CPPUNIT_TEST(lastingTasksMoveOneByOne);
     CPPUNIT_TEST(resignationHandsOver);
+    CPPUNIT_TEST(gangRunsTogetherAndEndsAsOne);
+    CPPUNIT_TEST(occurrencesStartWhenTheyAreDue);
+    CPPUNIT_TEST(ticketsAreAskedForBeforeAStart);
+    CPPUNIT_TEST(drainingWorkerIsEmptied);
+    CPPUNIT_TEST(runThatStandsStillIsPlacedElsewhere);
+    CPPUNIT_TEST(customerLimitHoldsOverAllPools);
+    CPPUNIT_TEST(wokenLeaderDoesNotAct);
+    CPPUNIT_TEST(hostIsNotTakenDownBeforeItsEndsAreStored);
+    CPPUNIT_TEST(silentWorkersTasksCountAsAway);
+    CPPUNIT_TEST(replacedWorkerDoesNotHoldUpTakeOver);
     CPPUNIT_TEST_SUITE_END();
 
     fleet_world m_fleet;
@@ -443,6 +453,207 @@
         CPPUNIT_ASSERT(m_fleet.leader() != nullptr);
         CPPUNIT_ASSERT(m_fleet.leader()->name != leader.name);
     }
+
+    void gangRunsTogetherAndEndsAsOne()
+    {
+        auto &leader = startThree();
+        m_fleet.world.behaviourOf = [](const task_name &task) {
+            // The end of one member stands for all.
+            return virtual_world::behaviour {task.index == 0 ? 400ms : 0ms, false};
+        };
+        auto spec = simpleJob(4, 4000);
+        spec.steps[0].gang = true;
+        submit(leader, jobPath, spec);
+        CPPUNIT_ASSERT(m_fleet.waitForState(leader, jobPath, job_state::completed, 2s));
+        CPPUNIT_ASSERT_EQUAL(4, m_fleet.world.starts);
+        // A gang that does not fit as a whole starts none of its members.
+        auto wide = simpleJob(5, 4000);
+        wide.steps[0].gang = true;
+        submit(leader, "/pool-a/00000000000000ac", wide);
+        m_fleet.loop.run(1s);
+        CPPUNIT_ASSERT_EQUAL(4, m_fleet.world.starts);
+    }
+
+    void occurrencesStartWhenTheyAreDue()
+    {
+        auto &leader = startThree();
+        auto spec = simpleJob(1);
+        spec.repetitions = 3;
+        spec.firstDueMs = m_fleet.loop.wallMs() + 1000;
+        spec.intervalMs = 1000;
+        submit(leader, jobPath, spec);
+        m_fleet.loop.run(900ms);
+        CPPUNIT_ASSERT_EQUAL(0, m_fleet.world.starts);
+        m_fleet.loop.run(400ms);
+        CPPUNIT_ASSERT_EQUAL(1, m_fleet.world.starts);
+        m_fleet.kill(leader.name, false);
+        auto &through = other(leader);
+        CPPUNIT_ASSERT(m_fleet.waitForState(through, jobPath, job_state::completed, 9s));
+        CPPUNIT_ASSERT_EQUAL(3, m_fleet.world.starts);
+    }
+
+    void ticketsAreAskedForBeforeAStart()
+    {
+        m_fleet.world.config.queues[0].advice = advice_rule {5ms, 1ms, 3000ms};
+        auto &leader = startThree();
+        submit(leader, jobPath, simpleJob(4));
+        CPPUNIT_ASSERT(m_fleet.waitForState(leader, jobPath, job_state::completed, 2s));
+        CPPUNIT_ASSERT_EQUAL(4, m_fleet.world.startsWithTicket);
+    }
+
+    void drainingWorkerIsEmptied()
+    {
+        auto &leader = startThree();
+        m_fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {0ms, false};
+        };
+        auto spec = simpleJob(1);
+        spec.steps[0].lasting = true;
+        submit(leader, jobPath, spec);
+        m_fleet.loop.run(300ms);
+        for (auto &[id, worker] : m_fleet.world.workers) {
+            if (!worker.running.empty()) {
+                worker.entry.state = worker_state::draining;
+                worker.entry.remaining = 2000ms;
+                m_fleet.world.putItem("workers/" + id, id, 0);
+            }
+        }
+        CPPUNIT_ASSERT(m_fleet.loop.runUntil([&] { return m_fleet.world.starts == 2; }, 1s));
+        for (auto &[id, worker] : m_fleet.world.workers) {
+            CPPUNIT_ASSERT(worker.running.empty() || worker.entry.state == worker_state::ready);
+        }
+        static_cast<void>(leader);
+    }
+
+    void runThatStandsStillIsPlacedElsewhere()
+    {
+        auto &leader = startThree();
+        m_fleet.world.behaviourOf = [this](const task_name &) {
+            return virtual_world::behaviour {m_fleet.world.starts == 1 ? 0ms : 500ms, false};
+        };
+        submit(leader, jobPath, simpleJob(1));
+        CPPUNIT_ASSERT(m_fleet.waitForState(leader, jobPath, job_state::completed, 8s));
+        CPPUNIT_ASSERT_EQUAL(2, m_fleet.world.starts);
+    }
+
+    void customerLimitHoldsOverAllPools()
+    {
+        m_fleet.world.config.customers["north"].limit = {3000, 0, 0};
+        auto &leader = startThree();
+        submit(leader, jobPath, simpleJob(4));
+        submit(leader, "/pool-b/00000000000000ad", simpleJob(4));
+        int most = 0;
+        m_fleet.loop.runUntil(
+            [&] {
+                int running = 0;
+                for (const auto &[id, worker] : m_fleet.world.workers) {
+                    running += static_cast<int>(worker.running.size());
+                }
+                most = std::max(most, running);
+                return false;
+            },
+            3s);
+        CPPUNIT_ASSERT_EQUAL(3, most);
+        CPPUNIT_ASSERT_EQUAL(8, m_fleet.world.starts);
+    }
+
+    /// A frozen coordinator wakes after its lease has run out: what it had in mind is not ordered.
+    void wokenLeaderDoesNotAct()
+    {
+        auto &leader = startThree();
+        m_fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {800ms, false};
+        };
+        submit(other(leader), jobPath, simpleJob(20));
+        m_fleet.loop.run(50ms);
+        leader.platform->freeze();
+        m_fleet.loop.run(7s);
+        const int before = m_fleet.world.starts;
+        leader.platform->thaw();
+        m_fleet.loop.run(1s);
+        CPPUNIT_ASSERT(m_fleet.leader() != nullptr);
+        CPPUNIT_ASSERT(m_fleet.leader()->name != leader.name);
+        CPPUNIT_ASSERT(before > 0);
+    }
+
+    /// Maintenance was ordered while ends of the worker were not stored: they were lost with it.
+    void hostIsNotTakenDownBeforeItsEndsAreStored()
+    {
+        auto &leader = startThree();
+        submit(leader, jobPath, simpleJob(2));
+        m_fleet.loop.run(300ms);
+        leader.platform->refuseCommits = true;
+        bool lost = false;
+        m_fleet.world.onTakeDown = [&](const standin::virtual_worker &worker) {
+            lost = lost || !worker.ended.empty();
+        };
+        maintenance_wave wave;
+        wave.number = 1;
+        wave.deadline = 20s;
+        wave.atOnce = 4;
+        for (const auto &[name, host] : m_fleet.world.hosts) {
+            wave.hosts.push_back(name);
+        }
+        m_fleet.world.waves.push_back(wave);
+        m_fleet.world.putItem("waves/1", "", 0);
+        m_fleet.loop.run(1500ms);
+        leader.platform->refuseCommits = false;
+        m_fleet.loop.run(5s);
+        CPPUNIT_ASSERT(!lost);
+        CPPUNIT_ASSERT(m_fleet.stateOf(leader, jobPath) == job_state::completed);
+    }
+
+    /// A lasting task was stopped for a move while another of its step was on a worker that had
+    /// fallen silent.
+    void silentWorkersTasksCountAsAway()
+    {
+        fleet_tables tables;
+        job_entry job;
+        job.id = "job";
+        job.spec = simpleJob(2);
+        job.spec.steps[0].lasting = true;
+        job.spec.steps[0].maxUnavailable = 1;
+        job.stored = true;
+        openDueOccurrences(job, 0);
+        tables.jobs.emplace(job.id, job);
+        const instant now {10s};
+        for (int index = 0; index < 2; ++index) {
+            run_entry run;
+            run.key = {{"job", 0, 0, index}, 1};
+            run.worker = "worker-" + std::to_string(index);
+            run.phase = run_phase::running;
+            run.percent = 100;
+            run.lasting = true;
+            addRun(tables, run);
+            auto &worker = tables.workers.at(run.worker);
+            worker.verified = true;
+            worker.reportAt = now - 100ms;
+            auto &task = *findTask(tables, run.key.task);
+            task.phase = task_phase::placed;
+            task.currentRun = 1;
+        }
+        const auto &run = tables.runs.begin()->second;
+        CPPUNIT_ASSERT(mayDisturb(tables, run, now));
+        tables.workers.at("worker-1").reportAt = now - 2s;
+        CPPUNIT_ASSERT(!mayDisturb(tables, run, now));
+        tables.workers.at("worker-1").reportAt = now;
+        tables.workers.at("worker-1").verified = false;
+        CPPUNIT_ASSERT(!mayDisturb(tables, run, now));
+    }
+
+    /// The registry shows a worker for seconds after a move has ended it; the next coordinator
+    /// waited for its lease.
+    void replacedWorkerDoesNotHoldUpTakeOver()
+    {
+        auto &leader = startThree();
+        submit(other(leader), jobPath, simpleJob(12, 2000));
+        m_fleet.loop.run(100ms);
+        auto &ghost = m_fleet.world.addWorker("ghost", "pool-a", 8000);
+        ghost.alive = false;
+        m_fleet.world.hosts.at("host-ghost").worker = "its-next-life";
+        m_fleet.kill(leader.name, false);
+        CPPUNIT_ASSERT(m_fleet.waitForState(other(leader), jobPath, job_state::completed, 3500ms));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_test);
--- /dev/null
+++ b/tests/pool_sizing_test.cpp
@@ -0,0 +1,167 @@
+#include "tests/support/fleet_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+using namespace ibishinge;
+using namespace ibishinge::fleet;
+using namespace std::chrono_literals;
+
+/// Pools that ask in turn for more than they hold.
+class pool_sizing_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(pool_sizing_test);
+    CPPUNIT_TEST(hostsFollowTheTurns);
+    CPPUNIT_TEST(noMoveEndsARun);
+    CPPUNIT_TEST(noMoveBeforeAllWorkersRegistered);
+    CPPUNIT_TEST(homeSizesOutliveTheCoordinator);
+    CPPUNIT_TEST_SUITE_END();
+
+    struct outcome
+    {
+        int inTime = 0;
+        int jobs = 0;
+        std::size_t moves = 0;
+        int terms = 0;
+    };
+
+    /// Replays a load of the deployments' shape with a fixed seed: in its turn each pool gets 30
+    /// jobs a second for 4.5 s, which need 1.3 times its cores, and then next to nothing.
+    static outcome replay(fleet_world &fleet)
+    {
+        std::mt19937_64 random(20261204);
+        fleet.world.behaviourOf = [&random](const task_name &) {
+            return virtual_world::behaviour {milliseconds(350 + random() % 600), false};
+        };
+        auto &process = fleet.addProcess("only");
+        CPPUNIT_ASSERT(fleet.waitForLeader());
+        fleet.loop.run(8s);
+        const auto counted = std::make_shared<outcome>();
+        int number = 0;
+        for (int turn = 0; turn < 4; ++turn) {
+            const std::string pool = turn % 2 == 0 ? "/pool-a/" : "/pool-b/";
+            for (int i = 0; i < 135; ++i) {
+                const auto at = milliseconds(4500 * turn + 4500 * i / 135);
+                fleet.loop.after(at, [&fleet, &process, counted, pool, id = number++] {
+                    char text[17];
+                    std::snprintf(text, sizeof text, "%016d", id);
+                    const auto path = pool + text;
+                    caller_request request;
+                    request.operation = caller_operation::submit;
+                    request.host = "jobs.example";
+                    request.path = path;
+                    request.key = "key-north";
+                    request.patience = 3000ms;
+                    request.spec = simpleJob(6, 1800);
+                    ++counted->jobs;
+                    process.node->handle(request, [](const caller_answer &) {});
+                    // In time: shown as completed within 2.2 s.
+                    fleet.loop.after(2200ms, [&process, counted, path] {
+                        caller_request show;
+                        show.host = "jobs.example";
+                        show.path = path;
+                        show.key = "key-north";
+                        process.node->handle(show, [counted](const caller_answer &answer) {
+                            counted->inTime += answer.kind == answer_kind::shown
+                                                       && answer.state == job_state::completed
+                                                   ? 1
+                                                   : 0;
+                        });
+                    });
+                });
+            }
+        }
+        fleet.loop.run(30s);
+        counted->moves = fleet.world.moved.size();
+        return *counted;
+    }
+
+    static void addHosts(fleet_world &fleet, int spare)
+    {
+        for (auto &[id, worker] : fleet.world.workers) {
+            worker.entry.capacity.cpuMillis = 32000;
+            fleet.world.hosts.at(worker.entry.host).capacity.cpuMillis = 32000;
+        }
+        for (int i = 0; i < spare; ++i) {
+            const std::string name = "spare-" + std::to_string(i);
+            fleet.world.hosts[name] = {
+                name, "spare", host_state::up, {"a", "rack-2"}, {32000, 100000, 0}, ""};
+        }
+    }
+
+public:
+    void hostsFollowTheTurns()
+    {
+        fleet_world moving(5);
+        addHosts(moving, 4);
+        const auto withMoves = replay(moving);
+        // The baseline: no spare hosts, and a single pool that could give any.
+        fleet_world fixed(5);
+        addHosts(fixed, 0);
+        fixed.world.config.pools.erase("spare");
+        for (auto &[name, host] : fixed.world.hosts) {
+            host.labels = {"kind-" + name, "rack-1"};
+        }
+        fixed.world.refuseMoves = true;
+        const auto without = replay(fixed);
+        CPPUNIT_ASSERT_EQUAL(540, withMoves.jobs);
+        CPPUNIT_ASSERT(withMoves.moves > 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, without.moves);
+        CPPUNIT_ASSERT_MESSAGE("in time: " + std::to_string(withMoves.inTime) + " against "
+                                   + std::to_string(without.inTime),
+                               withMoves.inTime > without.inTime + 540 / 10);
+        CPPUNIT_ASSERT(moving.world.violations.empty());
+    }
+
+    void noMoveEndsARun()
+    {
+        fleet_world fleet(4);
+        addHosts(fleet, 2);
+        bool cut = false;
+        fleet.world.onTakeDown = [&](const standin::virtual_worker &worker) {
+            cut = cut || !worker.running.empty() || !worker.ended.empty();
+        };
+        replay(fleet);
+        CPPUNIT_ASSERT(!fleet.world.moved.empty());
+        CPPUNIT_ASSERT(!cut);
+    }
+
+    /// While workers were still starting, their pools looked too small, and the first one took all
+    /// spare hosts.
+    void noMoveBeforeAllWorkersRegistered()
+    {
+        fleet_world fleet(4);
+        addHosts(fleet, 4);
+        std::vector<std::string> late;
+        for (const auto &[id, worker] : fleet.world.workers) {
+            if (worker.entry.pool == "pool-b") {
+                late.push_back(id);
+            }
+        }
+        for (const auto &id : late) {
+            fleet.world.deleteItem("workers/" + id);
+            fleet.loop.after(3s, [&fleet, id] { fleet.world.putItem("workers/" + id, id, 0); });
+        }
+        fleet.addProcess("only");
+        fleet.loop.run(10s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, fleet.world.moved.size());
+    }
+
+    void homeSizesOutliveTheCoordinator()
+    {
+        fleet_world fleet(4);
+        addHosts(fleet, 2);
+        fleet.addProcess("one");
+        CPPUNIT_ASSERT(fleet.waitForLeader());
+        fleet.loop.run(2s);
+        const auto before = fleet.world.items.at("fleet/homes").value;
+        fleet.world.hosts.begin()->second.pool = "pool-b"; // as after a move
+        fleet.kill("one", true);
+        CPPUNIT_ASSERT(fleet.waitForLeader());
+        fleet.loop.run(2s);
+        CPPUNIT_ASSERT_EQUAL(before, fleet.world.items.at("fleet/homes").value);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(pool_sizing_test);
--- /dev/null
+++ b/tests/wire_codec_test.cpp
@@ -0,0 +1,184 @@
+#include "platform/callers_api.h"
+#include "platform/wire_codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <string>
+
+using namespace ibishinge;
+using namespace ibishinge::fleet;
+using namespace ibishinge::platform;
+
+/// The platform's messages, as its pages show them, and what other writers leave in their place.
+class wire_codec_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(wire_codec_test);
+    CPPUNIT_TEST(taskNames);
+    CPPUNIT_TEST(reportOfAWorker);
+    CPPUNIT_TEST(answersToStarts);
+    CPPUNIT_TEST(rubbishInTheRegistryNamesNoWorker);
+    CPPUNIT_TEST(configurationOfTheOperators);
+    CPPUNIT_TEST(jobsOfCallers);
+    CPPUNIT_TEST(answersToCallers);
+    CPPUNIT_TEST(pagesOfTheStore);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void taskNames()
+    {
+        const task_name name {"5c0e7a21d94b36f8", 0, 1, 17};
+        CPPUNIT_ASSERT_EQUAL(std::string("5c0e7a21d94b36f8.0.1.17"), encodeTaskName(name));
+        CPPUNIT_ASSERT(decodeTaskName(encodeTaskName(name)) == name);
+        for (const char *bad : {"", "a", "a.1", "a.1.2", "a.1.2.x", "a.1.2.3.4", "a..1.2"}) {
+            CPPUNIT_ASSERT(!decodeTaskName(bad));
+        }
+    }
+
+    void reportOfAWorker()
+    {
+        const auto report = decodeReport(200, R"({"clock-ms":482113,"born":7,
+            "running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb87a21d94b",41,12.5]],
+            "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})");
+        CPPUNIT_ASSERT(report);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t {7}, report->born);
+        CPPUNIT_ASSERT_EQUAL(41, report->running.at(0).percent);
+        CPPUNIT_ASSERT(report->ended.at(0).kind == end_kind::done);
+        CPPUNIT_ASSERT(decodeReport(409, R"({"clock-ms":1,"reason":"fence"})")->fenced);
+        CPPUNIT_ASSERT(decodeReport(421, "")->otherLife);
+        CPPUNIT_ASSERT(!decodeReport(200, "{"));
+        CPPUNIT_ASSERT(
+            !decodeReport(200, R"({"clock-ms":1,"running":[],"ended":[[1,"a",1,"x",""]]})"));
+    }
+
+    void answersToStarts()
+    {
+        struct row
+        {
+            int status;
+            const char *body;
+            start_outcome outcome;
+        };
+        constexpr std::array<row, 9> rows {{
+            {200, R"({"clock-ms":5})", start_outcome::running},
+            {409, R"({"clock-ms":5,"reason":"fence"})", start_outcome::fenced},
+            {409, R"({"clock-ms":5,"reason":"old"})", start_outcome::old_run},
+            {409, R"({"clock-ms":5,"reason":"late"})", start_outcome::lease_past},
+            {409, R"({"clock-ms":5,"reason":"room"})", start_outcome::no_room},
+            {409, R"({"clock-ms":5,"reason":"ticket"})", start_outcome::bad_ticket},
+            {421, "", start_outcome::other_life},
+            {503, "", start_outcome::unhealthy},
+            {400, "", start_outcome::invalid},
+        }};
+        for (const auto &row : rows) {
+            const auto reply = decodeStartReply(row.status, row.body);
+            CPPUNIT_ASSERT(reply && reply->outcome == row.outcome);
+        }
+        CPPUNIT_ASSERT(decodeStartReply(500, "").error().kind == error_kind::outcome_unknown);
+    }
+
+    void rubbishInTheRegistryNamesNoWorker()
+    {
+        const std::string good = R"({"service":"s","address":"10.0.0.1:1","zone":"z",
+            "state":"ready","labels":["a","r1"],"capacity":{"cpu":1},"machine":"m","born":3})";
+        const auto worker = decodeWorkerEntry("i", good);
+        CPPUNIT_ASSERT(worker);
+        CPPUNIT_ASSERT_EQUAL(std::string("m"), worker->host);
+        for (
+            const char *bad :
+            {"", "\xff\xfe", "[]", "{}", R"({"service":1})",
+             R"({"service":"s","address":"a","zone":"z","state":"strange","labels":[],"capacity":{}})",
+             R"({"service":"s","address":"a","zone":"z","state":"ready","labels":7,"capacity":{}})",
+             R"({"service":"s","address":["a"],"zone":"z","state":"ready","labels":[],"capacity":{}})"}) {
+            CPPUNIT_ASSERT(!decodeWorkerEntry("i", bad));
+        }
+    }
+
+    void configurationOfTheOperators()
+    {
+        const auto config = decodeConfiguration(R"({"version":7,"routes":[{"name":"r",
+            "host":"a.example","prefix":"/p/","service":"s","priority":1,"max-attempts":3,
+            "stretch":1.6,"target-latency-ms":600,"skip-auth":true,
+            "advice":{"decide-ms":5,"each-ms":1,"validity-ms":3000}}],
+            "services":[{"name":"s","rejects-overload":false},{"name":"t","spare":true}],
+            "tenants":[{"name":"n","api-keys":["k1","k2"],"weight":5,"cap":{"cpu":1000}}]})");
+        CPPUNIT_ASSERT(config);
+        CPPUNIT_ASSERT(config->queues.at(0).advice.has_value());
+        CPPUNIT_ASSERT(config->queues.at(0).openToAll);
+        CPPUNIT_ASSERT(!config->pools.at("s").workersGuardCapacity);
+        CPPUNIT_ASSERT(config->pools.at("t").spare);
+        CPPUNIT_ASSERT_EQUAL(std::string("n"), config->customerOfKey.at("k2"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t {1000}, config->customers.at("n").limit.cpuMillis);
+        CPPUNIT_ASSERT(!decodeConfiguration(R"({"version":"seven"})"));
+    }
+
+    void jobsOfCallers()
+    {
+        const auto spec = decodeJob(R"({"spec":"text","unknown":1,"steps":[{"count":4,"cpu":500,
+            "mem-mb":256,"estimate-ms":900,"affinity":"r1-3"},{"count":20,"cpu":2000,"after":[0],
+            "checkpointing":true,"persistent":true,"max-unavailable":2,"fills":true}]})");
+        CPPUNIT_ASSERT(spec);
+    CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), spec->steps.at(0).dataRack);
+    CPPUNIT_ASSERT(spec->steps.at(1).lasting && spec->steps.at(1).fills);
+    CPPUNIT_ASSERT_EQUAL(2, spec->steps.at(1).maxUnavailable);
+    for (const char *bad :
+         {"", "{", "[]", "{}", R"({"spec":1,"steps":[]})", R"({"spec":"a","steps":[{"cpu":1}]})",
+          R"({"spec":"a","steps":[{"count":"four"}]})"}) {
+        CPPUNIT_ASSERT(!decodeJob(bad));
+    }
+}
+
+    void answersToCallers()
+{
+    struct row
+    {
+        answer_kind kind;
+        int status;
+    };
+    constexpr std::array<row, 9> rows {{
+        {answer_kind::accepted, 200},
+        {answer_kind::cancelled, 200},
+        {answer_kind::no_such_queue, 404},
+        {answer_kind::no_such_job, 410},
+        {answer_kind::unauthorized, 401},
+        {answer_kind::invalid, 400},
+        {answer_kind::overloaded, 429},
+        {answer_kind::not_ready, 503},
+        {answer_kind::outcome_unknown, 504},
+    }};
+    for (const auto &row : rows) {
+        caller_answer answer;
+        answer.kind = row.kind;
+        CPPUNIT_ASSERT_EQUAL(row.status, encodeCallAnswer(answer).status);
+    }
+    caller_answer later;
+    later.retryAfter = milliseconds(1200);
+    const auto response = encodeCallAnswer(later);
+    CPPUNIT_ASSERT(findHeader(response.headers, "Retry-After") == "2");
+
+    http_request request;
+    request.method = "GET";
+    request.path = "/p/00";
+    request.headers = {
+        {"Host", "a.example:80"}, {"Authorization", "Bearer k1"}, {"Request-Deadline", "2500"}};
+    const auto call = decodeCall(request);
+    CPPUNIT_ASSERT(call && call->host == "a.example" && call->key == "k1");
+    CPPUNIT_ASSERT(call->patience == milliseconds(2500));
+    request.method = "PATCH";
+    CPPUNIT_ASSERT(!decodeCall(request));
+}
+
+void pagesOfTheStore()
+{
+    const auto page = decodePage(R"({"events":[{"key":"a","value":"bm9kZS0x","revision":412,
+            "created":412,"lease":0},{"key":"b","revision":413,"deleted":true}],"current-rev":413})");
+    CPPUNIT_ASSERT(page);
+    CPPUNIT_ASSERT_EQUAL(std::string("node-1"), page->items.at(0).value);
+    CPPUNIT_ASSERT(page->items.at(1).deleted);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t {413}, page->revision);
+    CPPUNIT_ASSERT(!decodePage("<html>"));
+}
+}
+;
+
+CPPUNIT_TEST_SUITE_REGISTRATION(wire_codec_test);
