--- a/include/ibishinge/fleet/pool_load.h
+++ b/include/ibishinge/fleet/pool_load.h
@@ -13,7 +13,8 @@
     std::int64_t capacity = 0; ///< of those workers
     std::int64_t lastingHeld = 0; ///< by lasting tasks on them
     std::int64_t batchHeld = 0; ///< by other tasks on them
-    double waitingWork = 0; ///< core-ms of tasks that wait or will: all later steps too
+    double waitingWork = 0; ///< core-ms of tasks whose turn has come
+    double laterWork = 0; ///< core-ms of tasks of later steps
     double runningWork = 0; ///< core-ms that running tasks still need
     int waitingTasks = 0; ///< whose turn has come
     int liveJobs = 0; ///< that are not lasting
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -178,6 +178,7 @@
                   {"lasting", load.lastingHeld},
                   {"batch", load.batchHeld},
                   {"waiting_core_ms", static_cast<std::int64_t>(load.waitingWork)},
+                  {"later_core_ms", static_cast<std::int64_t>(load.laterWork)},
                   {"waiting_tasks", load.waitingTasks},
                   {"jobs", load.liveJobs}});
     }
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -55,30 +55,33 @@
 void coordinator::readWaveRecord(std::int64_t number)
 {
     const auto key = std::string(ibishinge::fleet::wavePrefix) + std::to_string(number);
-    m_platform.readItem(key,
-                        whileOpen<store_item>([this, key, number](const result<store_item> &item) {
-                            if (!item) {
-                                later(hostInterval, [this, number] { readWaveRecord(number); });
-                                return;
-                            }
-                            auto &care = m_care.waves.at(number);
-                            if (item->revision != 0) {
-                                m_writer->learnRevision(key, key, item->revision);
-                                const auto record = decodeWaveRecord(item->value);
-                                if (record) {
-                                    care.completed = record->completed;
-                                    for (const auto &host : record->hosts) {
-                                        if (care.hosts.count(host) > 0) {
-                                            care.hosts[host] = {care_step::away, m_timers.now()};
-                                        }
-                                    }
-                                }
-                            }
-                            const auto status = m_platform.encodeWaveStatus(number, care.completed);
-                            m_writer->add(key, {{{status.key, status.value}}, false, nullptr});
-                            care.known = true;
-                            refreshHosts();
-                        }));
+    m_platform.readItem(
+        key, whileOpen<store_item>([this, key, number](const result<store_item> &item) {
+            if (!item) {
+                later(hostInterval, [this, number] { readWaveRecord(number); });
+                return;
+            }
+            auto &care = m_care.waves.at(number);
+            if (item->revision != 0) {
+                m_writer->learnRevision(key, key, item->revision);
+                const auto record = decodeWaveRecord(item->value);
+                if (record) {
+                    care.completed = record->completed;
+                    for (const auto &host : record->hosts) {
+                        if (care.hosts.count(host) > 0) {
+                            // Accepted by an earlier coordinator: the next list tells whether it is
+                            // up again.
+                            care.hosts[host] = {care_step::away,
+                                                m_timers.now() - m_settings.maintenanceTime};
+                        }
+                    }
+                }
+            }
+            const auto status = m_platform.encodeWaveStatus(number, care.completed);
+            m_writer->add(key, {{{status.key, status.value}}, false, nullptr});
+            care.known = true;
+            refreshHosts();
+        }));
 }
 
 void coordinator::writeWaveRecord(const wave_care &care)
--- a/src/fleet/pool_load.cpp
+++ b/src/fleet/pool_load.cpp
@@ -25,7 +25,7 @@
                               [](const auto &task) { return task.phase == task_phase::waiting; });
             const double each = expectedRunMs(tables, job.queue, spec)
                                 * static_cast<double>(spec.need.cpuMillis) / 1000;
-            load.waitingWork += each * static_cast<double>(waiting);
+            (ready ? load.waitingWork : load.laterWork) += each * static_cast<double>(waiting);
             load.waitingTasks += ready ? static_cast<int>(waiting) : 0;
         }
     }
--- a/src/fleet/pool_sizing.cpp
+++ b/src/fleet/pool_sizing.cpp
@@ -12,6 +12,9 @@
 /// Work that waits is to be begun within this time: about the wait that objectives leave.
 constexpr double drainMs = 1200;
 
+/// Later steps follow over a job's life, a few times that.
+constexpr double laterDrainMs = 4000;
+
 /// Demand above this share of its home size is a peak of the pool.
 constexpr double peakShare = 0.5;
 
@@ -145,8 +148,9 @@
         pool.hosts -= move.from == name ? 1 : 0;
     }
     auto &memory = state.pools[name];
-    const double demand = static_cast<double>(pool.load.lastingHeld + pool.load.batchHeld)
-                          + pool.load.waitingWork / drainMs * 1000;
+    const double demand =
+        static_cast<double>(pool.load.lastingHeld + pool.load.batchHeld)
+        + (pool.load.waitingWork / drainMs + pool.load.laterWork / laterDrainMs) * 1000;
     if (demand - static_cast<double>(pool.load.lastingHeld) > peakShare * memory.home * hostCores) {
         memory.peakAt = now;
     }
@@ -238,9 +242,7 @@
     // Those whose peak is most recent are the last to need their hosts again.
     std::vector<pool_state *> donors;
     for (auto &pool : pools) {
-        if (!state.pools.at(pool.name).peaking) {
-            donors.push_back(&pool);
-        }
+        donors.push_back(&pool);
     }
     std::sort(donors.begin(), donors.end(), [&](const pool_state *a, const pool_state *b) {
         return state.pools.at(a->name).peakAt > state.pools.at(b->name).peakAt;
@@ -282,8 +284,9 @@
         return moves;
     }
     for (auto *donor : donors) {
-        while (donor->hosts > donor->wanted && !donor->idle.empty()
-               && inProgress() < maxMovesAtOnce) {
+        // A pool at its peak gives hosts to others in demand only: its own may rise again.
+        while (!state.pools.at(donor->name).peaking && donor->hosts > donor->wanted
+               && !donor->idle.empty() && inProgress() < maxMovesAtOnce) {
             const auto host = donor->idle.front();
             donor->idle.erase(donor->idle.begin());
             const auto moved = state.movedAt.find(host.name);
