--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -13,8 +13,8 @@
 /// Pause before a failed read is repeated.
 constexpr milliseconds readRetry {80};
 
-/// Longest wait of one watch call; the store's bound is 30 s.
-constexpr milliseconds watchWait {20000};
+/// Wait of one watch call. A watch can be cut without a word, and then hides changes this long.
+constexpr milliseconds watchWait {1000};
 
 /// Runs of an earlier coordinator end within its task lease on a worker's clock that is 2% slow.
 constexpr double slowClockFactor = 1.021;
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -12,7 +12,9 @@
 
 /// The configuration is read this often as a proof of its freshness; changes come by watch.
 constexpr milliseconds configurationInterval {1200};
-constexpr milliseconds watchWait {20000};
+/// Wait of one watch call. A watch can be cut without a word; the configuration is polled besides,
+/// and requests that are refused tell of a leader that is gone.
+constexpr milliseconds watchWait {2500};
 constexpr milliseconds readRetry {150};
 
 /// The lease is renewed about four times in its length, and more often after a failure.
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -298,6 +298,7 @@
     }
 
     bool storeCut = false; ///< the store does not answer this process
+    bool watchesSilent = false; ///< watches are cut without a word: changes do not wake them
     bool refuseCommits = false; ///< commits are answered, and certainly not done
     int loseCommits = 0; ///< so many commits take effect without an answer
     bool workersCut = false;
@@ -623,7 +624,11 @@
                 waitForChange(prefix, revision, until, done);
             }
         };
-        m_world.watchers.push_back([this, again] { m_world.loop.after(milliseconds(0), again); });
+        m_world.watchers.push_back([this, again] {
+            if (!watchesSilent) {
+                m_world.loop.after(milliseconds(0), again);
+            }
+        });
         m_world.loop.after(until - m_world.loop.now(), again);
     }
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(hostIsNotTakenDownBeforeItsEndsAreStored);
     CPPUNIT_TEST(silentWorkersTasksCountAsAway);
     CPPUNIT_TEST(replacedWorkerDoesNotHoldUpTakeOver);
+    CPPUNIT_TEST(newWorkersAreFoundThoughAWatchIsDead);
     CPPUNIT_TEST_SUITE_END();
 
     fleet_world m_fleet;
@@ -654,6 +655,23 @@
         m_fleet.kill(leader.name, false);
         CPPUNIT_ASSERT(m_fleet.waitForState(other(leader), jobPath, job_state::completed, 3500ms));
     }
+
+    /// A watch that was cut without a word hid 20 new workers for 20 s, while their pools were at
+    /// their peak.
+    void newWorkersAreFoundThoughAWatchIsDead()
+    {
+        auto &leader = startThree();
+        m_fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {0ms, false};
+        };
+        leader.platform->watchesSilent = true;
+        m_fleet.loop.run(100ms);
+        for (int i = 0; i < 3; ++i) {
+            m_fleet.world.addWorker("late-" + std::to_string(i), "pool-a", 8000);
+        }
+        submit(other(leader), jobPath, simpleJob(5, 8000));
+        CPPUNIT_ASSERT(m_fleet.loop.runUntil([&] { return m_fleet.world.starts >= 5; }, 3s));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_test);
