--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -20,15 +20,15 @@
 
 namespace ibishinge::fleet {
 
+/// A worker's clock may be slow by 2%; a little more covers rounding.
+inline constexpr double slowClockFactor = 1.021;
+
 /// Bounds of the platform that the coordinator keeps.
 struct coordinator_settings
 {
     milliseconds taskLease {4000}; ///< longer than an outage of the leader's record, see design
     milliseconds stopTime {200}; ///< a worker ends a stopped run within this
-    milliseconds moveTime {1500}; ///< of a host between pools
     milliseconds maintenanceTime {2000}; ///< a host is down for maintenance this long
-    milliseconds unavailableNotice {4500}; ///< a lasting task away this long counts as unavailable
-    milliseconds harmTime {4000}; ///< a serving task may be over its target this long
     int writeLanes = 2; ///< transactions on their way at once
 };
 
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -17,7 +17,6 @@
 constexpr milliseconds watchWait {1000};
 
 /// Runs of an earlier coordinator end within its task lease on a worker's clock that is 2% slow.
-constexpr double slowClockFactor = 1.021;
 constexpr milliseconds inheritedSlack {150};
 
 /// Returns the job that a record belongs to, or the key of a record of its own.
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -49,8 +49,7 @@
 /// While a stop is open, looks come back soon, to see that the run is gone.
 constexpr milliseconds stoppingLookWait {150};
 
-/// A worker's clock may be slow by 2%; a little more covers rounding.
-constexpr double slowClockFactor = 1.021;
+/// Covers the time from a decision to its sending.
 constexpr milliseconds clockSlack {60};
 
 nlohmann::json describeRun(const run_key &key)
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -113,7 +113,8 @@
             if (!item) {
                 logEvent(log_level::warning, "configuration_read_failed",
                          {{"error", describe(item.error())},
-                          {"proof_age_ms", since(m_configProvedAt, m_timers.now()).count()}});
+                          {"proof_age_ms",
+                           m_config ? since(m_configProvedAt, m_timers.now()).count() : -1}});
                 later(readRetry, [this] { pollConfiguration(); });
                 return;
             }
