Ask workers before their hosts are taken down after a take-over

Workers without known runs seemed empty, and two hosts with lasting tasks of one step went down 80 ms after the take-over. Ruled out: stops (none was ordered) and moves (they need an answered look). Change: a host is taken down only if its worker has told this coordinator that nothing runs, or leases of the one before have run out; a worker that only the list of hosts knows is waited for. Test: newCoordinatorAsksWorkersBeforeItTakesHostsDown, red before and green after.

--- a/include/ibishinge/fleet/host_care.h
+++ b/include/ibishinge/fleet/host_care.h
@@ -50,6 +50,10 @@
 /// Returns the worker that runs on a host, or null.
 [[nodiscard]] worker_status *workerOf(fleet_tables &tables, const std::string &host);
 
+/// Returns true if nothing runs on the worker for certain: it has told this coordinator so, or the
+/// leases of an earlier one have run out. A worker that was not asked yet only seems empty.
+[[nodiscard]] bool isKnownEmpty(const worker_status &worker, instant now) noexcept;
+
 /// Returns how many hosts of the wave are or may be down for their maintenance.
 [[nodiscard]] int awayHosts(const wave_care &care);
 
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -188,14 +188,14 @@
         return;
     case care_step::emptying: {
         auto *worker = workerOf(m_tables, host);
-        if (worker != nullptr && !worker->runs.empty()) {
+        if (worker == nullptr && !listed->second.worker.empty()) {
+            return; // the registry is behind the list of hosts
+        }
+        if (worker != nullptr && !isKnownEmpty(*worker, now)) {
             worker->emptying = true;
             clearHost(*worker, since(each.since, now) > emptyingPatience);
             return;
         }
-        if (worker != nullptr && worker->storedEnd < worker->processedEnd) {
-            return; // its ends would be lost with it before the store has them
-        }
         if (awayHosts(care) < care.wave.atOnce) {
             orderMaintenance(care, host, each);
         }
--- a/src/fleet/host_care.cpp
+++ b/src/fleet/host_care.cpp
@@ -31,6 +31,12 @@
     return worker == tables.workers.end() ? nullptr : &worker->second;
 }
 
+bool isKnownEmpty(const worker_status &worker, instant now) noexcept
+{
+    return worker.runs.empty() && worker.storedEnd >= worker.processedEnd
+           && (worker.contacted || worker.leasesEndBy <= now);
+}
+
 int awayHosts(const wave_care &care)
 {
     return static_cast<int>(
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -321,6 +321,7 @@
 
     std::set<std::string> unansweredStops; ///< workers whose stops fail
     int workerCalls = 0; ///< of all kinds
+    milliseconds lookTime {2}; ///< until a look is answered
     int refuseStarts = 0; ///< so many starts find no connection
 
     void readItem(const std::string &key, reply<store_item> done) override
@@ -444,7 +445,7 @@
               reply<worker_report> done) override
     {
         ++workerCalls;
-        m_world.loop.after(workerTime, [=, this] {
+        m_world.loop.after(lookTime, [=, this] {
             auto &at = m_world.workers.at(worker.id);
             if (workersCut || !at.alive || !at.reachable) {
                 fail<worker_report>(done, error_kind::outcome_unknown);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(replacedWorkerDoesNotHoldUpTakeOver);
     CPPUNIT_TEST(newWorkersAreFoundThoughAWatchIsDead);
     CPPUNIT_TEST(inheritedRunOnASilentWorkerKeepsItsLease);
+    CPPUNIT_TEST(newCoordinatorAsksWorkersBeforeItTakesHostsDown);
     CPPUNIT_TEST_SUITE_END();
 
     fleet_world m_fleet;
@@ -700,6 +701,40 @@
         CPPUNIT_ASSERT(m_fleet.loop.runUntil([&] { return m_fleet.world.starts == 2; }, 8s));
         CPPUNIT_ASSERT(m_fleet.loop.now() > worker.leaseEnd);
     }
+
+    /// A new coordinator took hosts down whose workers it had not asked yet: they seemed empty.
+    void newCoordinatorAsksWorkersBeforeItTakesHostsDown()
+    {
+        auto &leader = startThree();
+        m_fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {0ms, false};
+        };
+        auto spec = simpleJob(4);
+        spec.steps[0].lasting = true;
+        spec.steps[0].maxUnavailable = 1;
+        submit(leader, jobPath, spec);
+        m_fleet.loop.run(500ms);
+        maintenance_wave wave;
+        wave.number = 1;
+        wave.deadline = 20s;
+        wave.atOnce = 4;
+        for (const auto &[name, host] : m_fleet.world.hosts) {
+            wave.hosts.push_back(name);
+        }
+        m_fleet.world.waves.push_back(wave);
+        bool cut = false;
+        m_fleet.world.onTakeDown = [&](const standin::virtual_worker &worker) {
+            cut = cut || !worker.running.empty();
+        };
+        for (auto &[name, each] : m_fleet.processes) {
+            each.platform->lookTime = 250ms;
+        }
+        leader.node->resign();
+        m_fleet.world.putItem("waves/1", "", 0);
+        m_fleet.loop.run(15s);
+        CPPUNIT_ASSERT(!cut);
+        CPPUNIT_ASSERT_EQUAL(wave.hosts.size(), m_fleet.world.maintained.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_test);
