--- a/tests/wire_codec_test.cpp
+++ b/tests/wire_codec_test.cpp
@@ -118,67 +118,66 @@
             "mem-mb":256,"estimate-ms":900,"affinity":"r1-3"},{"count":20,"cpu":2000,"after":[0],
             "checkpointing":true,"persistent":true,"max-unavailable":2,"fills":true}]})");
         CPPUNIT_ASSERT(spec);
-    CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), spec->steps.at(0).dataRack);
-    CPPUNIT_ASSERT(spec->steps.at(1).lasting && spec->steps.at(1).fills);
-    CPPUNIT_ASSERT_EQUAL(2, spec->steps.at(1).maxUnavailable);
-    for (const char *bad :
-         {"", "{", "[]", "{}", R"({"spec":1,"steps":[]})", R"({"spec":"a","steps":[{"cpu":1}]})",
-          R"({"spec":"a","steps":[{"count":"four"}]})"}) {
-        CPPUNIT_ASSERT(!decodeJob(bad));
+        CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), spec->steps.at(0).dataRack);
+        CPPUNIT_ASSERT(spec->steps.at(1).lasting && spec->steps.at(1).fills);
+        CPPUNIT_ASSERT_EQUAL(2, spec->steps.at(1).maxUnavailable);
+        for (const char *bad : {"", "{", "[]", "{}", R"({"spec":1,"steps":[]})",
+                                R"({"spec":"a","steps":[{"cpu":1}]})",
+                                R"({"spec":"a","steps":[{"count":"four"}]})"}) {
+            CPPUNIT_ASSERT(!decodeJob(bad));
+        }
     }
-}
 
     void answersToCallers()
-{
-    struct row
     {
-        answer_kind kind;
-        int status;
-    };
-    constexpr std::array<row, 9> rows {{
-        {answer_kind::accepted, 200},
-        {answer_kind::cancelled, 200},
-        {answer_kind::no_such_queue, 404},
-        {answer_kind::no_such_job, 410},
-        {answer_kind::unauthorized, 401},
-        {answer_kind::invalid, 400},
-        {answer_kind::overloaded, 429},
-        {answer_kind::not_ready, 503},
-        {answer_kind::outcome_unknown, 504},
-    }};
-    for (const auto &row : rows) {
-        caller_answer answer;
-        answer.kind = row.kind;
-        CPPUNIT_ASSERT_EQUAL(row.status, encodeCallAnswer(answer).status);
-    }
-    caller_answer later;
-    later.retryAfter = milliseconds(1200);
-    const auto response = encodeCallAnswer(later);
-    CPPUNIT_ASSERT(findHeader(response.headers, "Retry-After") == "2");
+        struct row
+        {
+            answer_kind kind;
+            int status;
+        };
+        constexpr std::array<row, 9> rows {{
+            {answer_kind::accepted, 200},
+            {answer_kind::cancelled, 200},
+            {answer_kind::no_such_queue, 404},
+            {answer_kind::no_such_job, 410},
+            {answer_kind::unauthorized, 401},
+            {answer_kind::invalid, 400},
+            {answer_kind::overloaded, 429},
+            {answer_kind::not_ready, 503},
+            {answer_kind::outcome_unknown, 504},
+        }};
+        for (const auto &row : rows) {
+            caller_answer answer;
+            answer.kind = row.kind;
+            CPPUNIT_ASSERT_EQUAL(row.status, encodeCallAnswer(answer).status);
+        }
+        caller_answer later;
+        later.retryAfter = milliseconds(1200);
+        const auto response = encodeCallAnswer(later);
+        CPPUNIT_ASSERT(findHeader(response.headers, "Retry-After") == "2");
 
-    http_request request;
-    request.method = "GET";
-    request.path = "/p/00";
-    request.headers = {
-        {"Host", "a.example:80"}, {"Authorization", "Bearer k1"}, {"Request-Deadline", "2500"}};
-    const auto call = decodeCall(request);
-    CPPUNIT_ASSERT(call && call->host == "a.example" && call->key == "k1");
-    CPPUNIT_ASSERT(call->patience == milliseconds(2500));
-    request.method = "PATCH";
-    CPPUNIT_ASSERT(!decodeCall(request));
-}
+        http_request request;
+        request.method = "GET";
+        request.path = "/p/00";
+        request.headers = {
+            {"Host", "a.example:80"}, {"Authorization", "Bearer k1"}, {"Request-Deadline", "2500"}};
+        const auto call = decodeCall(request);
+        CPPUNIT_ASSERT(call && call->host == "a.example" && call->key == "k1");
+        CPPUNIT_ASSERT(call->patience == milliseconds(2500));
+        request.method = "PATCH";
+        CPPUNIT_ASSERT(!decodeCall(request));
+    }
 
-void pagesOfTheStore()
-{
-    const auto page = decodePage(R"({"events":[{"key":"a","value":"bm9kZS0x","revision":412,
+    void pagesOfTheStore()
+    {
+        const auto page = decodePage(R"({"events":[{"key":"a","value":"bm9kZS0x","revision":412,
             "created":412,"lease":0},{"key":"b","revision":413,"deleted":true}],"current-rev":413})");
-    CPPUNIT_ASSERT(page);
-    CPPUNIT_ASSERT_EQUAL(std::string("node-1"), page->items.at(0).value);
-    CPPUNIT_ASSERT(page->items.at(1).deleted);
-    CPPUNIT_ASSERT_EQUAL(std::int64_t {413}, page->revision);
-    CPPUNIT_ASSERT(!decodePage("<html>"));
-}
-}
-;
+        CPPUNIT_ASSERT(page);
+        CPPUNIT_ASSERT_EQUAL(std::string("node-1"), page->items.at(0).value);
+        CPPUNIT_ASSERT(page->items.at(1).deleted);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t {413}, page->revision);
+        CPPUNIT_ASSERT(!decodePage("<html>"));
+    }
+};
 
 CPPUNIT_TEST_SUITE_REGISTRATION(wire_codec_test);
