--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -52,6 +52,9 @@
     CPPUNIT_TEST(newWorkersAreFoundThoughAWatchIsDead);
     CPPUNIT_TEST(inheritedRunOnASilentWorkerKeepsItsLease);
     CPPUNIT_TEST(newCoordinatorAsksWorkersBeforeItTakesHostsDown);
+    CPPUNIT_TEST(keyTakenAwayStopsWorkingEverywhere);
+    CPPUNIT_TEST(keyTakenAwayBindsACoordinatorWithoutTheStore);
+    CPPUNIT_TEST(configurationNeverGoesBack);
     CPPUNIT_TEST_SUITE_END();
 
     fleet_world m_fleet;
@@ -735,6 +738,63 @@
         CPPUNIT_ASSERT(!cut);
         CPPUNIT_ASSERT_EQUAL(wave.hosts.size(), m_fleet.world.maintained.size());
     }
+
+    void takeKeyAway()
+    {
+        m_fleet.world.config.customerOfKey.erase("key-north");
+        ++m_fleet.world.config.version;
+        m_fleet.world.putItem("configuration", "", 0);
+    }
+
+    void keyTakenAwayStopsWorkingEverywhere()
+    {
+        startThree();
+        takeKeyAway();
+        m_fleet.loop.run(2s);
+        for (auto &[name, each] : m_fleet.processes) {
+            const auto answer = m_fleet.ask(each, caller_operation::submit, jobPath, simpleJob(1));
+            CPPUNIT_ASSERT_EQUAL(std::string("unauthorized"), std::string(nameOf(answer.kind)));
+        }
+        CPPUNIT_ASSERT_EQUAL(0, m_fleet.world.starts);
+    }
+
+    void keyTakenAwayBindsACoordinatorWithoutTheStore()
+    {
+        auto &leader = startThree();
+        for (auto &[name, each] : m_fleet.processes) {
+            each.platform->storeCut = true; // nobody can take over or learn of the change
+        }
+        takeKeyAway();
+        m_fleet.loop.run(3s);
+        for (int i = 0; i < 5; ++i) {
+            const auto path = "/pool-a/00000000000000b" + std::to_string(i);
+            const auto answer = m_fleet.ask(leader, caller_operation::submit, path, simpleJob(1));
+            CPPUNIT_ASSERT(answer.kind != answer_kind::accepted);
+        }
+        m_fleet.loop.run(1s);
+        CPPUNIT_ASSERT_EQUAL(0, m_fleet.world.starts);
+    }
+
+    /// A process that has answered by a version asks a coordinator of an older one again, rather
+    /// than answer by that.
+    void configurationNeverGoesBack()
+    {
+        auto &leader = startThree();
+        caller_request request;
+        request.operation = caller_operation::count_waiting;
+        request.host = "jobs.example";
+        request.path = "/pool-a/";
+        request.key = "key-north";
+        request.seenVersion = m_fleet.world.config.version + 1;
+        std::optional<caller_answer> answer;
+        leader.node->handleForwarded(request, [&](const caller_answer &value) { answer = value; });
+        CPPUNIT_ASSERT(answer && answer->kind == answer_kind::not_ready);
+        ++m_fleet.world.config.version;
+        m_fleet.world.putItem("configuration", "", 0);
+        m_fleet.loop.run(200ms);
+        leader.node->handleForwarded(request, [&](const caller_answer &value) { answer = value; });
+        CPPUNIT_ASSERT(answer->kind == answer_kind::counted);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_test);
