--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(keyTakenAwayStopsWorkingEverywhere);
     CPPUNIT_TEST(keyTakenAwayBindsACoordinatorWithoutTheStore);
     CPPUNIT_TEST(configurationNeverGoesBack);
+    CPPUNIT_TEST(coordinatorWithoutTheStoreStopsOrdering);
     CPPUNIT_TEST_SUITE_END();
 
     fleet_world m_fleet;
@@ -795,6 +796,28 @@
         leader.node->handleForwarded(request, [&](const caller_answer &value) { answer = value; });
         CPPUNIT_ASSERT(answer->kind == answer_kind::counted);
     }
+
+    /// Nobody takes over, and the workers answer: only the lease that is not proved any more stops
+    /// it.
+    void coordinatorWithoutTheStoreStopsOrdering()
+    {
+        auto &only = m_fleet.addProcess("only");
+        CPPUNIT_ASSERT(m_fleet.waitForLeader());
+        m_fleet.loop.run(500ms);
+        m_fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {0ms, false};
+        };
+        submit(only, jobPath, simpleJob(2));
+        m_fleet.loop.run(500ms);
+        only.platform->storeCut = true;
+        m_fleet.loop.run(3s);
+        const int calls = only.platform->workerCalls;
+        m_fleet.loop.run(2s);
+        CPPUNIT_ASSERT_EQUAL(calls, only.platform->workerCalls);
+        only.platform->storeCut = false;
+        m_fleet.loop.run(1s);
+        CPPUNIT_ASSERT(only.platform->workerCalls > calls || m_fleet.leader() != nullptr);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_test);
