--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -247,8 +247,9 @@
     /// A campaign used the newest revision it saw as its condition and so replaced a live leader.
     void campaignLeavesALiveLeaderAlone()
     {
-        for (const std::string name : {"one", "two", "three", "four", "five", "six"}) {
-            m_fleet.addProcess(name);
+        // Enough of them that some begin while another's record is on its way to them.
+        for (int i = 0; i < 24; ++i) {
+            m_fleet.addProcess("process-" + std::to_string(i));
         }
         CPPUNIT_ASSERT(m_fleet.waitForLeader());
         m_fleet.loop.run(3s);
