--- a/tests/docs_check.py
+++ b/tests/docs_check.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-PROGRAMS = ("ibishinge-entry", "ibishinge-control", "ibishingectl")
+PROGRAMS = ("ibishinge-entry", "ibishinge-control", "ibishinge-fleet", "ibishingectl")
 SETTING = re.compile(r"  --(\S+)  \((\w+)\)\n      (.*)")
 LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
 
