--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -4,6 +4,7 @@
 #include <ibishinge/base/scheduler.h>
 #include <ibishinge/fleet/caller.h>
 #include <ibishinge/fleet/host_care.h>
+#include <ibishinge/fleet/placement.h>
 #include <ibishinge/fleet/platform_api.h>
 #include <ibishinge/fleet/pool_sizing.h>
 #include <ibishinge/fleet/record_writer.h>
@@ -50,9 +51,9 @@
 public:
     /// `onDeposed` is called once, when another coordinator was seen.
     [[nodiscard]] static std::shared_ptr<coordinator>
-    make(platform_api &platform, scheduler &timers, metrics_registry &metrics,
-         const coordinator_settings &settings, leadership lead, configuration config,
-         std::function<void()> onDeposed);
+    make(platform_api &platform, worker_calls &workers, scheduler &timers,
+         metrics_registry &metrics, const coordinator_settings &settings, leadership lead,
+         configuration config, std::function<void()> onDeposed);
 
     /// Reads the records and asks the workers what runs. Call once.
     void start();
@@ -93,9 +94,9 @@
         std::int64_t end = 0;
     };
 
-    coordinator(platform_api &platform, scheduler &timers, metrics_registry &metrics,
-                const coordinator_settings &settings, leadership lead, configuration config,
-                std::function<void()> onDeposed);
+    coordinator(platform_api &platform, worker_calls &workers, scheduler &timers,
+                metrics_registry &metrics, const coordinator_settings &settings, leadership lead,
+                configuration config, std::function<void()> onDeposed);
 
     /// Wraps a reply so that it is dropped once the coordinator is closed.
     template <class T, class Function>
@@ -160,10 +161,10 @@
     // coordinator.cpp
     void requestPass();
     void pass();
-    void passPool(const std::string &pool);
+    void passPool(const std::vector<waiting_step> &steps, pool_room &room);
     bool startTask(job_entry &job, const task_name &name, worker_status &worker,
                    const std::string &proof, std::int64_t run);
-    void startGang(job_entry &job, int occurrence, int step);
+    void startGang(const waiting_step &where, pool_room &room);
     bool haveTickets(job_entry &job, const queue_rule &queue, int occurrence, int step);
     void tick();
     void summarize();
@@ -189,6 +190,7 @@
     void retireReplacedWorkers();
 
     platform_api &m_platform;
+    worker_calls &m_workerCalls;
     scheduler &m_timers;
     metrics_registry &m_metrics;
     const coordinator_settings m_settings;
--- a/include/ibishinge/fleet/http_peer_link.h
+++ b/include/ibishinge/fleet/http_peer_link.h
@@ -31,6 +31,8 @@
                  reply<std::string> done) override;
     void offerLeadership(const std::string &address, std::int64_t revision,
                          reply<bool> done) override;
+    void exchangeCalls(const std::string &address, const std::string &calls, milliseconds timeout,
+                       reply<std::string> done) override;
 
 private:
     struct waiting_request
--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -4,8 +4,10 @@
 #include <ibishinge/base/scheduler.h>
 #include <ibishinge/fleet/caller.h>
 #include <ibishinge/fleet/coordinator.h>
+#include <ibishinge/fleet/peer_link.h>
 #include <ibishinge/fleet/platform_api.h>
 #include <ibishinge/fleet/record_codec.h>
+#include <ibishinge/fleet/worker_relay.h>
 
 #include <cstdint>
 #include <functional>
@@ -17,26 +19,13 @@
 
 namespace ibishinge::fleet {
 
-/// Passes requests to the process that coordinates; an interface so that tests need no network.
-class peer_link
-{
-public:
-    virtual ~peer_link() = default;
-    /// Errors: `unavailable` if no connection was made, with the system's error if it was refused;
-    /// `outcome_unknown` if the request may have been received.
-    virtual void forward(const std::string &address, const std::string &request,
-                         milliseconds timeout, reply<std::string> done) = 0;
-    /// Asks a process to replace the leader's record of `revision`. Errors: as `forward`.
-    virtual void offerLeadership(const std::string &address, std::int64_t revision,
-                                 reply<bool> done) = 0;
-};
-
 struct node_settings
 {
     std::string name; ///< of this process
     std::string incarnation; ///< of this run of it
     std::string peerAddress; ///< where it takes forwarded requests, "ip:port"
     std::uint64_t seed = 0;
+    std::string dataCentre; ///< of this process; may be empty
     double processorShare = 1; ///< of this process, in cores
     milliseconds leaderTtl {3000}; ///< lease of the leader's record
     milliseconds configurationLimit {3000}; ///< older proof of the configuration stops service
@@ -73,6 +62,10 @@
     /// whether it tries.
     void acceptLeadership(std::int64_t revision, const std::function<void(bool)> &done);
 
+    /// Makes calls to workers for the coordinator, see `relay_service::handle`.
+    void handleCalls(const std::string &calls, instant readAt,
+                     std::function<void(std::string)> done);
+
     /// Returns true if requests can be served: the configuration is fresh and there is a
     /// coordinator.
     [[nodiscard]] bool isReady() const;
@@ -82,7 +75,8 @@
     struct peer_state
     {
         instant heardAt; ///< it last passed on a request
-        double processorShare = 0;
+        double processorShare = 0; ///< in cores; 0: it will end soon
+        std::string dataCentre;
     };
 
     void later(milliseconds delay, std::function<void()> function);
@@ -112,6 +106,7 @@
     void giveUpLease(std::int64_t lease);
     void considerAbdication();
     void considerStrongerPeer();
+    void updateRelays();
     void offerLeadershipTo(const std::string &heir, std::string_view reason);
     void tryRequest(const std::shared_ptr<attempt> &request);
     void retryRequest(const std::shared_ptr<attempt> &request, milliseconds delay);
@@ -140,6 +135,8 @@
     int m_refusals = 0; ///< connections that the leader's machine refused, in a row
     instant m_storeAnsweredAt;
 
+    relayed_calls m_relayedCalls;
+    relay_service m_relayService;
     std::shared_ptr<coordinator> m_coordinator;
     std::int64_t m_lease = 0;
     instant m_leadingSince;
--- a/include/ibishinge/fleet/placement.h
+++ b/include/ibishinge/fleet/placement.h
@@ -2,23 +2,36 @@
 
 #include <ibishinge/fleet/tables.h>
 
-#include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
 namespace ibishinge::fleet {
 
-/// A step with tasks that wait, in the order in which steps are served.
+/// A step with tasks that wait. Valid until the job is erased.
 struct waiting_step
 {
-    std::string job;
+    job_entry *job = nullptr;
     int occurrence = 0;
     int step = 0;
 };
 
-/// Returns the steps of a pool that can start now, first come those to be served first.
-[[nodiscard]] std::vector<waiting_step> waitingSteps(const fleet_tables &tables,
-                                                     const std::string &pool, instant now);
+/// The workers of one pool during one pass. Valid until a worker is erased.
+struct pool_room
+{
+    std::vector<worker_status *> usable;
+    /// Needs for which no worker had room in this pass. Room only shrinks during a pass, so that a
+    /// need as large is not tried again: a full pool would cost a look at each worker for each
+    /// waiting step.
+    std::vector<resources> refused;
+};
+
+/// Returns by pool the steps that can start now, first come those to be served first.
+[[nodiscard]] std::map<std::string, std::vector<waiting_step>> waitingSteps(fleet_tables &tables,
+                                                                            instant now);
+
+/// Returns by pool the workers that can be given new tasks.
+[[nodiscard]] std::map<std::string, pool_room> roomsOfPools(fleet_tables &tables, instant now);
 
 /// Returns true if the worker can be given new tasks.
 [[nodiscard]] bool isUsable(const worker_status &worker, instant now) noexcept;
@@ -28,9 +41,8 @@
                                  const resources &need);
 
 /// Chooses the worker for one task; null if none has room. `tickets` limits the choice if not null.
-[[nodiscard]] worker_status *chooseWorker(fleet_tables &tables, const job_entry &job,
-                                          const queue_rule &queue, const waiting_step &where,
-                                          const task_entry &task, const step_tickets *tickets,
-                                          instant now);
+[[nodiscard]] worker_status *chooseWorker(const fleet_tables &tables, pool_room &room,
+                                          const waiting_step &where, const task_entry &task,
+                                          const step_tickets *tickets);
 
 } // namespace ibishinge::fleet
--- a/include/ibishinge/fleet/platform_api.h
+++ b/include/ibishinge/fleet/platform_api.h
@@ -2,18 +2,14 @@
 
 #include <ibishinge/base/error.h>
 #include <ibishinge/fleet/types.h>
+#include <ibishinge/fleet/worker_calls.h>
 
-#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace ibishinge::fleet {
 
-/// Receives the result of a call, on the thread of the loop and exactly once.
-template <class T>
-using reply = std::function<void(result<T>)>;
-
 struct store_item
 {
     std::string key;
@@ -86,11 +82,9 @@
 /// Functions return at once; replies arrive on the thread of the loop. Not thread-safe: all calls
 /// are made on that thread. Errors: `unavailable` if the call certainly had no effect,
 /// `outcome_unknown` if it may have taken effect or still can, `over_limit` if a rate is exceeded.
-class platform_api
+class platform_api : public worker_calls
 {
 public:
-    virtual ~platform_api() = default;
-
     virtual void readItem(const std::string &key, reply<store_item> done) = 0;
     /// Errors: also `invalid_request` if the store no longer holds the history.
     virtual void readRange(const std::string &prefix, const std::string &after,
@@ -105,14 +99,6 @@
     /// Succeeds also if the lease has ended.
     virtual void endLease(std::int64_t lease, reply<void> done) = 0;
 
-    virtual void startRun(const worker_entry &worker, const run_order &order,
-                          reply<start_reply> done) = 0;
-    virtual void stopRun(const worker_entry &worker, const task_name &task, std::int64_t run,
-                         std::int64_t fencingToken, reply<start_reply> done) = 0;
-    virtual void paceRun(const worker_entry &worker, const task_name &task, std::int64_t run,
-                         int percent, std::int64_t fencingToken, reply<start_reply> done) = 0;
-    virtual void look(const worker_entry &worker, const look_order &order,
-                      reply<worker_report> done) = 0;
     virtual void advise(const std::string &job, int occurrence, int step,
                         const std::vector<std::string> &workers, reply<advice_reply> done) = 0;
 
--- a/src/fleet/caller.cpp
+++ b/src/fleet/caller.cpp
@@ -45,6 +45,7 @@
                 {"patience", request.patience.count()},
                 {"sender", request.sender},
                 {"sender_share", request.senderShare},
+                {"sender_data_centre", request.senderDataCentre},
                 {"version", request.seenVersion}};
     if (request.spec) {
         out["spec"] = encodeSpec(*request.spec);
@@ -64,6 +65,7 @@
         request.patience = milliseconds(in.at("patience").get<std::int64_t>());
         request.senderShare = in.value("sender_share", 0.0);
         request.sender = in.value("sender", std::string());
+        request.senderDataCentre = in.value("sender_data_centre", std::string());
         request.seenVersion = in.at("version").get<std::int64_t>();
         if (in.contains("spec")) {
             auto spec = decodeSpec(in.at("spec"));
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -32,21 +32,22 @@
 
 } // namespace
 
-std::shared_ptr<coordinator> coordinator::make(platform_api &platform, scheduler &timers,
-                                               metrics_registry &metrics,
+std::shared_ptr<coordinator> coordinator::make(platform_api &platform, worker_calls &workers,
+                                               scheduler &timers, metrics_registry &metrics,
                                                const coordinator_settings &settings,
                                                leadership lead, configuration config,
                                                std::function<void()> onDeposed)
 {
-    return std::shared_ptr<coordinator>(new coordinator(platform, timers, metrics, settings,
-                                                        std::move(lead), std::move(config),
-                                                        std::move(onDeposed)));
+    return std::shared_ptr<coordinator>(new coordinator(platform, workers, timers, metrics,
+                                                        settings, std::move(lead),
+                                                        std::move(config), std::move(onDeposed)));
 }
 
-coordinator::coordinator(platform_api &platform, scheduler &timers, metrics_registry &metrics,
-                         const coordinator_settings &settings, leadership lead,
-                         configuration config, std::function<void()> onDeposed)
+coordinator::coordinator(platform_api &platform, worker_calls &workers, scheduler &timers,
+                         metrics_registry &metrics, const coordinator_settings &settings,
+                         leadership lead, configuration config, std::function<void()> onDeposed)
     : m_platform(platform)
+    , m_workerCalls(workers)
     , m_timers(timers)
     , m_metrics(metrics)
     , m_settings(settings)
@@ -204,26 +205,33 @@
     if (!isServing()) {
         return;
     }
-    for (const auto &[name, pool] : m_tables.config.pools) {
-        if (!pool.spare) {
-            passPool(name);
+    const auto now = m_timers.now();
+    const auto waiting = waitingSteps(m_tables, now);
+    if (waiting.empty()) {
+        return;
+    }
+    auto rooms = roomsOfPools(m_tables, now);
+    for (const auto &[name, steps] : waiting) {
+        const auto pool = m_tables.config.pools.find(name);
+        if (pool != m_tables.config.pools.end() && !pool->second.spare) {
+            passPool(steps, rooms[name]);
         }
     }
 }
 
-void coordinator::passPool(const std::string &pool)
+void coordinator::passPool(const std::vector<waiting_step> &steps, pool_room &room)
 {
     const auto now = m_timers.now();
     int starts = 0;
-    for (const auto &where : waitingSteps(m_tables, pool, now)) {
-        auto &job = m_tables.jobs.at(where.job);
+    for (const auto &where : steps) {
+        auto &job = *where.job;
         const auto &queue = *m_tables.queues.at(job.queue);
         const auto &step = job.spec.steps[static_cast<std::size_t>(where.step)];
         if (!haveTickets(job, queue, where.occurrence, where.step)) {
             continue;
         }
         if (step.gang) {
-            startGang(job, where.occurrence, where.step);
+            startGang(where, room);
             continue;
         }
         const step_tickets *tickets =
@@ -239,7 +247,7 @@
             if (!isWithinLimit(m_tables, job.customer, heldBy(step))) {
                 break;
             }
-            auto *worker = chooseWorker(m_tables, job, queue, where, task, tickets, now);
+            auto *worker = chooseWorker(m_tables, room, where, task, tickets);
             if (worker == nullptr) {
                 break;
             }
@@ -296,8 +304,11 @@
     return true;
 }
 
-void coordinator::startGang(job_entry &job, int occurrence, int stepNumber)
+void coordinator::startGang(const waiting_step &where, pool_room &room)
 {
+    auto &job = *where.job;
+    const int occurrence = where.occurrence;
+    const int stepNumber = where.step;
     const auto now = m_timers.now();
     const auto &step = job.spec.steps[static_cast<std::size_t>(stepNumber)];
     const auto &queue = *m_tables.queues.at(job.queue);
@@ -321,13 +332,15 @@
     const auto run = (m_lead.term - 1) * runsPerTerm + starts + 1;
     // The members are entered as runs first, so that each choice sees the ones before it.
     std::vector<run_key> placed;
-    const waiting_step where {job.id, occurrence, stepNumber};
+    const auto refusedBefore = room.refused;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
-        auto *worker = chooseWorker(m_tables, job, queue, where, tasks[index], tickets, now);
+        auto *worker = chooseWorker(m_tables, room, where, tasks[index], tickets);
         if (worker == nullptr) {
             for (const auto &key : placed) {
                 removeRun(m_tables, key);
             }
+            // The members gave their room back: a smaller need may fit after all.
+            room.refused = refusedBefore;
             return;
         }
         run_entry entry;
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -401,7 +401,7 @@
                       {"worker", id},
                       {"percent", change.percent},
                       {"worst_tail_share", change.worstTailShare}});
-            m_platform.paceRun(
+            m_workerCalls.paceRun(
                 worker.entry, change.key.task, change.key.run, change.percent, m_lead.fencingToken,
                 whileOpen<start_reply>([this, key = change.key](const result<start_reply> &answer) {
                     const auto found = m_tables.runs.find(key);
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -104,7 +104,7 @@
     }
     worker.lookInProgress = true;
     worker.lookSentAt = now;
-    m_platform.look(
+    m_workerCalls.look(
         worker.entry, order,
         whileOpen<worker_report>([this, id = worker.entry.id, now,
                                   order](const result<worker_report> &answer) {
@@ -500,11 +500,11 @@
     }
     run.callOpen = true;
     run.stopSentAt = m_timers.now();
-    m_platform.stopRun(m_tables.workers.at(run.worker).entry, key.task, key.run,
-                       m_lead.fencingToken,
-                       whileOpen<start_reply>([this, key](const result<start_reply> &answer) {
-                           onStopped(key, answer);
-                       }));
+    m_workerCalls.stopRun(m_tables.workers.at(run.worker).entry, key.task, key.run,
+                          m_lead.fencingToken,
+                          whileOpen<start_reply>([this, key](const result<start_reply> &answer) {
+                              onStopped(key, answer);
+                          }));
 }
 
 void coordinator::onStopped(const run_key &key, const result<start_reply> &answer)
@@ -556,10 +556,10 @@
         line["attempt"] = run.orders;
         logEvent(log_level::info, "start_repeated", line);
     }
-    m_platform.startRun(worker.entry, order,
-                        whileOpen<start_reply>([this, key](const result<start_reply> &answer) {
-                            onStarted(key, answer);
-                        }));
+    m_workerCalls.startRun(worker.entry, order,
+                           whileOpen<start_reply>([this, key](const result<start_reply> &answer) {
+                               onStarted(key, answer);
+                           }));
 }
 
 void coordinator::onStarted(const run_key &key, const result<start_reply> &answer)
--- a/src/fleet/http_peer_link.cpp
+++ b/src/fleet/http_peer_link.cpp
@@ -17,6 +17,7 @@
 
 constexpr const char *requestsPath = "/v1/fleet/requests";
 constexpr const char *leadershipPath = "/v1/fleet/leadership";
+constexpr const char *callsPath = "/v1/fleet/worker-calls";
 
 /// The other process reads the store before it answers an offer.
 constexpr milliseconds offerTimeout {1000};
@@ -110,6 +111,22 @@
                 });
 }
 
+void http_peer_link::exchangeCalls(const std::string &address, const std::string &calls,
+                                   milliseconds timeout, reply<std::string> done)
+{
+    m_loop.send({"POST", address, callsPath, {}, calls, timeout},
+                [address, done = std::move(done)](const result<http_response> &response) {
+                    if (!response) {
+                        done(tl::unexpected(response.error()));
+                    } else if (response->status != 200) {
+                        done(makeError(error_kind::outcome_unknown, address,
+                                       "status " + std::to_string(response->status)));
+                    } else {
+                        done(response->body);
+                    }
+                });
+}
+
 std::optional<http_response> servePeer(io_loop &loop, fleet_node &node, const http_request &request)
 {
     if (request.path == leadershipPath) {
@@ -123,6 +140,19 @@
             answer.wait_for(longestAnswer) == std::future_status::ready && answer.get();
         return http_response {yes ? 200 : 409, {}, ""};
     }
+    if (request.path == callsPath) {
+        const auto answered = std::make_shared<std::promise<std::string>>();
+        loop.post([&node, answered, calls = request.body, readAt = loop.now()] {
+            node.handleCalls(calls, readAt, [answered](std::string text) {
+                answered->set_value(std::move(text));
+            });
+        });
+        auto answer = answered->get_future();
+        if (answer.wait_for(longestAnswer) != std::future_status::ready) {
+            return jsonResponse(504, R"({"message":"the calls were not answered"})");
+        }
+        return jsonResponse(200, answer.get());
+    }
     if (request.path != requestsPath) {
         return std::nullopt;
     }
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -76,6 +76,8 @@
     , m_metrics(metrics)
     , m_settings(std::move(settings))
     , m_random(m_settings.seed)
+    , m_relayedCalls(platform, peers, timers, metrics, m_settings.incarnation)
+    , m_relayService(platform, timers, m_settings.incarnation)
 {
 }
 
@@ -359,8 +361,8 @@
     m_metrics.add("ibishinge_terms_total");
     const leadership held {{std::string(leaderKey), revision}, term, revision};
     m_coordinator =
-        coordinator::make(m_platform, m_timers, m_metrics, m_settings.coordination, held, *m_config,
-                          [this, alive = std::weak_ptr<int>(m_alive)] {
+        coordinator::make(m_platform, m_relayedCalls, m_timers, m_metrics, m_settings.coordination,
+                          held, *m_config, [this, alive = std::weak_ptr<int>(m_alive)] {
                               if (!alive.expired()) {
                                   later(milliseconds(0), [this] { stopLeading("deposed"); });
                               }
@@ -383,6 +385,7 @@
                                       m_storeAnsweredAt = m_timers.now();
                                       m_coordinator->extend(sentAt + lease->ttl - leaseMargin);
                                       considerStrongerPeer();
+                                      updateRelays();
                                   } else if (lease.error().kind == error_kind::unknown_entity) {
                                       stopLeading("lease_ended");
                                       m_leader.reset();
@@ -441,6 +444,30 @@
     }
 }
 
+void fleet_node::updateRelays()
+{
+    if (!m_coordinator) {
+        return;
+    }
+    std::vector<relay_peer> peers;
+    for (const auto &[address, peer] : m_peersHeard) {
+        if (since(peer.heardAt, m_timers.now()) < peerMemory && peer.processorShare > 0) {
+            peers.push_back({address, peer.dataCentre, peer.processorShare});
+        }
+    }
+    std::map<std::string, int> workers;
+    for (const auto &[id, worker] : m_coordinator->tables().workers) {
+        ++workers[worker.entry.dataCentre];
+    }
+    m_relayedCalls.useRelays(chooseRelays(peers, workers));
+}
+
+void fleet_node::handleCalls(const std::string &calls, instant readAt,
+                             std::function<void(std::string)> done)
+{
+    m_relayService.handle(calls, readAt, std::move(done));
+}
+
 void fleet_node::offerLeadershipTo(const std::string &heir, std::string_view reason)
 {
     m_abdicating = true;
@@ -511,6 +538,7 @@
 void fleet_node::resign()
 {
     m_resigned = true;
+    m_relayService.leave();
     if (m_coordinator) {
         const auto lease = m_lease;
         stopLeading("resigned");
@@ -540,7 +568,8 @@
 void fleet_node::handleForwarded(const caller_request &request, answer_handler done)
 {
     if (!request.sender.empty() && request.sender != m_settings.peerAddress) {
-        m_peersHeard[request.sender] = {m_timers.now(), request.senderShare};
+        m_peersHeard[request.sender] = {m_timers.now(), request.senderShare,
+                                        request.senderDataCentre};
     }
     const bool fresh = since(m_configProvedAt, m_timers.now()) < m_settings.configurationLimit;
     if (!m_coordinator || !m_coordinator->isServing() || !fresh) {
@@ -560,7 +589,8 @@
     }
     each->request.seenVersion = m_shownVersion;
     each->request.sender = m_settings.peerAddress;
-    each->request.senderShare = m_settings.processorShare;
+    each->request.senderShare = m_resigned ? 0 : m_settings.processorShare;
+    each->request.senderDataCentre = m_settings.dataCentre;
     const auto onAnswer = [this, each](const caller_answer &answer) {
         if (answer.kind == answer_kind::not_ready && m_timers.now() < each->giveUpAt
             && !(answer.version > 0 && each->request.operation == caller_operation::submit)) {
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -32,11 +32,11 @@
 
 int runsOfStep(const worker_status &worker, const waiting_step &where)
 {
-    const task_name first {where.job, where.occurrence, where.step, 0};
+    const task_name first {where.job->id, where.occurrence, where.step, 0};
     int count = 0;
     for (auto run = worker.runs.lower_bound({first, 0}); run != worker.runs.end(); ++run) {
         const auto &task = run->task;
-        if (task.job != where.job || task.occurrence != where.occurrence
+        if (task.job != first.job || task.occurrence != where.occurrence
             || task.step != where.step) {
             break;
         }
@@ -49,10 +49,10 @@
 std::map<std::string, int> racksOfStep(const fleet_tables &tables, const waiting_step &where)
 {
     std::map<std::string, int> racks;
-    const task_name first {where.job, where.occurrence, where.step, 0};
+    const task_name first {where.job->id, where.occurrence, where.step, 0};
     for (auto run = tables.runs.lower_bound({first, 0}); run != tables.runs.end(); ++run) {
         const auto &task = run->first.task;
-        if (task.job != where.job || task.occurrence != where.occurrence
+        if (task.job != first.job || task.occurrence != where.occurrence
             || task.step != where.step) {
             break;
         }
@@ -71,19 +71,20 @@
 
 } // namespace
 
-std::vector<waiting_step> waitingSteps(const fleet_tables &tables, const std::string &pool,
-                                       instant now)
+std::map<std::string, std::vector<waiting_step>> waitingSteps(fleet_tables &tables, instant now)
 {
     struct row
     {
         std::tuple<int, instant> rank;
         waiting_step where;
     };
-    std::vector<row> rows;
-    for (const auto &[id, job] : tables.jobs) {
+    std::map<std::string, std::vector<row>> rowsByPool;
+    for (auto &[id, job] : tables.jobs) {
+        if (!job.stored || job.ending) {
+            continue;
+        }
         const auto queue = tables.queues.find(job.queue);
-        if (!job.stored || job.ending || queue == tables.queues.end()
-            || queue->second->pool != pool) {
+        if (queue == tables.queues.end()) {
             continue;
         }
         for (const auto &[number, occurrence] : job.occurrences) {
@@ -104,19 +105,35 @@
                 // little, and goes behind those that can still be in time.
                 const bool lasting = job.spec.steps[step].lasting;
                 const int rank = lasting ? 0 : (job.objectiveAt > now ? 1 : 2);
-                rows.push_back({{rank, job.objectiveAt}, {id, number, static_cast<int>(step)}});
+                rowsByPool[queue->second->pool].push_back(
+                    {{rank, job.objectiveAt}, {&job, number, static_cast<int>(step)}});
             }
         }
     }
-    std::sort(rows.begin(), rows.end(), [](const row &a, const row &b) { return a.rank < b.rank; });
-    std::vector<waiting_step> steps;
-    steps.reserve(rows.size());
-    for (auto &each : rows) {
-        steps.push_back(std::move(each.where));
+    std::map<std::string, std::vector<waiting_step>> steps;
+    for (auto &[pool, rows] : rowsByPool) {
+        std::stable_sort(rows.begin(), rows.end(),
+                         [](const row &a, const row &b) { return a.rank < b.rank; });
+        auto &ofPool = steps[pool];
+        ofPool.reserve(rows.size());
+        for (const auto &each : rows) {
+            ofPool.push_back(each.where);
+        }
     }
     return steps;
 }
 
+std::map<std::string, pool_room> roomsOfPools(fleet_tables &tables, instant now)
+{
+    std::map<std::string, pool_room> rooms;
+    for (auto &[id, worker] : tables.workers) {
+        if (isUsable(worker, now)) {
+            rooms[worker.entry.pool].usable.push_back(&worker);
+        }
+    }
+    return rooms;
+}
+
 bool isUsable(const worker_status &worker, instant now) noexcept
 {
     return worker.registered && worker.verified && worker.onRoster && !worker.emptying
@@ -138,19 +155,24 @@
            && (limit.accelerators == 0 || after.accelerators <= limit.accelerators);
 }
 
-worker_status *chooseWorker(fleet_tables &tables, const job_entry &job, const queue_rule &queue,
-                            const waiting_step &where, const task_entry &task,
-                            const step_tickets *tickets, instant now)
+worker_status *chooseWorker(const fleet_tables &tables, pool_room &room, const waiting_step &where,
+                            const task_entry &task, const step_tickets *tickets)
 {
-    const auto &step = job.spec.steps[static_cast<std::size_t>(where.step)];
+    const auto &step = where.job->spec.steps[static_cast<std::size_t>(where.step)];
     const auto held = heldBy(step);
+    const bool hopeless = std::any_of(room.refused.begin(), room.refused.end(),
+                                      [&](const resources &need) { return fits(need, held); });
+    if (hopeless) {
+        return nullptr;
+    }
     const auto racks =
         step.sameRack || step.lasting ? racksOfStep(tables, where) : std::map<std::string, int> {};
     worker_status *best = nullptr;
     double bestScore = 0;
-    for (auto &[id, worker] : tables.workers) {
-        if (worker.entry.pool != queue.pool || !isUsable(worker, now)
-            || !fits(held, worker.entry.capacity - worker.held)
+    for (auto *const candidate : room.usable) {
+        auto &worker = *candidate;
+        const auto &id = worker.entry.id;
+        if (!fits(held, worker.entry.capacity - worker.held)
             || (!step.requiredLabel.empty() && !hasLabel(worker.entry, step.requiredLabel))
             || (tickets != nullptr && tickets->proofByWorker.count(id) == 0)
             || (step.maxPerWorker > 0 && runsOfStep(worker, where) >= step.maxPerWorker)) {
@@ -184,6 +206,11 @@
             bestScore = score;
         }
     }
+    const bool anyWorkerMay =
+        step.requiredLabel.empty() && tickets == nullptr && step.maxPerWorker == 0;
+    if (best == nullptr && anyWorkerMay) {
+        room.refused.push_back(held);
+    }
     return best;
 }
 
--- /dev/null
+++ b/src/fleet/worker_relay.cpp
@@ -0,0 +1,590 @@
+#include <ibishinge/fleet/worker_relay.h>
+
+#include <ibishinge/base/logging.h>
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <tuple>
+#include <utility>
+
+namespace ibishinge::fleet {
+
+namespace {
+
+using nlohmann::json;
+
+/// Calls and results wait this long for others to share a message with. Each message costs both
+/// processes about as much as a call to a worker, so a few calls a message make it worth while;
+/// a start is late by as much.
+constexpr milliseconds gatherTime {8};
+
+/// Messages on their way to one relay: one waits for results while the next one carries calls.
+constexpr int exchangesAtOnce = 2;
+
+/// A relay without results answers after this time, so that a silent one is noticed soon.
+constexpr milliseconds longestHold {300};
+constexpr milliseconds exchangeTimeout {800};
+
+/// A relay that failed is not used for this long: about the length of a short disturbance.
+constexpr milliseconds lostTime {3000};
+
+/// Beyond the time that a call may take at the relay: a result has arrived by then.
+constexpr milliseconds resultSlack {1200};
+constexpr milliseconds orderTime {450};
+constexpr milliseconds sweepInterval {200};
+
+/// Calls that a relay read longer ago are not made: its process or host stood still meanwhile.
+constexpr milliseconds oldestCall {300};
+
+/// A coordinator that has not been heard of for this long is gone.
+constexpr milliseconds sessionTime {10000};
+
+/// Kinds of calls in messages.
+enum class call_kind : std::uint8_t { start, stop, pace, look };
+
+/// Kinds of results in messages.
+enum class result_kind : std::uint8_t { order, report, failure };
+
+constexpr std::array<std::pair<error_kind, std::string_view>, 2> failureNames {{
+    {error_kind::unavailable, "unavailable"},
+    {error_kind::outcome_unknown, "outcome_unknown"},
+}};
+
+json startCall(const worker_entry &worker, const run_order &order)
+{
+    return {call_kind::start,      worker.id,          worker.address,   order.task.job,
+            order.task.occurrence, order.task.step,    order.task.index, order.run,
+            order.leaseUntil,      order.fencingToken, order.checkpoint, order.ticket};
+}
+
+json runCall(call_kind kind, const worker_entry &worker, const task_name &task, std::int64_t run,
+             std::int64_t fencingToken, int percent)
+{
+    return {kind,       worker.id, worker.address, task.job, task.occurrence, task.step,
+            task.index, run,       fencingToken,   percent};
+}
+
+json lookCall(const worker_entry &worker, const look_order &order)
+{
+    return {call_kind::look,    worker.id,      worker.address,    order.leaseUntil,
+            order.fencingToken, order.lastSeen, order.wait.count()};
+}
+
+task_name decodeTask(const json &row, std::size_t at)
+{
+    return {row.at(at).get<std::string>(), row.at(at + 1).get<int>(), row.at(at + 2).get<int>(),
+            row.at(at + 3).get<int>()};
+}
+
+json encodeReport(const worker_report &report)
+{
+    json running = json::array();
+    for (const auto &each : report.running) {
+        running.push_back({each.task.job, each.task.occurrence, each.task.step, each.task.index,
+                           each.run, each.checkpoint, each.percent, each.usage});
+    }
+    json ended = json::array();
+    for (const auto &each : report.ended) {
+        ended.push_back({each.task.job, each.task.occurrence, each.task.step, each.task.index,
+                         each.run, each.number, each.kind, each.checkpoint});
+    }
+    return {result_kind::report, report.workerClock, report.born,     report.fenced,
+            report.otherLife,    std::move(running), std::move(ended)};
+}
+
+worker_report decodeReport(const json &row)
+{
+    worker_report report;
+    report.workerClock = row.at(2).get<std::int64_t>();
+    report.born = row.at(3).get<std::int64_t>();
+    report.fenced = row.at(4).get<bool>();
+    report.otherLife = row.at(5).get<bool>();
+    for (const auto &each : row.at(6)) {
+        running_task seen;
+        seen.task = decodeTask(each, 0);
+        seen.run = each.at(4).get<std::int64_t>();
+        seen.checkpoint = each.at(5).get<std::string>();
+        seen.percent = each.at(6).get<int>();
+        seen.usage = each.at(7).get<double>();
+        report.running.push_back(std::move(seen));
+    }
+    for (const auto &each : row.at(7)) {
+        run_end end;
+        end.task = decodeTask(each, 0);
+        end.run = each.at(4).get<std::int64_t>();
+        end.number = each.at(5).get<std::int64_t>();
+        end.kind = each.at(6).get<end_kind>();
+        end.checkpoint = each.at(7).get<std::string>();
+        report.ended.push_back(std::move(end));
+    }
+    return report;
+}
+
+json encodeFailure(const error &failure)
+{
+    const bool known = failure.kind == error_kind::unavailable;
+    return {result_kind::failure, known ? failureNames[0].second : failureNames[1].second,
+            failure.place, failure.message};
+}
+
+error decodeFailure(const json &row)
+{
+    error failure;
+    failure.kind = row.at(2).get<std::string>() == failureNames[0].second
+                       ? error_kind::unavailable
+                       : error_kind::outcome_unknown;
+    failure.place = row.at(3).get<std::string>();
+    failure.message = row.at(4).get<std::string>();
+    return failure;
+}
+
+/// `number` in front of what was encoded.
+json numbered(std::int64_t number, const json &row)
+{
+    json out = json::array({number});
+    out.insert(out.end(), row.begin(), row.end());
+    return out;
+}
+
+} // namespace
+
+std::vector<relay_peer> chooseRelays(const std::vector<relay_peer> &peers,
+                                     const std::map<std::string, int> &workersByDataCentre)
+{
+    int workers = 0;
+    for (const auto &[dataCentre, count] : workersByDataCentre) {
+        workers += count;
+    }
+    std::vector<relay_peer> chosen;
+    if (workers <= workersPerRelay) {
+        return chosen;
+    }
+    for (const auto &[dataCentre, count] : workersByDataCentre) {
+        std::vector<relay_peer> near;
+        std::copy_if(peers.begin(), peers.end(), std::back_inserter(near),
+                     [&](const relay_peer &peer) { return peer.dataCentre == dataCentre; });
+        std::sort(near.begin(), near.end(), [](const relay_peer &a, const relay_peer &b) {
+            return std::tie(b.processorShare, a.address) < std::tie(a.processorShare, b.address);
+        });
+        const auto wanted =
+            static_cast<std::size_t>((count + workersPerRelay - 1) / workersPerRelay);
+        near.resize(std::min(near.size(), wanted));
+        chosen.insert(chosen.end(), near.begin(), near.end());
+    }
+    return chosen;
+}
+
+relayed_calls::relayed_calls(worker_calls &direct, peer_link &peers, scheduler &timers,
+                             metrics_registry &metrics, std::string session)
+    : m_direct(direct)
+    , m_peers(peers)
+    , m_timers(timers)
+    , m_metrics(metrics)
+    , m_session(std::move(session))
+{
+}
+
+void relayed_calls::useRelays(const std::vector<relay_peer> &relays)
+{
+    for (auto &[address, each] : m_relays) {
+        each.inUse = false;
+    }
+    for (const auto &peer : relays) {
+        auto &each = m_relays[peer.address];
+        if (each.peer.address.empty()) {
+            logEvent(log_level::info, "relay_found",
+                     {{"relay", peer.address},
+                      {"data_centre", peer.dataCentre},
+                      {"processor_share", peer.processorShare}});
+        }
+        each.peer = peer;
+        each.inUse = true;
+    }
+}
+
+relayed_calls::relay *relayed_calls::relayOf(const worker_entry &worker)
+{
+    // The choice depends on the worker and the set of relays only, so that connections stay in use.
+    relay *best = nullptr;
+    std::pair<bool, std::size_t> bestRank;
+    const auto now = m_timers.now();
+    for (auto &[address, each] : m_relays) {
+        if (!each.inUse || each.lostUntil > now) {
+            continue;
+        }
+        const std::pair<bool, std::size_t> rank {each.peer.dataCentre == worker.dataCentre,
+                                                 std::hash<std::string> {}(worker.id + address)};
+        if (best == nullptr || rank > bestRank) {
+            best = &each;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+void relayed_calls::startRun(const worker_entry &worker, const run_order &order,
+                             reply<start_reply> done)
+{
+    auto *const to = relayOf(worker);
+    if (to == nullptr) {
+        m_direct.startRun(worker, order, std::move(done));
+        return;
+    }
+    to->payloads[order.task.job] = order.payload;
+    add(*to, startCall(worker, order), {std::move(done), m_timers.now() + orderTime + resultSlack});
+}
+
+void relayed_calls::stopRun(const worker_entry &worker, const task_name &task, std::int64_t run,
+                            std::int64_t fencingToken, reply<start_reply> done)
+{
+    auto *const to = relayOf(worker);
+    if (to == nullptr) {
+        m_direct.stopRun(worker, task, run, fencingToken, std::move(done));
+        return;
+    }
+    add(*to, runCall(call_kind::stop, worker, task, run, fencingToken, 0),
+        {std::move(done), m_timers.now() + orderTime + resultSlack});
+}
+
+void relayed_calls::paceRun(const worker_entry &worker, const task_name &task, std::int64_t run,
+                            int percent, std::int64_t fencingToken, reply<start_reply> done)
+{
+    auto *const to = relayOf(worker);
+    if (to == nullptr) {
+        m_direct.paceRun(worker, task, run, percent, fencingToken, std::move(done));
+        return;
+    }
+    add(*to, runCall(call_kind::pace, worker, task, run, fencingToken, percent),
+        {std::move(done), m_timers.now() + orderTime + resultSlack});
+}
+
+void relayed_calls::look(const worker_entry &worker, const look_order &order,
+                         reply<worker_report> done)
+{
+    auto *const to = relayOf(worker);
+    if (to == nullptr) {
+        m_direct.look(worker, order, std::move(done));
+        return;
+    }
+    add(*to, lookCall(worker, order),
+        {open_look {worker, order, std::move(done)}, m_timers.now() + order.wait + resultSlack});
+}
+
+void relayed_calls::add(relay &to, json call, open_call open)
+{
+    const auto number = m_nextNumber++;
+    to.calls.push_back(numbered(number, call));
+    to.open.emplace(number, std::move(open));
+    m_metrics.add("ibishinge_relayed_calls_total");
+    planExchange(to);
+    planSweep();
+}
+
+void relayed_calls::planExchange(relay &to)
+{
+    const bool wanted = !to.calls.empty() || (!to.open.empty() && to.exchanges == 0);
+    if (!wanted || to.sendPlanned || to.exchanges >= exchangesAtOnce) {
+        return;
+    }
+    to.sendPlanned = true;
+    m_timers.after(gatherTime,
+                   [this, address = to.peer.address, alive = std::weak_ptr<int>(m_alive)] {
+                       if (!alive.expired()) {
+                           auto &planned = m_relays.at(address);
+                           planned.sendPlanned = false;
+                           exchange(planned);
+                       }
+                   });
+}
+
+void relayed_calls::exchange(relay &to)
+{
+    if (to.open.empty() || to.exchanges >= exchangesAtOnce) {
+        return;
+    }
+    const json message = {{"session", m_session},
+                          {"calls", std::exchange(to.calls, json::array())},
+                          {"payloads", std::exchange(to.payloads, json::object())}};
+    ++to.exchanges;
+    m_metrics.add("ibishinge_relay_exchanges_total");
+    m_peers.exchangeCalls(to.peer.address,
+                          message.dump(-1, ' ', false, json::error_handler_t::replace),
+                          exchangeTimeout,
+                          [this, address = to.peer.address,
+                           alive = std::weak_ptr<int>(m_alive)](const result<std::string> &answer) {
+                              if (!alive.expired()) {
+                                  onExchanged(address, answer);
+                              }
+                          });
+}
+
+void relayed_calls::onExchanged(const std::string &address, const result<std::string> &answer)
+{
+    auto &from = m_relays.at(address);
+    --from.exchanges;
+    if (!answer) {
+        lose(from, describe(answer.error()));
+        return;
+    }
+    try {
+        const json message = json::parse(*answer);
+        const auto incarnation = message.at("incarnation").get<std::string>();
+        if (!from.incarnation.empty() && from.incarnation != incarnation && !from.open.empty()) {
+            from.incarnation = incarnation;
+            lose(from, "the process was restarted");
+            return;
+        }
+        from.incarnation = incarnation;
+        if (message.value("leaving", false)) {
+            from.lostUntil = m_timers.now() + lostTime; // its open calls are still answered
+        }
+        for (const auto &row : message.at("results")) {
+            applyResult(from, row);
+        }
+    } catch (const json::exception &problem) {
+        lose(from, problem.what());
+        return;
+    }
+    planExchange(from);
+}
+
+void relayed_calls::applyResult(relay &from, const json &row)
+{
+    const auto found = from.open.find(row.at(0).get<std::int64_t>());
+    if (found == from.open.end()) {
+        return;
+    }
+    // Decoded first: a row that cannot be read leaves the call open until the relay is lost.
+    const auto kind = row.at(1).get<result_kind>();
+    std::optional<error> failure;
+    start_reply order;
+    worker_report report;
+    if (kind == result_kind::failure) {
+        failure = decodeFailure(row);
+    } else if (kind == result_kind::report) {
+        report = decodeReport(row);
+    } else {
+        order = {row.at(2).get<start_outcome>(), row.at(3).get<std::int64_t>()};
+    }
+    auto call = std::move(found->second);
+    from.open.erase(found);
+    if (auto *const done = std::get_if<reply<start_reply>>(&call.what)) {
+        (*done)(failure ? result<start_reply>(tl::unexpected(*failure)) : order);
+    } else {
+        std::get<open_look>(call.what).done(
+            failure ? result<worker_report>(tl::unexpected(*failure)) : report);
+    }
+}
+
+void relayed_calls::lose(relay &which, std::string_view reason)
+{
+    if (which.open.empty()) {
+        return;
+    }
+    logEvent(log_level::warning, "relay_lost",
+             {{"relay", which.peer.address}, {"reason", reason}, {"open", which.open.size()}});
+    m_metrics.add("ibishinge_relays_lost_total");
+    which.lostUntil = m_timers.now() + lostTime;
+    which.calls = json::array();
+    which.payloads = json::object();
+    for (auto &[number, call] : std::exchange(which.open, {})) {
+        if (auto *const done = std::get_if<reply<start_reply>>(&call.what)) {
+            error failure;
+            failure.kind = error_kind::outcome_unknown;
+            failure.place = which.peer.address;
+            failure.message = "the relay did not answer";
+            (*done)(tl::unexpected(std::move(failure)));
+        } else {
+            // A look may be repeated at any time; the worker's answer is what counts.
+            auto &look = std::get<open_look>(call.what);
+            look.order.wait = milliseconds(0);
+            m_direct.look(look.worker, look.order, std::move(look.done));
+        }
+    }
+}
+
+void relayed_calls::planSweep()
+{
+    if (m_sweepPlanned) {
+        return;
+    }
+    m_sweepPlanned = true;
+    m_timers.after(sweepInterval, [this, alive = std::weak_ptr<int>(m_alive)] {
+        if (!alive.expired()) {
+            m_sweepPlanned = false;
+            sweep();
+        }
+    });
+}
+
+void relayed_calls::sweep()
+{
+    const auto now = m_timers.now();
+    const bool anyOpen = std::any_of(m_relays.begin(), m_relays.end(),
+                                     [](const auto &each) { return !each.second.open.empty(); });
+    if (anyOpen) {
+        planSweep();
+    }
+    for (auto &[address, each] : m_relays) {
+        const bool overdue = std::any_of(each.open.begin(), each.open.end(),
+                                         [&](const auto &call) { return call.second.until < now; });
+        if (overdue) {
+            lose(each, "a call has no result");
+        }
+    }
+}
+
+relay_service::relay_service(worker_calls &direct, scheduler &timers, std::string incarnation)
+    : m_direct(direct)
+    , m_timers(timers)
+    , m_incarnation(std::move(incarnation))
+{
+}
+
+void relay_service::handle(const std::string &text, instant readAt,
+                           std::function<void(std::string)> done)
+{
+    const auto now = m_timers.now();
+    json message = json::parse(text, nullptr, false);
+    if (!message.is_object() || !message.contains("session") || !message.contains("calls")) {
+        logEvent(log_level::error, "relayed_calls_unreadable", {{"bytes", text.size()}});
+        done(R"({})");
+        return;
+    }
+    forgetOldSessions();
+    const auto name = message["session"].get<std::string>();
+    auto &of = m_sessions[name];
+    of.usedAt = now;
+    answer(of); // the exchange before this one
+    of.waiting = std::move(done);
+    const auto exchange = ++of.exchange;
+    planAnswer(name, of); // results that came between two exchanges
+    const bool old = since(readAt, now) > oldestCall;
+    for (const auto &call : message["calls"]) {
+        try {
+            if (old) {
+                error failure;
+                failure.kind = error_kind::unavailable;
+                failure.message = "the relay stood still";
+                addResult(name, numbered(call.at(0).get<std::int64_t>(), encodeFailure(failure)));
+            } else {
+                makeCall(name, call, message["payloads"]);
+            }
+        } catch (const json::exception &problem) {
+            // The coordinator takes a call without a result for one of unknown outcome.
+            logEvent(log_level::error, "relayed_call_unreadable", {{"error", problem.what()}});
+        }
+    }
+    m_timers.after(longestHold, [this, name, exchange, alive = std::weak_ptr<int>(m_alive)] {
+        if (alive.expired()) {
+            return;
+        }
+        const auto found = m_sessions.find(name);
+        if (found != m_sessions.end() && found->second.exchange == exchange) {
+            answer(found->second);
+        }
+    });
+}
+
+void relay_service::makeCall(const std::string &name, const json &call, const json &payloads)
+{
+    const auto number = call.at(0).get<std::int64_t>();
+    worker_entry worker;
+    worker.id = call.at(2).get<std::string>();
+    worker.address = call.at(3).get<std::string>();
+    const auto alive = std::weak_ptr<int>(m_alive);
+    const auto onOrder = [this, name, number, alive](const result<start_reply> &answer) {
+        if (!alive.expired()) {
+            addResult(name, numbered(number, answer ? json {result_kind::order, answer->outcome,
+                                                            answer->workerClock}
+                                                    : encodeFailure(answer.error())));
+        }
+    };
+    switch (call.at(1).get<call_kind>()) {
+    case call_kind::start: {
+        run_order order;
+        order.task = decodeTask(call, 4);
+        order.run = call.at(8).get<std::int64_t>();
+        order.leaseUntil = call.at(9).get<std::int64_t>();
+        order.fencingToken = call.at(10).get<std::int64_t>();
+        order.checkpoint = call.at(11).get<std::string>();
+        order.ticket = call.at(12).get<std::string>();
+        order.payload = payloads.at(order.task.job).get<std::string>();
+        m_direct.startRun(worker, order, onOrder);
+        break;
+    }
+    case call_kind::stop:
+        m_direct.stopRun(worker, decodeTask(call, 4), call.at(8).get<std::int64_t>(),
+                         call.at(9).get<std::int64_t>(), onOrder);
+        break;
+    case call_kind::pace:
+        m_direct.paceRun(worker, decodeTask(call, 4), call.at(8).get<std::int64_t>(),
+                         call.at(10).get<int>(), call.at(9).get<std::int64_t>(), onOrder);
+        break;
+    case call_kind::look: {
+        look_order order;
+        order.leaseUntil = call.at(4).get<std::int64_t>();
+        order.fencingToken = call.at(5).get<std::int64_t>();
+        order.lastSeen = call.at(6).get<std::int64_t>();
+        order.wait = milliseconds(call.at(7).get<std::int64_t>());
+        m_direct.look(
+            worker, order, [this, name, number, alive](const result<worker_report> &answer) {
+                if (!alive.expired()) {
+                    addResult(name, numbered(number, answer ? encodeReport(*answer)
+                                                            : encodeFailure(answer.error())));
+                }
+            });
+        break;
+    }
+    }
+}
+
+void relay_service::addResult(const std::string &name, json row)
+{
+    const auto found = m_sessions.find(name);
+    if (found == m_sessions.end()) {
+        return;
+    }
+    auto &of = found->second;
+    of.results.push_back(std::move(row));
+    planAnswer(name, of);
+}
+
+void relay_service::planAnswer(const std::string &name, session &of)
+{
+    if (!of.waiting || of.answerPlanned || of.results.empty()) {
+        return;
+    }
+    of.answerPlanned = true;
+    m_timers.after(gatherTime, [this, name, alive = std::weak_ptr<int>(m_alive)] {
+        if (alive.expired()) {
+            return;
+        }
+        const auto found = m_sessions.find(name);
+        if (found != m_sessions.end()) {
+            found->second.answerPlanned = false;
+            answer(found->second);
+        }
+    });
+}
+
+void relay_service::answer(session &of)
+{
+    if (!of.waiting) {
+        return;
+    }
+    const auto done = std::exchange(of.waiting, nullptr);
+    const json message = {{"incarnation", m_incarnation},
+                          {"leaving", m_leaving},
+                          {"results", std::exchange(of.results, json::array())}};
+    done(message.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+void relay_service::forgetOldSessions()
+{
+    const auto oldest = m_timers.now() - sessionTime;
+    std::erase_if(m_sessions, [&](const auto &each) { return each.second.usedAt < oldest; });
+}
+
+} // namespace ibishinge::fleet
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -140,6 +140,7 @@
     virtual_loop loop;
     virtual_world world;
     std::map<std::string, process> processes;
+    int exchanges = 0; ///< messages that relays received
 
 private:
     class direct_link final : public peer_link
@@ -180,6 +181,31 @@
             });
         }
 
+        void exchangeCalls(const std::string &address, const std::string &calls,
+                           milliseconds timeout, reply<std::string> done) override
+        {
+            const auto answered = std::make_shared<bool>(false);
+            const auto once = [answered, done](result<std::string> answer) {
+                if (!std::exchange(*answered, true)) {
+                    done(std::move(answer));
+                }
+            };
+            m_fleet.loop.after(timeout, [once, address] {
+                once(makeError(error_kind::outcome_unknown, address, "no answer"));
+            });
+            m_fleet.loop.after(hop, [this, address, calls, once] {
+                auto *node = m_fleet.nodeAt(address);
+                if (node == nullptr) {
+                    once(tl::unexpected(refused()));
+                    return;
+                }
+                ++m_fleet.exchanges;
+                node->handleCalls(calls, m_fleet.loop.now(), [this, once](const std::string &text) {
+                    m_fleet.loop.after(hop, [once, text] { once(text); });
+                });
+            });
+        }
+
     private:
         static constexpr milliseconds hop {2};
 
--- /dev/null
+++ b/tests/worker_relay_test.cpp
@@ -0,0 +1,225 @@
+#include "tests/support/fleet_world.h"
+
+#include <ibishinge/fleet/worker_relay.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace ibishinge;
+using namespace ibishinge::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// More workers than one process calls by itself.
+constexpr int workersOfPool = 60;
+
+std::string jobPath(int i)
+{
+    std::string digits = std::to_string(i);
+    return (i % 2 == 0 ? "/pool-a/" : "/pool-b/") + std::string(16 - digits.size(), '0') + digits;
+}
+
+} // namespace
+
+/// Calls to workers through other processes, in virtual time.
+class worker_relay_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(worker_relay_test);
+    CPPUNIT_TEST(strongestProcessesOfADataCentreAreRelays);
+    CPPUNIT_TEST(fewWorkersNeedNoRelay);
+    CPPUNIT_TEST(othersMakeTheCalls);
+    CPPUNIT_TEST(killedRelayLosesNoTask);
+    CPPUNIT_TEST(frozenRelayLosesNoTask);
+    CPPUNIT_TEST(restartedRelayLosesNoTask);
+    CPPUNIT_TEST(leavingRelayIsGivenNoNewCalls);
+    CPPUNIT_TEST(callsReadLongAgoAreNotMade);
+    CPPUNIT_TEST(unreadableMessageIsAnswered);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void strongestProcessesOfADataCentreAreRelays()
+    {
+        const std::vector<relay_peer> peers = {
+            {"1", "north", 0.12}, {"2", "north", 0.5}, {"3", "north", 0.25}, {"4", "south", 0.12}};
+        const auto relays = chooseRelays(peers, {{"north", workersPerRelay + 1}, {"south", 10}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t {3}, relays.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), relays[0].address);
+        CPPUNIT_ASSERT_EQUAL(std::string("3"), relays[1].address);
+        CPPUNIT_ASSERT_EQUAL(std::string("4"), relays[2].address);
+    }
+
+    void fewWorkersNeedNoRelay()
+    {
+        const std::vector<relay_peer> peers = {{"1", "north", 1}};
+        CPPUNIT_ASSERT(chooseRelays(peers, {{"north", workersPerRelay}}).empty());
+    }
+
+    void othersMakeTheCalls()
+    {
+        fleet_world fleet(workersOfPool);
+        startProcesses(fleet);
+        submit(fleet, 40);
+        auto *const leader = fleet.leader();
+        const int callsBefore = leader->platform->workerCalls;
+        CPPUNIT_ASSERT(waitForAll(fleet, 40, 6s));
+        int others = 0;
+        for (auto &[name, process] : fleet.processes) {
+            others += &process == leader ? 0 : process.platform->workerCalls;
+        }
+        CPPUNIT_ASSERT_EQUAL(callsBefore, leader->platform->workerCalls);
+        CPPUNIT_ASSERT(others >= 40 * 4); // the start of each task at least
+        CPPUNIT_ASSERT(fleet.exchanges < others / 2);
+        CPPUNIT_ASSERT(fleet.world.violations.empty());
+    }
+
+    void killedRelayLosesNoTask()
+    {
+        fleet_world fleet(workersOfPool);
+        startProcesses(fleet);
+        submit(fleet, 40);
+        fleet.loop.run(100ms);
+        fleet.kill(relayOf(fleet), false);
+        CPPUNIT_ASSERT(waitForAll(fleet, 40, 9s));
+        CPPUNIT_ASSERT(fleet.world.violations.empty());
+    }
+
+    void frozenRelayLosesNoTask()
+    {
+        fleet_world fleet(workersOfPool);
+        startProcesses(fleet);
+        submit(fleet, 40);
+        fleet.loop.run(60ms);
+        const auto relay = relayOf(fleet);
+        fleet.processes.at(relay).platform->freeze();
+        fleet.loop.run(3s);
+        fleet.processes.at(relay).platform->thaw();
+        CPPUNIT_ASSERT(waitForAll(fleet, 40, 9s));
+        CPPUNIT_ASSERT(fleet.world.violations.empty());
+    }
+
+    void restartedRelayLosesNoTask()
+    {
+        fleet_world fleet(workersOfPool);
+        startProcesses(fleet);
+        submit(fleet, 40);
+        for (int i = 0; i < 4; ++i) {
+            fleet.loop.run(130ms);
+            fleet.kill(relayOf(fleet), true);
+        }
+        CPPUNIT_ASSERT(waitForAll(fleet, 40, 9s));
+        CPPUNIT_ASSERT(fleet.world.violations.empty());
+    }
+
+    void leavingRelayIsGivenNoNewCalls()
+    {
+        fleet_world fleet(workersOfPool);
+        startProcesses(fleet);
+        submit(fleet, 20);
+        const auto relay = relayOf(fleet);
+        fleet.processes.at(relay).node->resign();
+        // Looks that wait end within their second, and it is told to nobody to make new calls.
+        fleet.loop.run(1500ms);
+        const int calls = fleet.processes.at(relay).platform->workerCalls;
+        submit(fleet, 20, 20);
+        CPPUNIT_ASSERT(waitForAll(fleet, 40, 6s));
+        CPPUNIT_ASSERT_EQUAL(calls, fleet.processes.at(relay).platform->workerCalls);
+        CPPUNIT_ASSERT(fleet.world.violations.empty());
+    }
+
+    void callsReadLongAgoAreNotMade()
+    {
+        fleet_world fleet;
+        fleet.loop.run(5s);
+        standin::virtual_platform platform(fleet.world);
+        relay_service service(platform, fleet.loop, "one");
+        std::string answer;
+        const auto take = [&](const std::string &text) { answer = text; };
+        const std::string message = R"({"session":"s","payloads":{"j":""},)"
+                                    R"("calls":[[7,0,"pool-a-0","x:1","j",0,0,0,1,9000,5,"",""]]})";
+        service.handle(message, fleet.loop.now() - 1s, take);
+        CPPUNIT_ASSERT(fleet.loop.runUntil([&] { return !answer.empty(); }, 400ms));
+        CPPUNIT_ASSERT(answer.find("unavailable") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(0, platform.workerCalls);
+
+        answer.clear();
+        service.handle(message, fleet.loop.now(), take);
+        CPPUNIT_ASSERT(fleet.loop.runUntil([&] { return !answer.empty(); }, 400ms));
+        CPPUNIT_ASSERT_EQUAL(1, platform.workerCalls);
+    }
+
+    void unreadableMessageIsAnswered()
+    {
+        fleet_world fleet;
+        standin::virtual_platform platform(fleet.world);
+        relay_service service(platform, fleet.loop, "one");
+        for (const std::string text :
+             {"", "[]", R"({"session":"s","calls":[[1]],"payloads":{}})", R"({"session":"s"})"}) {
+            int answers = 0;
+            service.handle(text, fleet.loop.now(), [&](const std::string &) { ++answers; });
+            fleet.loop.run(400ms);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 1, answers);
+        }
+    }
+
+private:
+    static void startProcesses(fleet_world &fleet)
+    {
+        for (const std::string name : {"one", "two", "three"}) {
+            fleet.addProcess(name);
+        }
+        CPPUNIT_ASSERT(fleet.waitForLeader());
+        // Requests through each process make it known to the coordinator.
+        for (int i = 0; i < 3; ++i) {
+            for (auto &[name, process] : fleet.processes) {
+                fleet.ask(process, caller_operation::count_waiting, "/pool-a/");
+            }
+            fleet.loop.run(400ms);
+        }
+    }
+
+    static void submit(fleet_world &fleet, int jobs, int first = 0)
+    {
+        auto &through = *fleet.leader();
+        for (int i = first; i < first + jobs; ++i) {
+            const auto answer =
+                fleet.ask(through, caller_operation::submit, jobPath(i), simpleJob(4));
+            CPPUNIT_ASSERT_EQUAL(answer_kind::accepted, answer.kind);
+        }
+    }
+
+    static bool waitForAll(fleet_world &fleet, int jobs, milliseconds limit)
+    {
+        return fleet.loop.runUntil(
+            [&] {
+                auto *const leader = fleet.leader();
+                if (leader == nullptr) {
+                    return false;
+                }
+                for (int i = 0; i < jobs; ++i) {
+                    if (fleet.stateOf(*leader, jobPath(i)) != job_state::completed) {
+                        return false;
+                    }
+                }
+                return true;
+            },
+            limit);
+    }
+
+    /// Returns the process, not the leader, that made the most calls.
+    static std::string relayOf(fleet_world &fleet)
+    {
+        std::string busiest;
+        int most = 0;
+        auto *const leader = fleet.leader();
+        for (auto &[name, process] : fleet.processes) {
+            if (&process != leader && process.node && process.platform->workerCalls > most) {
+                busiest = name;
+                most = process.platform->workerCalls;
+            }
+        }
+        CPPUNIT_ASSERT(!busiest.empty());
+        return busiest;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(worker_relay_test);
