Serve jobs that can still be in time before those that cannot

Cause: by objective alone each job that waits is served at the moment when it is nearly late: in a rush every job of the pool ends a little late, and earns a tenth. Change: a waiting step whose expected remaining time ends after the objective goes behind the others. Tests: fleet_load_test replays the rush at 0.9, 2 and 5 times the capacity; it failed before.

--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -16,6 +16,9 @@
 constexpr double crowdedRackPenalty = 0.2; ///< a lasting task of the step on the same rack
 constexpr double maintenancePenalty = 0.1; ///< its host will be emptied soon
 constexpr double maintenancePenaltyLasting = 2;
+/// A step ends with the slowest of its tasks, which takes somewhat longer than the mean.
+constexpr double slowRunMargin = 1.1;
+
 constexpr double fillerPenalty = 0.3; ///< a serving task beside a filling one, or the reverse
 
 bool hasLabel(const worker_entry &worker, const std::string &label)
@@ -61,6 +64,26 @@
     return racks;
 }
 
+/// Expected time from the start of `step` to the end of the job, with a margin for slow runs.
+milliseconds remainingTime(const fleet_tables &tables, const job_entry &job, std::size_t step)
+{
+    const auto &steps = job.spec.steps;
+    std::vector<double> ends(steps.size(), 0);
+    double longest = 0;
+    for (std::size_t i = step; i < steps.size(); ++i) {
+        double begin = i == step ? 0 : -1;
+        for (const int earlier : steps[i].after) {
+            const auto end = ends[static_cast<std::size_t>(earlier)];
+            begin = end > 0 ? std::max(begin, end) : begin;
+        }
+        if (begin >= 0) {
+            ends[i] = begin + expectedRunMs(tables, job.queue, steps[i]);
+            longest = std::max(longest, ends[i]);
+        }
+    }
+    return milliseconds(static_cast<std::int64_t>(longest * slowRunMargin));
+}
+
 bool hasRunsThatFill(const fleet_tables &tables, const worker_status &worker, bool fills)
 {
     return std::any_of(worker.runs.begin(), worker.runs.end(), [&](const run_key &key) {
@@ -101,10 +124,12 @@
                 if (!waits) {
                     continue;
                 }
-                // Lasting tasks earn all the time they run. A job that is late already earns
-                // little, and goes behind those that can still be in time.
+                // Lasting tasks earn all the time they run. A job that cannot be in time any more
+                // earns little, and goes behind those that can: served by objective alone, a pool
+                // in a rush would end every job a little late.
                 const bool lasting = job.spec.steps[step].lasting;
-                const int rank = lasting ? 0 : (job.objectiveAt > now ? 1 : 2);
+                const auto need = lasting ? milliseconds(0) : remainingTime(tables, job, step);
+                const int rank = lasting ? 0 : (now + need <= job.objectiveAt ? 1 : 2);
                 rowsByPool[queue->second->pool].push_back(
                     {{rank, job.objectiveAt}, {&job, number, static_cast<int>(step)}});
             }
--- /dev/null
+++ b/tests/fleet_load_test.cpp
@@ -0,0 +1,135 @@
+#include "tests/support/fleet_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace ibishinge;
+using namespace ibishinge::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One pool of 64 cores; jobs of two steps with six tasks of one core and 640 ms each.
+constexpr int workers = 8;
+constexpr int tasksOfStep = 6;
+constexpr milliseconds taskTime {640};
+constexpr double jobsOfCapacity = 64.0 / (2 * tasksOfStep * 0.64); ///< a second
+
+job_spec twoSteps(int tasks = tasksOfStep)
+{
+    auto spec = simpleJob(tasks);
+    spec.steps.front().estimate = taskTime;
+    spec.steps.push_back(spec.steps.front());
+    spec.steps.back().after = {0};
+    return spec;
+}
+
+} // namespace
+
+/// What is served when a pool is asked for more than it holds, in virtual time.
+class fleet_load_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(fleet_load_test);
+    CPPUNIT_TEST(goodputAtCapacity);
+    CPPUNIT_TEST(goodputAtTwiceTheCapacity);
+    CPPUNIT_TEST(goodputAtFiveTimesTheCapacity);
+    CPPUNIT_TEST(lateJobsAreDoneAfterTheRush);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void goodputAtCapacity()
+    {
+        checkGoodput(0.9, 0.8);
+    }
+
+    void goodputAtTwiceTheCapacity()
+    {
+        checkGoodput(2, 0.8);
+    }
+
+    void goodputAtFiveTimesTheCapacity()
+    {
+        checkGoodput(5, 0.8);
+    }
+
+    void lateJobsAreDoneAfterTheRush()
+    {
+        const auto seen = play(2, 8s);
+        CPPUNIT_ASSERT_EQUAL(seen.accepted, seen.completed);
+    }
+
+private:
+    struct rush_outcome
+    {
+        int accepted = 0;
+        int completed = 0;
+        int inTime = 0;
+    };
+
+    /// Goodput stays flat beyond capacity: what ends in time is at least `share` of what the pool
+    /// could do in the same time.
+    static void checkGoodput(double load, double share)
+    {
+        constexpr std::chrono::seconds rush {8};
+        const auto seen = play(load, rush);
+        const double possible =
+            std::min(1.0, load) * jobsOfCapacity * static_cast<double>(rush.count());
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(seen.inTime) + " of " + std::to_string(possible),
+                               seen.inTime >= share * possible);
+    }
+
+    /// Offers `load` times the capacity for `rush`, then waits until all is done.
+    static rush_outcome play(double load, std::chrono::seconds rush)
+    {
+        fleet_world fleet(workers);
+        fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {taskTime, false};
+        };
+        auto &only = fleet.addProcess("only");
+        CPPUNIT_ASSERT(fleet.waitForLeader());
+        fleet.loop.run(1s);
+
+        rush_outcome result;
+        std::map<std::string, instant> open;
+        const auto objective = milliseconds(static_cast<std::int64_t>(1.6 * 2 * taskTime.count()))
+                               + 600ms; // stretch and slack of the queue
+        const int jobs =
+            static_cast<int>(load * jobsOfCapacity * static_cast<double>(rush.count()));
+        for (int i = 0; i < jobs; ++i) {
+            fleet.loop.after(rush * i / jobs, [&, i] {
+                caller_request request;
+                request.operation = caller_operation::submit;
+                request.host = "jobs.example";
+                const auto digits = std::to_string(i);
+                request.path = "/pool-a/" + std::string(16 - digits.size(), '0') + digits;
+                request.key = "key-north";
+                request.patience = 3000ms;
+                request.spec = twoSteps();
+                only.node->handle(request, [&, path = request.path](const caller_answer &answer) {
+                    if (answer.kind == answer_kind::accepted) {
+                        ++result.accepted;
+                        open[path] = fleet.loop.now();
+                    }
+                });
+            });
+        }
+        const auto end = fleet.loop.now() + rush + 40s;
+        while (fleet.loop.now() < end) {
+            fleet.loop.run(50ms);
+            for (auto job = open.begin(); job != open.end();) {
+                if (fleet.stateOf(only, job->first) == job_state::completed) {
+                    ++result.completed;
+                    result.inTime += fleet.loop.now() - job->second <= objective ? 1 : 0;
+                    job = open.erase(job);
+                } else {
+                    ++job;
+                }
+            }
+        }
+        CPPUNIT_ASSERT(fleet.world.violations.empty());
+        return result;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_load_test);
