Bound the cost of passes over a full pool

Change: the largest room left is known after the first step without room; passes are made less often while much waits.

--- a/bench/fleet_main.cpp
+++ b/bench/fleet_main.cpp
@@ -8,7 +8,7 @@
 
 // Processor time of coordinating a large fleet without its network: two pools, jobs of the shapes
 // and rates of a busy deployment, in virtual time. Usage: bench-fleet [workers a pool] [jobs a
-// second].
+// second] [processes]. With several processes, others call the workers; their work is counted too.
 
 using namespace ibishinge;
 using namespace ibishinge::fleet;
@@ -32,6 +32,16 @@
     auto &process = fleet.addProcess("only");
     fleet.waitForLeader();
     fleet.loop.run(1s);
+    const int processes = argc > 3 ? std::atoi(argv[3]) : 1;
+    for (int i = 1; i < processes; ++i) {
+        fleet.addProcess("other-" + std::to_string(i));
+    }
+    for (int i = 0; i < 3; ++i) {
+        for (auto &[name, each] : fleet.processes) {
+            fleet.ask(each, caller_operation::count_waiting, "/pool-a/");
+        }
+        fleet.loop.run(500ms);
+    }
 
     int accepted = 0;
     const int jobs = jobsPerSecond * seconds;
--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -217,6 +217,7 @@
     nlohmann::json m_endsToLog = nlohmann::json::array(); ///< of the report being applied
     bool m_passPending = false;
     instant m_lastPass;
+    std::size_t m_waitingSteps = 0; ///< at the last pass
     bool m_hostsPending = false;
     bool m_plannedWork = false; ///< a wave is open
     instant m_nextHosts;
--- a/include/ibishinge/fleet/placement.h
+++ b/include/ibishinge/fleet/placement.h
@@ -2,6 +2,7 @@
 
 #include <ibishinge/fleet/tables.h>
 
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -20,10 +21,12 @@
 struct pool_room
 {
     std::vector<worker_status *> usable;
-    /// Needs for which no worker had room in this pass. Room only shrinks during a pass, so that a
-    /// need as large is not tried again: a full pool would cost a look at each worker for each
-    /// waiting step.
-    std::vector<resources> refused;
+    /// No worker has more room than this, by component. Room only shrinks during a pass, so that
+    /// larger needs are not tried: a full pool would cost a look at each worker for each waiting
+    /// step.
+    resources largestRoom {std::numeric_limits<std::int64_t>::max(),
+                           std::numeric_limits<std::int64_t>::max(),
+                           std::numeric_limits<std::int64_t>::max()};
 };
 
 /// Returns by pool the steps that can start now, first come those to be served first.
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -19,6 +19,10 @@
 
 /// Events within this time share one pass over what waits: a pass looks at all live jobs.
 constexpr milliseconds passInterval {4};
+/// While much waits the pool is full and a start waits for room anyway: passes are made less often,
+/// by 1 ms for so many waiting steps, so that their cost stays bounded.
+constexpr std::size_t waitingStepsPerMs = 16;
+constexpr milliseconds longestPassInterval {25};
 
 /// Starts a pass makes before it lets replies in, so that one burst does not delay lease renewals.
 constexpr int startsPerPass = 64;
@@ -191,7 +195,8 @@
         return;
     }
     m_passPending = true;
-    const auto earliest = m_lastPass + passInterval;
+    const milliseconds backOff(static_cast<std::int64_t>(m_waitingSteps / waitingStepsPerMs));
+    const auto earliest = m_lastPass + std::min(passInterval + backOff, longestPassInterval);
     const auto now = m_timers.now();
     later(earliest > now ? earliest - now : milliseconds(0), [this] {
         m_passPending = false;
@@ -207,6 +212,10 @@
     }
     const auto now = m_timers.now();
     const auto waiting = waitingSteps(m_tables, now);
+    m_waitingSteps = 0;
+    for (const auto &[name, steps] : waiting) {
+        m_waitingSteps += steps.size();
+    }
     if (waiting.empty()) {
         return;
     }
@@ -332,7 +341,7 @@
     const auto run = (m_lead.term - 1) * runsPerTerm + starts + 1;
     // The members are entered as runs first, so that each choice sees the ones before it.
     std::vector<run_key> placed;
-    const auto refusedBefore = room.refused;
+    const auto roomBefore = room.largestRoom;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         auto *worker = chooseWorker(m_tables, room, where, tasks[index], tickets);
         if (worker == nullptr) {
@@ -340,7 +349,7 @@
                 removeRun(m_tables, key);
             }
             // The members gave their room back: a smaller need may fit after all.
-            room.refused = refusedBefore;
+            room.largestRoom = roomBefore;
             return;
         }
         run_entry entry;
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -185,19 +185,22 @@
 {
     const auto &step = where.job->spec.steps[static_cast<std::size_t>(where.step)];
     const auto held = heldBy(step);
-    const bool hopeless = std::any_of(room.refused.begin(), room.refused.end(),
-                                      [&](const resources &need) { return fits(need, held); });
-    if (hopeless) {
+    if (!fits(held, room.largestRoom)) {
         return nullptr;
     }
     const auto racks =
         step.sameRack || step.lasting ? racksOfStep(tables, where) : std::map<std::string, int> {};
     worker_status *best = nullptr;
     double bestScore = 0;
+    resources largest;
     for (auto *const candidate : room.usable) {
         auto &worker = *candidate;
         const auto &id = worker.entry.id;
-        if (!fits(held, worker.entry.capacity - worker.held)
+        const auto left = worker.entry.capacity - worker.held;
+        largest = {std::max(largest.cpuMillis, left.cpuMillis),
+                   std::max(largest.memoryMb, left.memoryMb),
+                   std::max(largest.accelerators, left.accelerators)};
+        if (!fits(held, left)
             || (!step.requiredLabel.empty() && !hasLabel(worker.entry, step.requiredLabel))
             || (tickets != nullptr && tickets->proofByWorker.count(id) == 0)
             || (step.maxPerWorker > 0 && runsOfStep(worker, where) >= step.maxPerWorker)) {
@@ -231,11 +234,7 @@
             bestScore = score;
         }
     }
-    const bool anyWorkerMay =
-        step.requiredLabel.empty() && tickets == nullptr && step.maxPerWorker == 0;
-    if (best == nullptr && anyWorkerMay) {
-        room.refused.push_back(held);
-    }
+    room.largestRoom = largest;
     return best;
 }
 
