--- a/include/ibishinge/fleet/record_writer.h
+++ b/include/ibishinge/fleet/record_writer.h
@@ -14,9 +14,10 @@
 {
 public:
     /// `onDeposed` is called when the leader's record has changed, possibly once for each lane.
-    /// Precondition: `lanes` is positive.
+    /// `atOnce` transactions are on their way while the store answers at its usual speed.
+    /// Precondition: `atOnce` is positive.
     record_writer(platform_api &platform, scheduler &timers, const store_condition &leader,
-                  int lanes, const std::function<void()> &onDeposed);
+                  int atOnce, const std::function<void()> &onDeposed);
 
     /// Adds changes that belong to `owner`: a job's id, or the name of a record of its own.
     void add(std::string_view owner, write_unit unit);
--- a/include/ibishinge/fleet/store_writer.h
+++ b/include/ibishinge/fleet/store_writer.h
@@ -29,6 +29,36 @@
     std::function<void(result<void>)> done;
 };
 
+class store_writer;
+
+/// Bounds the transactions that writers have on their way by the store's response time: at its
+/// usual speed a few are enough, and fuller ones save calls; a slow store takes more of them at
+/// once. Not thread-safe.
+class transaction_gate
+{
+public:
+    /// `usual`: transactions at once while the store answers at its usual speed.
+    explicit transaction_gate(int usual) noexcept
+        : m_usual(usual)
+    {
+    }
+
+    /// Returns true if `writer` may send a transaction; else it is called when it may.
+    [[nodiscard]] bool enter(const std::shared_ptr<store_writer> &writer);
+
+    /// A writer that was let in sends nothing more. `taken` is the response time of its
+    /// transaction, if it sent one that was carried out.
+    void leave(std::optional<milliseconds> taken);
+
+    [[nodiscard]] int allowed() const noexcept;
+
+private:
+    const int m_usual;
+    int m_open = 0;
+    double m_responseMs = 0; ///< decayed mean of response times
+    std::deque<std::weak_ptr<store_writer>> m_queue;
+};
+
 /// Writes the records of one coordinator, in order and in batches.
 ///
 /// Every transaction requires that the leader's record is unchanged, so that writes of a deposed
@@ -39,10 +69,9 @@
 {
 public:
     /// `onDeposed` is called once, when the leader's record has changed.
-    [[nodiscard]] static std::shared_ptr<store_writer> make(platform_api &platform,
-                                                            scheduler &timers,
-                                                            store_condition leader,
-                                                            std::function<void()> onDeposed);
+    [[nodiscard]] static std::shared_ptr<store_writer>
+    make(platform_api &platform, scheduler &timers, store_condition leader,
+         std::function<void()> onDeposed, std::shared_ptr<transaction_gate> gate = nullptr);
 
     /// Precondition: at most `maxUnitChanges` changes.
     void add(write_unit unit);
@@ -68,9 +97,14 @@
     /// Stops writing; open units are answered with `outcome_unknown`.
     void close();
 
+    /// Called by the gate: a transaction may be sent.
+    void onEntered();
+
 private:
     store_writer(platform_api &platform, scheduler &timers, store_condition leader,
-                 std::function<void()> onDeposed);
+                 std::function<void()> onDeposed, std::shared_ptr<transaction_gate> gate);
+    void requestSend();
+    void leaveGate(std::optional<milliseconds> taken);
     void sendNext();
     void sendCurrent();
     void onReply(const result<transaction_reply> &answer);
@@ -82,6 +116,9 @@
     scheduler &m_timers;
     store_condition m_leader;
     std::function<void()> m_onDeposed;
+    std::shared_ptr<transaction_gate> m_gate; ///< may be null
+    bool m_inGate = false;
+    bool m_queued = false; ///< for the gate
     std::map<std::string, std::int64_t> m_revisions;
     std::deque<write_unit> m_waiting;
     std::vector<write_unit> m_current;
--- a/src/fleet/record_writer.cpp
+++ b/src/fleet/record_writer.cpp
@@ -5,12 +5,20 @@
 
 namespace ibishinge::fleet {
 
+namespace {
+
+/// As many transactions are on their way at most, when the store is slow.
+constexpr std::size_t lanes = 16;
+
+} // namespace
+
 record_writer::record_writer(platform_api &platform, scheduler &timers,
-                             const store_condition &leader, int lanes,
+                             const store_condition &leader, int atOnce,
                              const std::function<void()> &onDeposed)
 {
-    for (int i = 0; i < lanes; ++i) {
-        m_lanes.push_back(store_writer::make(platform, timers, leader, onDeposed));
+    const auto gate = std::make_shared<transaction_gate>(atOnce);
+    for (std::size_t i = 0; i < lanes; ++i) {
+        m_lanes.push_back(store_writer::make(platform, timers, leader, onDeposed, gate));
     }
 }
 
--- a/src/fleet/store_writer.cpp
+++ b/src/fleet/store_writer.cpp
@@ -14,22 +14,60 @@
 constexpr milliseconds firstBackoff {25};
 constexpr milliseconds longestBackoff {400};
 
+/// One more transaction at once for each of these in the store's response time, in ms: at its usual
+/// speed of about 5 ms none, and all lanes when it takes a fifth of a second.
+constexpr double responseOfOneMore = 5;
+constexpr double responseDecay = 0.2; ///< weight of the newest response time
+
 } // namespace
 
+bool transaction_gate::enter(const std::shared_ptr<store_writer> &writer)
+{
+    if (m_open < allowed() && m_queue.empty()) {
+        ++m_open;
+        return true;
+    }
+    m_queue.push_back(writer);
+    return false;
+}
+
+void transaction_gate::leave(std::optional<milliseconds> taken)
+{
+    if (taken) {
+        m_responseMs += responseDecay * (static_cast<double>(taken->count()) - m_responseMs);
+    }
+    --m_open;
+    while (m_open < allowed() && !m_queue.empty()) {
+        const auto next = m_queue.front().lock();
+        m_queue.pop_front();
+        if (next) {
+            ++m_open;
+            next->onEntered();
+        }
+    }
+}
+
+int transaction_gate::allowed() const noexcept
+{
+    return m_usual + static_cast<int>(m_responseMs / responseOfOneMore);
+}
+
 std::shared_ptr<store_writer> store_writer::make(platform_api &platform, scheduler &timers,
                                                  store_condition leader,
-                                                 std::function<void()> onDeposed)
+                                                 std::function<void()> onDeposed,
+                                                 std::shared_ptr<transaction_gate> gate)
 {
-    return std::shared_ptr<store_writer>(
-        new store_writer(platform, timers, std::move(leader), std::move(onDeposed)));
+    return std::shared_ptr<store_writer>(new store_writer(platform, timers, std::move(leader),
+                                                          std::move(onDeposed), std::move(gate)));
 }
 
 store_writer::store_writer(platform_api &platform, scheduler &timers, store_condition leader,
-                           std::function<void()> onDeposed)
+                           std::function<void()> onDeposed, std::shared_ptr<transaction_gate> gate)
     : m_platform(platform)
     , m_timers(timers)
     , m_leader(std::move(leader))
     , m_onDeposed(std::move(onDeposed))
+    , m_gate(std::move(gate))
 {
 }
 
@@ -43,13 +81,48 @@
     }
     m_waiting.push_back(std::move(unit));
     if (m_current.empty()) {
+        requestSend();
+    }
+}
+
+void store_writer::requestSend()
+{
+    if (m_closed || m_waiting.empty() || m_queued) {
+        return;
+    }
+    if (!m_gate || m_inGate) {
+        sendNext();
+        return;
+    }
+    m_inGate = m_gate->enter(shared_from_this());
+    m_queued = !m_inGate;
+    if (m_inGate) {
         sendNext();
     }
 }
 
+void store_writer::onEntered()
+{
+    m_queued = false;
+    m_inGate = true;
+    if (m_closed || m_waiting.empty()) {
+        leaveGate(std::nullopt);
+        return;
+    }
+    sendNext();
+}
+
+void store_writer::leaveGate(std::optional<milliseconds> taken)
+{
+    if (m_inGate) {
+        m_inGate = false;
+        m_gate->leave(taken);
+    }
+}
+
 void store_writer::addMark(std::function<void(result<void>)> done)
 {
-    if (m_current.empty() && !m_closed) {
+    if (m_current.empty() && m_waiting.empty() && !m_closed) {
         done({});
         return;
     }
@@ -76,6 +149,7 @@
 void store_writer::close()
 {
     m_closed = true;
+    leaveGate(std::nullopt);
     auto open = std::move(m_current);
     std::move(m_waiting.begin(), m_waiting.end(), std::back_inserter(open));
     m_current.clear();
@@ -175,7 +249,8 @@
             return;
         }
         if (m_current.empty()) {
-            sendNext();
+            leaveGate(std::nullopt);
+            requestSend();
             return;
         }
     }
@@ -236,6 +311,9 @@
 {
     const auto finished = std::move(m_current);
     m_current.clear();
+    const bool sent = std::any_of(finished.begin(), finished.end(),
+                                  [](const auto &unit) { return !unit.changes.empty(); });
+    leaveGate(sent ? std::optional(m_timers.now() - m_currentSince) : std::nullopt);
     for (const auto &unit : finished) {
         for (const auto &each : unit.changes) {
             if (each.value) {
@@ -251,7 +329,7 @@
         }
     }
     if (!m_closed && m_current.empty()) {
-        sendNext();
+        requestSend();
     }
 }
 
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -322,6 +322,7 @@
     std::set<std::string> unansweredStops; ///< workers whose stops fail
     int workerCalls = 0; ///< of all kinds
     milliseconds lookTime {2}; ///< until a look is answered
+    milliseconds storeTime {5}; ///< until the store answers
     int refuseStarts = 0; ///< so many starts find no connection
 
     void readItem(const std::string &key, reply<store_item> done) override
@@ -562,7 +563,6 @@
     }
 
 private:
-    static constexpr milliseconds storeTime {5};
     static constexpr milliseconds workerTime {2};
     static constexpr milliseconds silence {300}; ///< until a call without an answer is given up
     static constexpr milliseconds downTime {1500};
--- a/tests/fleet_load_test.cpp
+++ b/tests/fleet_load_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(goodputAtTwiceTheCapacity);
     CPPUNIT_TEST(goodputAtFiveTimesTheCapacity);
     CPPUNIT_TEST(lateJobsAreDoneAfterTheRush);
+    CPPUNIT_TEST(slowStoreCarriesTheLoad);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -59,6 +60,41 @@
         CPPUNIT_ASSERT_EQUAL(seen.accepted, seen.completed);
     }
 
+    /// A store that answers 50 times more slowly delays records, and does not make them queue:
+    /// sixty small jobs a second are accepted within the time after which the answer is open.
+    void slowStoreCarriesTheLoad()
+    {
+        fleet_world fleet(workers);
+        fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {50ms, false};
+        };
+        auto &only = fleet.addProcess("only");
+        CPPUNIT_ASSERT(fleet.waitForLeader());
+        fleet.loop.run(1s);
+        only.platform->storeTime = 200ms;
+        int accepted = 0;
+        milliseconds slowest {0};
+        constexpr int jobs = 600;
+        for (int i = 0; i < jobs; ++i) {
+            fleet.loop.after(10s * i / jobs, [&, i, &node = *only.node] {
+                caller_request request;
+                request.operation = caller_operation::submit;
+                request.host = "jobs.example";
+                const auto digits = std::to_string(i);
+                request.path = "/pool-a/" + std::string(16 - digits.size(), '0') + digits;
+                request.key = "key-north";
+                request.patience = 3000ms;
+                request.spec = twoSteps(1);
+                node.handle(request, [&, at = fleet.loop.now()](const caller_answer &answer) {
+                    accepted += answer.kind == answer_kind::accepted ? 1 : 0;
+                    slowest = std::max(slowest, since(at, fleet.loop.now()));
+                });
+            });
+        }
+        fleet.loop.run(15s);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(slowest.count()) + " ms", jobs, accepted);
+    }
+
 private:
     struct rush_outcome
     {
