--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -30,7 +30,8 @@
     milliseconds taskLease {4000}; ///< longer than an outage of the leader's record, see design
     milliseconds stopTime {200}; ///< a worker ends a stopped run within this
     milliseconds maintenanceTime {2000}; ///< a host is down for maintenance this long
-    int writeLanes = 2; ///< transactions on their way at once
+    int writesAtOnce = 2; ///< transactions on their way while the store is not slow
+    int movesAtOnce = 16; ///< of hosts
 };
 
 /// Who leads: what the leader's record says and proves.
--- a/include/ibishinge/fleet/pool_sizing.h
+++ b/include/ibishinge/fleet/pool_sizing.h
@@ -51,6 +51,7 @@
 /// The pool that has gone longest without a peak keeps its home size, as it may be next; the others
 /// give their idle hosts back. Only hosts without runs are moved, so that a move ends no task.
 [[nodiscard]] std::vector<host_move> planMoves(fleet_tables &tables, pool_sizing_state &state,
-                                               const host_care_state &care, instant now);
+                                               const host_care_state &care, int movesAtOnce,
+                                               instant now);
 
 } // namespace ibishinge::fleet
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -65,7 +65,7 @@
 void coordinator::start()
 {
     m_writer = std::make_unique<record_writer>(m_platform, m_timers, m_lead.record,
-                                               m_settings.writeLanes, [weak = weak_from_this()] {
+                                               m_settings.writesAtOnce, [weak = weak_from_this()] {
                                                    const auto self = weak.lock();
                                                    if (self && !self->m_closed) {
                                                        self->close();
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -271,7 +271,7 @@
     if (now >= m_nextHosts + hostListInterval) {
         refreshHosts();
     }
-    for (const auto &move : planMoves(m_tables, m_sizing, m_care, now)) {
+    for (const auto &move : planMoves(m_tables, m_sizing, m_care, m_settings.movesAtOnce, now)) {
         orderMove(move);
     }
     for (auto &[id, worker] : m_tables.workers) {
--- a/src/fleet/pool_sizing.cpp
+++ b/src/fleet/pool_sizing.cpp
@@ -37,9 +37,6 @@
 /// A worker that failed to answer this often in a row does not count for its pool.
 constexpr int looksOfLostWorker = 3;
 
-/// Orders in progress at once; well below the platform's rate.
-constexpr std::size_t maxMovesAtOnce = 16;
-
 struct idle_host
 {
     instant since;
@@ -191,7 +188,7 @@
 }
 
 std::vector<host_move> planMoves(fleet_tables &tables, pool_sizing_state &state,
-                                 const host_care_state &care, instant now)
+                                 const host_care_state &care, int movesAtOnce, instant now)
 {
     noteIdle(tables, state, now);
     settleMoves(tables, state, now);
@@ -256,9 +253,11 @@
     std::sort(takers.begin(), takers.end(), [](const pool_state *a, const pool_state *b) {
         return a->load.waitingWork > b->load.waitingWork;
     });
-    const auto inProgress = [&] { return state.moves.size() + moves.size(); };
+    const auto mayMove = [&] {
+        return state.moves.size() + moves.size() < static_cast<std::size_t>(movesAtOnce);
+    };
     for (auto *taker : takers) {
-        while (taker->hosts < taker->wanted && inProgress() < maxMovesAtOnce) {
+        while (taker->hosts < taker->wanted && mayMove()) {
             const auto source = std::find_if(spare.begin(), spare.end(), [&](const auto &host) {
                 return isCompatible(host, taker->name);
             });
@@ -287,7 +286,7 @@
     for (auto *donor : donors) {
         // A pool at its peak gives hosts to others in demand only: its own may rise again.
         while (!state.pools.at(donor->name).peaking && donor->hosts > donor->wanted
-               && !donor->idle.empty() && inProgress() < maxMovesAtOnce) {
+               && !donor->idle.empty() && mayMove()) {
             const auto host = donor->idle.front();
             donor->idle.erase(donor->idle.begin());
             const auto moved = state.movedAt.find(host.name);
--- a/src/outside/io_loop.cpp
+++ b/src/outside/io_loop.cpp
@@ -29,9 +29,9 @@
 /// Idle connections kept over all addresses, well below the descriptor limit of a small host.
 constexpr long keptConnections = 1200;
 
-/// Connections to one address. Workers and peers accept a few dozen for all processes together, and
-/// those of a process that lost power stay open for a while.
-constexpr long connectionsPerAddress = 8;
+/// Connections to one address. The store needs most: 16 transactions, three watches, and room for
+/// the renewal of the lease beside them. Workers and peers accept 64 for all processes together.
+constexpr long connectionsPerAddress = 24;
 
 /// Idle connections are closed after this time, in seconds.
 constexpr long idleConnectionSeconds = 30;
