--- a/include/ibishinge/fleet/host_care.h
+++ b/include/ibishinge/fleet/host_care.h
@@ -42,9 +42,11 @@
 
 /// Returns the next hosts of a wave to empty, at most as many as may be away at once and one ahead.
 /// Prefers hosts whose workers hold least, so that little work has to move, and leaves those of
-/// busy pools until the deadline presses. `timeOfOne`: from emptying a host to its return.
+/// busy pools until the deadline presses. Hosts in `moving` are on their way to a pool that needs
+/// them. `timeOfOne`: from emptying a host to its return.
 [[nodiscard]] std::vector<std::string> hostsToEmpty(fleet_tables &tables, const wave_care &care,
                                                     const std::set<std::string> &busyPools,
+                                                    const std::set<std::string> &moving,
                                                     milliseconds timeOfOne, instant now);
 
 /// Returns the worker that runs on a host, or null.
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -140,6 +140,10 @@
             busyPools.insert(name);
         }
     }
+    std::set<std::string> moving;
+    for (const auto &[host, move] : m_sizing.moves) {
+        moving.insert(host);
+    }
     const auto timeOfOne = m_settings.maintenanceTime + emptyingPatience;
     for (auto &[number, care] : m_care.waves) {
         if (care.completed || !care.known || m_tables.hosts.empty()) {
@@ -147,7 +151,7 @@
             continue;
         }
         open = true;
-        for (const auto &host : hostsToEmpty(m_tables, care, busyPools, timeOfOne, now)) {
+        for (const auto &host : hostsToEmpty(m_tables, care, busyPools, moving, timeOfOne, now)) {
             care.hosts.at(host) = {care_step::emptying, now};
             logEvent(log_level::info, "host_emptying", {{"host", host}, {"wave", number}});
         }
--- a/src/fleet/host_care.cpp
+++ b/src/fleet/host_care.cpp
@@ -47,7 +47,8 @@
 
 std::vector<std::string> hostsToEmpty(fleet_tables &tables, const wave_care &care,
                                       const std::set<std::string> &busyPools,
-                                      milliseconds timeOfOne, instant now)
+                                      const std::set<std::string> &moving, milliseconds timeOfOne,
+                                      instant now)
 {
     int open = 0;
     std::vector<std::pair<std::int64_t, std::string>> waiting;
@@ -69,6 +70,10 @@
             break;
         }
         const auto listed = tables.hosts.find(host);
+        if (moving.count(host) > 0
+            || (listed != tables.hosts.end() && listed->second.state == host_state::moving)) {
+            continue;
+        }
         const bool busy =
             listed != tables.hosts.end() && load >= 0 && busyPools.count(listed->second.pool) > 0;
         if (!busy || pressing) {
--- a/tests/pool_sizing_test.cpp
+++ b/tests/pool_sizing_test.cpp
@@ -16,8 +16,11 @@
     CPPUNIT_TEST(noMoveEndsARun);
     CPPUNIT_TEST(noMoveBeforeAllWorkersRegistered);
     CPPUNIT_TEST(homeSizesOutliveTheCoordinator);
+    CPPUNIT_TEST(hostOnItsWayIsNotTakenForMaintenance);
     CPPUNIT_TEST_SUITE_END();
 
+    const instant m_now = instant {} + 100s;
+
     struct outcome
     {
         int inTime = 0;
@@ -148,6 +151,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {0}, fleet.world.moved.size());
     }
 
+    /// Played day: hosts moved to a pool at its peak seemed free, as nothing ran on them, and were
+    /// taken for a wave as they arrived.
+    void hostOnItsWayIsNotTakenForMaintenance()
+    {
+        fleet_tables tables;
+        wave_care care;
+        care.wave.atOnce = 3;
+        care.dueAt = m_now + 60s;
+        for (const std::string name : {"idle", "leaving", "ordered"}) {
+            tables.hosts[name] = {name, "pool-a", host_state::up, {"a"}, {32000, 1, 0}, ""};
+            care.hosts[name] = {};
+        }
+        tables.hosts["leaving"].state = host_state::moving;
+        const auto chosen = hostsToEmpty(tables, care, {}, {"ordered"}, 4500ms, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, chosen.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("idle"), chosen.front());
+        // Also close to the deadline: an order for a host on its way is rejected.
+        const auto pressed = hostsToEmpty(tables, care, {}, {"ordered"}, 4500ms, m_now + 59s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, pressed.size());
+    }
+
     void homeSizesOutliveTheCoordinator()
     {
         fleet_world fleet(4);
