--- a/src/base/shutdown_signal.cpp
+++ b/src/base/shutdown_signal.cpp
@@ -1,5 +1,7 @@
 #include <ibishinge/base/shutdown_signal.h>
 
+#include <ibishinge/base/logging.h>
+
 #include <csignal>
 
 namespace ibishinge {
@@ -12,6 +14,7 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     return set;
 }
 
@@ -30,6 +33,11 @@
     const sigset_t set = shutdownSignals();
     int received = 0;
     sigwait(&set, &received);
+    while (received == SIGHUP) {
+        logEvent(log_level::info, "reload",
+                 {{"changed", false}, {"reason", "settings are flags and change by a restart"}});
+        sigwait(&set, &received);
+    }
     return received;
 }
 
--- /dev/null
+++ b/tests/io_loop_test.cpp
@@ -0,0 +1,188 @@
+#include <ibishinge/outside/http_server.h>
+#include <ibishinge/outside/io_loop.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <netinet/in.h>
+#include <optional>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace ibishinge;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A socket that listens and never answers; connections are made by the system.
+class silent_listener
+{
+public:
+    silent_listener()
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto *const generic = reinterpret_cast<sockaddr *>(&address); // NOLINT
+        CPPUNIT_ASSERT_EQUAL(0, bind(m_socket, generic, size));
+        CPPUNIT_ASSERT_EQUAL(0, getsockname(m_socket, generic, &size));
+        CPPUNIT_ASSERT_EQUAL(0, listen(m_socket, 16));
+        m_address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    }
+    silent_listener(const silent_listener &) = delete;
+    silent_listener &operator=(const silent_listener &) = delete;
+    ~silent_listener()
+    {
+        close();
+    }
+    void close()
+    {
+        if (m_socket >= 0) {
+            ::close(m_socket);
+            m_socket = -1;
+        }
+    }
+    [[nodiscard]] const std::string &address() const
+    {
+        return m_address;
+    }
+
+private:
+    int m_socket;
+    std::string m_address;
+};
+
+} // namespace
+
+/// The event loop and its HTTP client, over loopback connections.
+class io_loop_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(io_loop_test);
+    CPPUNIT_TEST(manyRequestsAtOnce);
+    CPPUNIT_TEST(silentServerTimesOutWithAnUnknownOutcome);
+    CPPUNIT_TEST(refusedConnectionCertainlyHadNoEffect);
+    CPPUNIT_TEST(timersRunInOrder);
+    CPPUNIT_TEST(postedFunctionsRunOnTheLoop);
+    CPPUNIT_TEST(bodyAndHeadersArrive);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<io_loop> m_loop;
+
+    /// Runs the loop until `done` or the limit.
+    template <class Function>
+    bool runUntil(Function done, std::chrono::milliseconds limit)
+    {
+        const auto end = m_loop->now() + limit;
+        std::function<void()> check = [&] {
+            if (done() || m_loop->now() >= end) {
+                m_loop->stop();
+            } else {
+                m_loop->after(2ms, check);
+            }
+        };
+        m_loop->after(0ms, check);
+        m_loop->run();
+        return done();
+    }
+
+    static std::unique_ptr<http_server> serve(http_handler handler)
+    {
+        http_server_options options;
+        options.address = "127.0.0.1";
+        options.threads = 16;
+        auto server = http_server::start(options, std::move(handler));
+        CPPUNIT_ASSERT(server.has_value());
+        return std::move(*server);
+    }
+
+public:
+    void setUp() override
+    {
+        auto made = io_loop::make();
+        CPPUNIT_ASSERT(made.has_value());
+        m_loop = std::move(*made);
+    }
+
+    void manyRequestsAtOnce()
+    {
+        const auto server = serve([](const http_request &request) {
+            std::this_thread::sleep_for(10ms); // work of the server, so that requests overlap
+            return http_response {200, {}, request.body};
+        });
+        const auto address = "127.0.0.1:" + std::to_string(server->port());
+        int answered = 0;
+        constexpr int requests = 60;
+        for (int i = 0; i < requests; ++i) {
+            m_loop->send({"POST", address, "/echo", {}, std::to_string(i), 5000ms},
+                         [&answered, i](const result<http_response> &response) {
+                             answered += response && response->body == std::to_string(i) ? 1 : 0;
+                         });
+        }
+        CPPUNIT_ASSERT(runUntil([&] { return answered == requests; }, 10s));
+    }
+
+    void silentServerTimesOutWithAnUnknownOutcome()
+    {
+        const silent_listener silent;
+        std::optional<error> failure;
+        m_loop->send({"POST", silent.address(), "/", {}, "order", 150ms},
+                     [&](const result<http_response> &response) { failure = response.error(); });
+        CPPUNIT_ASSERT(runUntil([&] { return failure.has_value(); }, 5s));
+        CPPUNIT_ASSERT(failure->kind == error_kind::outcome_unknown);
+    }
+
+    void refusedConnectionCertainlyHadNoEffect()
+    {
+        silent_listener gone;
+        gone.close();
+        std::optional<error> failure;
+        m_loop->send({"POST", gone.address(), "/", {}, "order", 1000ms},
+                     [&](const result<http_response> &response) { failure = response.error(); });
+        CPPUNIT_ASSERT(runUntil([&] { return failure.has_value(); }, 5s));
+        CPPUNIT_ASSERT(failure->kind == error_kind::unavailable);
+        CPPUNIT_ASSERT_EQUAL(ECONNREFUSED, failure->systemError);
+    }
+
+    void timersRunInOrder()
+    {
+        std::string order;
+        m_loop->after(30ms, [&] { order += "c"; });
+        m_loop->after(10ms, [&] { order += "a"; });
+        m_loop->after(20ms, [&] { order += "b"; });
+        CPPUNIT_ASSERT(runUntil([&] { return order.size() == 3; }, 5s));
+        CPPUNIT_ASSERT_EQUAL(std::string("abc"), order);
+    }
+
+    void postedFunctionsRunOnTheLoop()
+    {
+        std::thread::id ranOn;
+        std::thread other([&] { m_loop->post([&] { ranOn = std::this_thread::get_id(); }); });
+        CPPUNIT_ASSERT(runUntil([&] { return ranOn != std::thread::id(); }, 5s));
+        other.join();
+        CPPUNIT_ASSERT(ranOn == std::this_thread::get_id());
+    }
+
+    void bodyAndHeadersArrive()
+    {
+        const auto server = serve([](const http_request &request) {
+            const bool complete = request.method == "POST" && request.path == "/order"
+                                  && findHeader(request.headers, "Duty-Holder") == "me";
+            return http_response {complete ? 200 : 400, {}, request.body};
+        });
+        const auto address = "127.0.0.1:" + std::to_string(server->port());
+        std::optional<http_response> answer;
+        m_loop->send({"POST", address, "/order", {{"Duty-Holder", "me"}}, "{}", 2000ms},
+                     [&](const result<http_response> &response) {
+                         answer = response ? *response : http_response {};
+                     });
+        CPPUNIT_ASSERT(runUntil([&] { return answer.has_value(); }, 5s));
+        CPPUNIT_ASSERT_EQUAL(200, answer->status);
+        CPPUNIT_ASSERT_EQUAL(std::string("{}"), answer->body);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(io_loop_test);
