--- a/include/ibishinge/fleet/worker_relay.h
+++ b/include/ibishinge/fleet/worker_relay.h
@@ -89,7 +89,7 @@
     };
 
     [[nodiscard]] relay *relayOf(const worker_entry &worker);
-    void add(relay &to, nlohmann::json call, open_call open);
+    void add(relay &to, const nlohmann::json &call, open_call open);
     void planExchange(relay &to);
     void exchange(relay &to);
     void onExchanged(const std::string &address, const result<std::string> &answer);
--- a/src/fleet/worker_relay.cpp
+++ b/src/fleet/worker_relay.cpp
@@ -162,8 +162,9 @@
     }
     for (const auto &[dataCentre, count] : workersByDataCentre) {
         std::vector<relay_peer> near;
-        std::copy_if(peers.begin(), peers.end(), std::back_inserter(near),
-                     [&](const relay_peer &peer) { return peer.dataCentre == dataCentre; });
+        std::copy_if(
+            peers.begin(), peers.end(), std::back_inserter(near),
+            [&place = dataCentre](const relay_peer &peer) { return peer.dataCentre == place; });
         std::sort(near.begin(), near.end(), [](const relay_peer &a, const relay_peer &b) {
             return std::tie(b.processorShare, a.address) < std::tie(a.processorShare, b.address);
         });
@@ -271,7 +272,7 @@
         {open_look {worker, order, std::move(done)}, m_timers.now() + order.wait + resultSlack});
 }
 
-void relayed_calls::add(relay &to, json call, open_call open)
+void relayed_calls::add(relay &to, const json &call, open_call open)
 {
     const auto number = m_nextNumber++;
     to.calls.push_back(numbered(number, call));
