A relay makes the calls of a repeated message once

Found while reading: libcurl sends a message again if a reused connection was closed. A start made twice whose run ended in between is answered as an old run, which the coordinator takes for a rejection, and the task would run again before its end is read. Messages are numbered; a relay remembers the last 64. Test: repeatedMessageMakesNoCallAgain.

--- a/include/ibishinge/fleet/worker_relay.h
+++ b/include/ibishinge/fleet/worker_relay.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -134,6 +135,7 @@
         nlohmann::json results = nlohmann::json::array();
         std::function<void(std::string)> waiting;
         std::int64_t exchange = 0; ///< counts them, to tell whether a timer is out of date
+        std::set<std::int64_t> seen; ///< numbers of the last messages
         bool answerPlanned = false;
         instant usedAt;
     };
--- a/src/fleet/worker_relay.cpp
+++ b/src/fleet/worker_relay.cpp
@@ -37,6 +37,9 @@
 /// Calls that a relay read longer ago are not made: its process or host stood still meanwhile.
 constexpr milliseconds oldestCall {300};
 
+/// Numbers of messages kept to know a repeated one, far more than are on their way at once.
+constexpr std::size_t messagesRemembered = 64;
+
 /// A coordinator that has not been heard of for this long is gone.
 constexpr milliseconds sessionTime {10000};
 
@@ -305,6 +308,7 @@
         return;
     }
     const json message = {{"session", m_session},
+                          {"number", m_nextNumber++},
                           {"calls", std::exchange(to.calls, json::array())},
                           {"payloads", std::exchange(to.payloads, json::object())}};
     ++to.exchanges;
@@ -462,6 +466,15 @@
     const auto exchange = ++of.exchange;
     planAnswer(name, of); // results that came between two exchanges
     const bool old = since(readAt, now) > oldestCall;
+    if (const auto number = message.value("number", std::int64_t {0});
+        number != 0 && !of.seen.insert(number).second) {
+        // The HTTP client repeats a message whose connection was closed. A start must not be made
+        // again: its run may have ended meanwhile, and the answer would look like a rejection.
+        message["calls"] = json::array();
+    }
+    while (of.seen.size() > messagesRemembered) {
+        of.seen.erase(of.seen.begin());
+    }
     for (const auto &call : message["calls"]) {
         try {
             if (old) {
--- a/tests/worker_relay_test.cpp
+++ b/tests/worker_relay_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(leavingRelayIsGivenNoNewCalls);
     CPPUNIT_TEST(newCoordinatorKnowsTheRelays);
     CPPUNIT_TEST(callsReadLongAgoAreNotMade);
+    CPPUNIT_TEST(repeatedMessageMakesNoCallAgain);
     CPPUNIT_TEST(unreadableMessageIsAnswered);
     CPPUNIT_TEST_SUITE_END();
 
@@ -171,6 +172,23 @@
         CPPUNIT_ASSERT_EQUAL(1, platform.workerCalls);
     }
 
+    void repeatedMessageMakesNoCallAgain()
+    {
+        fleet_world fleet;
+        fleet.loop.run(5s);
+        standin::virtual_platform platform(fleet.world);
+        relay_service service(platform, fleet.loop, "one");
+        const std::string message = R"({"session":"s","number":1,"payloads":{"j":""},)"
+                                    R"("calls":[[7,0,"pool-a-0","x:1","j",0,0,0,1,9000,5,"",""]]})";
+        int answers = 0;
+        for (int i = 0; i < 2; ++i) {
+            service.handle(message, fleet.loop.now(), [&](const std::string &) { ++answers; });
+            fleet.loop.run(400ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(2, answers);
+        CPPUNIT_ASSERT_EQUAL(1, platform.workerCalls);
+    }
+
     void unreadableMessageIsAnswered()
     {
         fleet_world fleet;
