Guard the creation of records against copies that are carried out late

Cause of TWICE under lost and late writes with a loss of power: a submission's transaction without an answer is repeated; the second copy is applied, the job runs, ends, and its record is deleted. When the first copy is carried out after that, its conditions hold again, because absence is no version: the record of an ended job is back, and the next coordinator runs the job. Change: a unit that creates a key names guards, keys that must be as last known: a submission the job's end, progress the job's record. At a take-over an end wins over a job's record beside it, which is deleted. Ruled out by reading: conditions on revisions above 0 (never come back), the leader's record and the term (each campaign changes the term), the roster, homes and waves (never deleted).

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -117,6 +117,8 @@
                      const std::function<void(const store_item &)> &apply,
                      const std::function<void()> &next);
     void readRoster();
+    /// Deletes what is left of a job whose end is stored.
+    void dropStaleRecords(const std::string &id);
     void readRegistry(const std::string &after);
     void watchRegistry();
     void onRegistryItem(const store_item &item);
--- a/include/ibishinge/fleet/store_writer.h
+++ b/include/ibishinge/fleet/store_writer.h
@@ -24,6 +24,10 @@
 struct write_unit
 {
     std::vector<key_change> changes;
+    /// Keys that must be as last known while `changes` creates a key. Absence is no version: a key
+    /// that was deleted again looks as it did before it was created, so that only a guard stops a
+    /// creation that is carried out late. A unit whose guard has changed fails with `conflict`.
+    std::vector<std::string> guards;
     /// Given up if the store certainly did not take it; others are repeated until they are stored.
     bool droppable = false;
     std::function<void(result<void>)> done;
@@ -64,7 +68,8 @@
 /// Every transaction requires that the leader's record is unchanged, so that writes of a deposed
 /// coordinator fail, and that each key has the revision last known, so that a write that is carried
 /// out late cannot undo a newer one. A transaction without an answer is repeated unchanged; the
-/// condition of the second tells whether the first took effect. Not thread-safe.
+/// condition of the second tells whether the first took effect. A copy that is carried out after the
+/// second would create deleted keys again; guards stop that. Not thread-safe.
 class store_writer : public std::enable_shared_from_this<store_writer>
 {
 public:
@@ -73,7 +78,8 @@
     make(platform_api &platform, scheduler &timers, store_condition leader,
          std::function<void()> onDeposed, std::shared_ptr<transaction_gate> gate = nullptr);
 
-    /// Precondition: at most `maxUnitChanges` changes.
+    /// Precondition: two entries for each change and one for each guard are at most
+    /// `maxBatchEntries`.
     void add(write_unit unit);
 
     /// Calls `done` once everything added before is stored; at once if nothing is open.
@@ -107,6 +113,10 @@
     void leaveGate(std::optional<milliseconds> taken);
     void sendNext();
     void sendCurrent();
+    [[nodiscard]] std::int64_t revisionOf(const std::string &key) const;
+    [[nodiscard]] bool createsKey(const write_unit &unit) const;
+    [[nodiscard]] std::size_t entriesOf(const write_unit &unit) const;
+    void failUnitsWithChangedGuards(const std::map<std::string, const store_item *> &found);
     void onReply(const result<transaction_reply> &answer);
     void onConflict(const std::vector<store_item> &current);
     void finishCurrent(std::int64_t revision);
@@ -128,7 +138,10 @@
     milliseconds m_backoff {0};
 };
 
+/// Entries that are left beside the condition on the leader's record.
+inline constexpr std::size_t maxBatchEntries = maxTransactionEntries - 1;
+
 /// Largest number of changes of one unit: each takes a condition and a put or delete.
-inline constexpr std::size_t maxUnitChanges = (maxTransactionEntries - 1) / 2;
+inline constexpr std::size_t maxUnitChanges = maxBatchEntries / 2;
 
 } // namespace ibishinge::fleet
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -170,6 +170,7 @@
     m_waiters[id].push_back(done);
     write_unit unit;
     unit.changes.push_back({std::string(jobPrefix) + id, encodeJob(job)});
+    unit.guards.push_back(std::string(endedPrefix) + id);
     unit.droppable = true;
     unit.done = [this, id, since = m_timers.now()](const result<void> &stored) {
         const auto found = m_tables.jobs.find(id);
@@ -178,7 +179,11 @@
         }
         if (!stored) {
             m_tables.jobs.erase(found);
-            answerWaiters(id, answerOf(answer_kind::not_ready, "the store is away", comeBack));
+            // The store holds an end of this job: it ran, so that a rejection would be untrue.
+            const bool ended = stored.error().kind == error_kind::conflict;
+            answerWaiters(id, ended ? answerOf(answer_kind::outcome_unknown, "the job has ended")
+                                    : answerOf(answer_kind::not_ready, "the store is away",
+                                               comeBack));
             return;
         }
         found->second.stored = true;
@@ -355,6 +360,7 @@
         }
         write_unit unit;
         unit.changes.push_back({std::string(progressPrefix) + id, encodeProgress(found->second)});
+        unit.guards.push_back(std::string(jobPrefix) + id);
         m_writer->add(id, std::move(unit));
     }
     m_writer->addMark(onStored);
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -78,7 +78,7 @@
                 }
             }
             const auto status = m_platform.encodeWaveStatus(number, care.completed);
-            m_writer->add(key, {{{status.key, status.value}}, false, nullptr});
+            m_writer->add(key, {{{status.key, status.value}}, {}, false, nullptr});
             care.known = true;
             refreshHosts();
         }));
@@ -270,7 +270,7 @@
     if (!m_sizing.homesKnown && !m_tables.hosts.empty()) {
         const auto homes = countHosts(m_tables);
         setHomes(homes);
-        m_writer->add(homesKey, {{{std::string(homesKey), encodeHomes(homes)}}, false, nullptr});
+        m_writer->add(homesKey, {{{std::string(homesKey), encodeHomes(homes)}}, {}, false, nullptr});
     }
     if (now >= m_nextHosts + hostListInterval) {
         refreshHosts();
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -107,7 +107,11 @@
                      {{"key", item.key}, {"error", describe(ended.error())}});
             return;
         }
-        m_tables.ended[item.key.substr(endedPrefix.size())] = *ended;
+        const auto id = item.key.substr(endedPrefix.size());
+        m_tables.ended[id] = *ended;
+        if (m_tables.jobs.erase(id) > 0) {
+            dropStaleRecords(id);
+        }
     };
     const auto applyHomes = [this](const store_item &item) {
         if (const auto homes = decodeHomes(item.value)) {
@@ -126,6 +130,15 @@
     });
 }
 
+void coordinator::dropStaleRecords(const std::string &id)
+{
+    logEvent(log_level::warning, "job_record_after_its_end", {{"job", id}});
+    write_unit unit;
+    unit.changes.push_back({std::string(jobPrefix) + id, std::nullopt});
+    unit.changes.push_back({std::string(progressPrefix) + id, std::nullopt});
+    m_writer->add(id, std::move(unit));
+}
+
 void coordinator::readRegistry(const std::string &after)
 {
     if (after.empty()) {
--- a/src/fleet/store_writer.cpp
+++ b/src/fleet/store_writer.cpp
@@ -3,6 +3,8 @@
 #include <ibishinge/base/logging.h>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace ibishinge::fleet {
@@ -161,25 +163,46 @@
     }
 }
 
+std::int64_t store_writer::revisionOf(const std::string &key) const
+{
+    const auto known = m_revisions.find(key);
+    return known == m_revisions.end() ? 0 : known->second;
+}
+
+bool store_writer::createsKey(const write_unit &unit) const
+{
+    return std::any_of(unit.changes.begin(), unit.changes.end(), [this](const key_change &change) {
+        return change.value.has_value() && revisionOf(change.key) == 0;
+    });
+}
+
+std::size_t store_writer::entriesOf(const write_unit &unit) const
+{
+    return 2 * unit.changes.size() + (createsKey(unit) ? unit.guards.size() : 0);
+}
+
 void store_writer::sendNext()
 {
-    std::size_t changes = 0;
-    while (!m_waiting.empty() && changes + m_waiting.front().changes.size() <= maxUnitChanges) {
+    std::size_t entries = 0;
+    std::set<std::string_view> named;
+    while (!m_waiting.empty()) {
+        const auto &next = m_waiting.front();
         // A key may stand only once in a transaction.
-        const bool repeated = std::any_of(
-            m_waiting.front().changes.begin(), m_waiting.front().changes.end(),
-            [this](const key_change &change) {
-                return std::any_of(m_current.begin(), m_current.end(), [&](const auto &unit) {
-                    return std::any_of(unit.changes.begin(), unit.changes.end(),
-                                       [&](const auto &other) { return other.key == change.key; });
-                });
-            });
-        if (repeated) {
+        const auto isNamed = [&named](std::string_view key) { return named.count(key) > 0; };
+        const bool repeated =
+            std::any_of(next.changes.begin(), next.changes.end(),
+                        [&](const key_change &change) { return isNamed(change.key); })
+            || std::any_of(next.guards.begin(), next.guards.end(), isNamed);
+        entries += entriesOf(next);
+        if (repeated || entries > maxBatchEntries) {
             break;
         }
-        changes += m_waiting.front().changes.size();
         m_current.push_back(std::move(m_waiting.front()));
         m_waiting.pop_front();
+        for (const auto &change : m_current.back().changes) {
+            named.insert(change.key);
+        }
+        named.insert(m_current.back().guards.begin(), m_current.back().guards.end());
     }
     const bool marksOnly = std::all_of(m_current.begin(), m_current.end(),
                                        [](const auto &unit) { return unit.changes.empty(); });
@@ -201,8 +224,7 @@
     change.conditions.push_back(m_leader);
     for (const auto &unit : m_current) {
         for (const auto &each : unit.changes) {
-            const auto known = m_revisions.find(each.key);
-            const std::int64_t revision = known == m_revisions.end() ? 0 : known->second;
+            const auto revision = revisionOf(each.key);
             if (each.value) {
                 change.conditions.push_back({each.key, revision});
                 change.puts.push_back({each.key, *each.value, 0});
@@ -211,6 +233,11 @@
                 change.deletes.push_back(each.key);
             }
         }
+        if (createsKey(unit)) {
+            for (const auto &key : unit.guards) {
+                change.conditions.push_back({key, revisionOf(key)});
+            }
+        }
     }
     m_platform.commit(change, [self = shared_from_this()](const result<transaction_reply> &answer) {
         if (!self->m_closed) {
@@ -283,6 +310,15 @@
         onDeposed();
         return;
     }
+    failUnitsWithChangedGuards(found);
+    if (m_closed) {
+        return;
+    }
+    if (m_current.empty()) {
+        leaveGate(std::nullopt);
+        requestSend();
+        return;
+    }
     // Either an earlier attempt took effect, or a revision was not known. Only this coordinator
     // writes these keys, so that the values found can be replaced.
     bool allApplied = true;
@@ -307,6 +343,36 @@
     retryLater();
 }
 
+void store_writer::failUnitsWithChangedGuards(
+    const std::map<std::string, const store_item *> &found)
+{
+    const auto hasChanged = [&](const std::string &key) {
+        const auto item = found.find(key);
+        return revisionOf(key) != (item == found.end() ? 0 : item->second->revision);
+    };
+    const auto changedGuard = [&](const write_unit &unit) -> const std::string * {
+        const auto guard = std::find_if(unit.guards.begin(), unit.guards.end(), hasChanged);
+        return createsKey(unit) && guard != unit.guards.end() ? &*guard : nullptr;
+    };
+    std::vector<write_unit> kept;
+    std::vector<std::pair<write_unit, std::string>> failed;
+    for (auto &unit : m_current) {
+        if (const auto *const key = changedGuard(unit)) {
+            failed.emplace_back(std::move(unit), *key);
+        } else {
+            kept.push_back(std::move(unit));
+        }
+    }
+    m_current = std::move(kept);
+    for (const auto &[unit, key] : failed) {
+        logEvent(log_level::error, "store_guard_changed",
+                 {{"key", key}, {"known_revision", revisionOf(key)}});
+        if (unit.done) {
+            unit.done(makeError(error_kind::conflict, key, "changed since it was read"));
+        }
+    }
+}
+
 void store_writer::finishCurrent(std::int64_t revision)
 {
     const auto finished = std::move(m_current);
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -304,6 +304,8 @@
     bool watchesSilent = false; ///< watches are cut without a word: changes do not wake them
     bool refuseCommits = false; ///< commits are answered, and certainly not done
     int loseCommits = 0; ///< so many commits take effect without an answer
+    int delayCommits = 0; ///< so many commits have no answer and are carried out `commitDelay` later
+    milliseconds commitDelay {3000};
     bool workersCut = false;
 
     /// The process stands still: it hears no replies until it goes on, and then all of them.
@@ -360,9 +362,11 @@
             fail<transaction_reply>(std::move(done), error_kind::unavailable);
             return;
         }
-        if (loseCommits > 0 && !storeCut) {
-            --loseCommits;
-            m_world.loop.after(storeTime, [this, change] { m_world.apply(change); });
+        if ((loseCommits > 0 || delayCommits > 0) && !storeCut) {
+            const bool late = loseCommits == 0;
+            --(late ? delayCommits : loseCommits);
+            m_world.loop.after(late ? commitDelay : storeTime,
+                               [&world = m_world, change] { world.apply(change); });
             fail<transaction_reply>(std::move(done), error_kind::outcome_unknown);
             return;
         }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(leaderWithoutStoreOffersItsPlace);
     CPPUNIT_TEST(leaderStaysWhileTheStoreIsAwayForAll);
     CPPUNIT_TEST(lostAnswerOfTheStoreStoresOnce);
+    CPPUNIT_TEST(lateCopyOfASubmissionDoesNotRunItAgain);
+    CPPUNIT_TEST(jobRecordBesideItsEndIsNotRun);
     CPPUNIT_TEST(startsWithoutConnectionArePlacedAgain);
     CPPUNIT_TEST(unansweredStopsEndWithTheRunGone);
     CPPUNIT_TEST(crashedWorkerRunsAgainAfterItsLease);
@@ -307,6 +309,46 @@
     }
 
     /// A worker's bound on connections refused a burst of starts, which stayed open for seconds.
+    /// Played day: a transaction without an answer was repeated, its job ran and ended, and then the
+    /// first copy was carried out: the job's record was back, and the next coordinator ran it.
+    void lateCopyOfASubmissionDoesNotRunItAgain()
+    {
+        auto &leader = startThree();
+        leader.platform->delayCommits = 1;
+        leader.platform->commitDelay = 5s;
+        submit(leader, jobPath, simpleJob(3));
+        CPPUNIT_ASSERT(m_fleet.waitForState(leader, jobPath, job_state::completed, 3s));
+        m_fleet.loop.run(5s);
+        m_fleet.kill(leader.name, false);
+        auto &heir = other(leader);
+        m_fleet.ask(heir, caller_operation::show, jobPath);
+        CPPUNIT_ASSERT(m_fleet.waitForLeader(5s));
+        m_fleet.loop.run(6s);
+        CPPUNIT_ASSERT_EQUAL(job_state::completed, m_fleet.stateOf(heir, jobPath));
+        CPPUNIT_ASSERT_EQUAL(3, m_fleet.world.starts);
+        CPPUNIT_ASSERT(m_fleet.world.violations.empty());
+    }
+
+    /// Records that a version without the guard left behind.
+    void jobRecordBesideItsEndIsNotRun()
+    {
+        auto &leader = startThree();
+        submit(leader, jobPath, simpleJob(1));
+        m_fleet.loop.run(100ms);
+        const auto jobKey = std::string(jobPrefix) + "00000000000000aa";
+        const auto record = m_fleet.world.items.at(jobKey).value;
+        CPPUNIT_ASSERT(m_fleet.waitForState(leader, jobPath, job_state::completed, 3s));
+        m_fleet.loop.run(500ms); // the worker has forgotten the end
+        m_fleet.world.putItem(jobKey, record, 0);
+        m_fleet.kill(leader.name, false);
+        auto &heir = other(leader);
+        m_fleet.ask(heir, caller_operation::show, jobPath);
+        CPPUNIT_ASSERT(m_fleet.waitForLeader(5s));
+        m_fleet.loop.run(6s);
+        CPPUNIT_ASSERT_EQUAL(1, m_fleet.world.starts);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, m_fleet.world.items.count(jobKey));
+    }
+
     void startsWithoutConnectionArePlacedAgain()
     {
         auto &leader = startThree();
--- a/tests/store_writer_test.cpp
+++ b/tests/store_writer_test.cpp
@@ -1,15 +1,194 @@
 #include "standins/virtual_platform.h"
 
+#include <ibishinge/fleet/record_writer.h>
 #include <ibishinge/fleet/store_writer.h>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
 
+#include <array>
 #include <optional>
 
 using namespace ibishinge;
 using namespace ibishinge::fleet;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// Records of a few jobs, written by coordinators that follow each other over a store whose answers
+/// are lost and whose writes are carried out late.
+class job_records_world
+{
+public:
+    enum class fate : std::uint8_t { none, submitted, stored, refused, ending, ended };
+
+    job_records_world()
+    {
+        changeLeader();
+    }
+
+    void step(std::uint8_t choice)
+    {
+        const auto job = static_cast<std::size_t>(choice / 8 % jobs);
+        switch (choice % 8) {
+        case 0:
+        case 1:
+            submit(job);
+            break;
+        case 2:
+            progress(job);
+            break;
+        case 3:
+            end(job);
+            break;
+        case 4:
+            m_platform.delayCommits = 1 + choice / 64;
+            m_platform.commitDelay = milliseconds(400 * (1 + choice / 16 % 8));
+            break;
+        case 5:
+            m_platform.loseCommits = 1;
+            break;
+        case 6:
+            m_platform.refuseCommits = !m_platform.refuseCommits;
+            break;
+        case 7:
+            if (choice >= 192) {
+                changeLeader();
+            } else {
+                m_loop.run(milliseconds(choice * 8));
+            }
+            break;
+        }
+        m_loop.run(milliseconds(choice % 32));
+    }
+
+    /// Lets every late write be carried out.
+    void settle()
+    {
+        m_platform.refuseCommits = false;
+        m_platform.delayCommits = 0;
+        m_platform.loseCommits = 0;
+        m_loop.run(10s);
+    }
+
+    void check()
+    {
+        for (std::size_t job = 0; job < jobs; ++job) {
+            const bool live = exists("fleet/job/", job);
+            const bool ended = exists("fleet/ended/", job);
+            switch (m_fates[job]) {
+            case fate::none:
+            case fate::refused:
+                RC_ASSERT(!live);
+                RC_ASSERT(!ended);
+                break;
+            case fate::stored:
+                RC_ASSERT(live);
+                break;
+            case fate::ended:
+                RC_ASSERT(ended);
+                RC_ASSERT(!live);
+                RC_ASSERT(!exists("fleet/progress/", job));
+                break;
+            case fate::submitted:
+            case fate::ending:
+                RC_FAIL("a write stays open although the store answers");
+            }
+        }
+    }
+
+private:
+    static constexpr std::size_t jobs = 4;
+
+    [[nodiscard]] bool exists(const std::string &prefix, std::size_t job) const
+    {
+        return m_world.items.count(prefix + std::to_string(job)) > 0;
+    }
+
+    void submit(std::size_t job)
+    {
+        if (m_fates[job] != fate::none && m_fates[job] != fate::refused) {
+            return;
+        }
+        m_fates[job] = fate::submitted;
+        write_unit unit;
+        unit.changes.push_back({"fleet/job/" + std::to_string(job), "job"});
+        unit.guards.push_back("fleet/ended/" + std::to_string(job));
+        unit.droppable = true;
+        unit.done = [this, job, term = m_term](const result<void> &stored) {
+            if (term == m_term) {
+                m_fates[job] = stored ? fate::stored : fate::refused;
+            }
+        };
+        m_writer->add(std::to_string(job), std::move(unit));
+    }
+
+    void progress(std::size_t job)
+    {
+        if (m_fates[job] != fate::stored) {
+            return;
+        }
+        write_unit unit;
+        unit.changes.push_back(
+            {"fleet/progress/" + std::to_string(job), std::to_string(++m_progress)});
+        unit.guards.push_back("fleet/job/" + std::to_string(job));
+        m_writer->add(std::to_string(job), std::move(unit));
+    }
+
+    void end(std::size_t job)
+    {
+        if (m_fates[job] != fate::stored) {
+            return;
+        }
+        m_fates[job] = fate::ending;
+        write_unit unit;
+        unit.changes.push_back({"fleet/ended/" + std::to_string(job), "ended"});
+        unit.changes.push_back({"fleet/job/" + std::to_string(job), std::nullopt});
+        unit.changes.push_back({"fleet/progress/" + std::to_string(job), std::nullopt});
+        unit.done = [this, job, term = m_term](const result<void> &stored) {
+            if (term == m_term && stored) {
+                m_fates[job] = fate::ended;
+            }
+        };
+        m_writer->add(std::to_string(job), std::move(unit));
+    }
+
+    void changeLeader()
+    {
+        ++m_term;
+        if (m_writer) {
+            m_writer->close();
+        }
+        m_world.putItem("leader", std::to_string(m_term), 0);
+        m_writer = std::make_unique<record_writer>(
+            m_platform, m_loop, store_condition {"leader", m_world.items.at("leader").revision}, 4,
+            [] {});
+        for (const auto &[key, item] : m_world.items) {
+            if (key.starts_with("fleet/")) {
+                m_writer->learnRevision(key.substr(key.rfind('/') + 1), key, item.revision);
+            }
+        }
+        for (std::size_t job = 0; job < jobs; ++job) {
+            const bool open = m_fates[job] == fate::submitted || m_fates[job] == fate::ending;
+            if (open) {
+                m_fates[job] = exists("fleet/ended/", job) ? fate::ended
+                               : exists("fleet/job/", job) ? fate::stored
+                                                           : fate::none;
+            }
+        }
+    }
+
+    standin::virtual_loop m_loop;
+    standin::virtual_world m_world {m_loop};
+    standin::virtual_platform m_platform {m_world};
+    std::unique_ptr<record_writer> m_writer;
+    int m_term = 0;
+    int m_progress = 0;
+    std::array<fate, jobs> m_fates {};
+};
+
+} // namespace
+
 /// Writes of a coordinator through lost answers, conflicts and the loss of its record.
 class store_writer_test : public CppUnit::TestFixture
 {
@@ -20,6 +199,9 @@
     CPPUNIT_TEST(droppableUnitIsGivenUpOnlyIfCertain);
     CPPUNIT_TEST(deposedWriterWritesNothing);
     CPPUNIT_TEST(markComesAfterWhatWasAddedBefore);
+    CPPUNIT_TEST(lateCopyDoesNotCreateADeletedKeyAgain);
+    CPPUNIT_TEST(unitWithAChangedGuardFailsAlone);
+    CPPUNIT_TEST(recordsFollowTheirJobsThroughAnyFaults);
     CPPUNIT_TEST_SUITE_END();
 
     standin::virtual_loop m_loop;
@@ -125,6 +307,51 @@
         m_loop.run(200ms);
         CPPUNIT_ASSERT(order == (std::vector<std::string> {"unit", "mark"}));
     }
+
+    void lateCopyDoesNotCreateADeletedKeyAgain()
+    {
+        m_platform.delayCommits = 1;
+        auto created = put("key", "value");
+        created.guards.emplace_back("end");
+        m_writer->add(std::move(created));
+        m_loop.run(1s);
+        write_unit ended = put("end", "value");
+        ended.changes.push_back({"key", std::nullopt});
+        m_writer->add(std::move(ended));
+        m_loop.run(5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, m_world.items.count("end"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, m_world.items.count("key"));
+    }
+
+    void unitWithAChangedGuardFailsAlone()
+    {
+        m_world.putItem("end", "of another writer", 0);
+        std::optional<bool> first;
+        std::optional<bool> second;
+        auto guarded = put("one", "value", &first);
+        guarded.guards.emplace_back("end");
+        m_writer->add(put("zero", "value"));
+        m_writer->add(std::move(guarded));
+        m_writer->add(put("two", "value", &second));
+        m_loop.run(1s);
+        CPPUNIT_ASSERT(first == false);
+        CPPUNIT_ASSERT(second == true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, m_world.items.count("one"));
+    }
+
+    void recordsFollowTheirJobsThroughAnyFaults()
+    {
+        CPPUNIT_ASSERT(rc::check("records follow their jobs", [] {
+            const auto steps = *rc::gen::container<std::vector<std::uint8_t>>(
+                *rc::gen::inRange(10, 120), rc::gen::arbitrary<std::uint8_t>());
+            job_records_world world;
+            for (const auto step : steps) {
+                world.step(step);
+            }
+            world.settle();
+            world.check();
+        }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_writer_test);
