Serve the fleet program on its event loop: three threads whatever the number of connections

Change: async_http_server on libmicrohttpd (epoll, suspended connections), its epoll descriptor inside the loop's own, so that server, client and decisions share one thread. Bounds: connections, memory of one, body, time of a transfer, idle time, time without a response. Framing rules are shared with the older server. An exception in a function of the loop is logged and ends that function only. CivetWeb stays for the older daemons for now. Tests: async_http_server_test (11): the other server's table of bad inputs, 300 waiting requests on one thread, late, repeated and forgotten responses, exceptions.

--- a/include/ibishinge/fleet/http_peer_link.h
+++ b/include/ibishinge/fleet/http_peer_link.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <ibishinge/fleet/node.h>
-#include <ibishinge/outside/http_message.h>
+#include <ibishinge/outside/async_http_server.h>
 #include <ibishinge/outside/io_loop.h>
 
 #include <deque>
@@ -12,8 +12,7 @@
 
 namespace ibishinge::fleet {
 
-/// Connections that one process opens to another at most. Each holds a thread of the other's
-/// server.
+/// Connections that one process opens to another at most. Further requests share the next call.
 inline constexpr int callsToPeer = 3;
 
 /// Passes requests to other processes over HTTP. Requests that arrive while the calls to a process
@@ -53,10 +52,9 @@
     std::map<std::string, peer> m_peers;
 };
 
-/// Serves the calls of `http_peer_link`. Runs on a server's thread; blocks until the node, which
-/// lives on the loop's thread, has answered. Nothing for a path that is not of this protocol.
-/// Thread-safe.
-[[nodiscard]] std::optional<http_response> servePeer(io_loop &loop, fleet_node &node,
-                                                     const http_request &request);
+/// Serves the calls of `http_peer_link`. Returns false, and passes on nothing, for a path that is
+/// not of this protocol. Not thread-safe: used on the loop's thread.
+[[nodiscard]] bool servePeer(scheduler &timers, fleet_node &node, const http_request &request,
+                             const http_responder &respond);
 
 } // namespace ibishinge::fleet
--- a/include/ibishinge/fleet/store_writer.h
+++ b/include/ibishinge/fleet/store_writer.h
@@ -68,8 +68,8 @@
 /// Every transaction requires that the leader's record is unchanged, so that writes of a deposed
 /// coordinator fail, and that each key has the revision last known, so that a write that is carried
 /// out late cannot undo a newer one. A transaction without an answer is repeated unchanged; the
-/// condition of the second tells whether the first took effect. A copy that is carried out after the
-/// second would create deleted keys again; guards stop that. Not thread-safe.
+/// condition of the second tells whether the first took effect. A copy that is carried out after
+/// the second would create deleted keys again; guards stop that. Not thread-safe.
 class store_writer : public std::enable_shared_from_this<store_writer>
 {
 public:
--- a/include/ibishinge/outside/io_loop.h
+++ b/include/ibishinge/outside/io_loop.h
@@ -26,7 +26,8 @@
 
 /// Event loop with timers and an HTTP client for many requests at once, on libcurl.
 ///
-/// All functions but `post` and `stop` are called on the loop's thread. Responses arrive on that
+/// All functions but `post` and `stop` are called on the loop's thread. An exception that leaves a
+/// function called by the loop is logged and ends that function only. Responses arrive on that
 /// thread. A connection on which a request timed out is not used again, and for some seconds
 /// further requests to its address use new connections, because idle ones may have gone silent with
 /// it.
@@ -47,6 +48,12 @@
     /// request may have been received.
     void send(outgoing_request request, response_handler done);
 
+    /// Calls `onReadable` whenever `descriptor` can be read, until `removeReadable`. The descriptor
+    /// stays the caller's. Precondition: not added already.
+    void addReadable(int descriptor, std::function<void()> onReadable);
+    /// Precondition: `descriptor` was added and is still open.
+    void removeReadable(int descriptor);
+
     /// Calls `function` on the loop's thread. Thread-safe.
     void post(std::function<void()> function);
 
--- /dev/null
+++ b/src/base/json.cpp
@@ -0,0 +1,3 @@
+#include <ibishinge/base/json.h>
+
+template class nlohmann::basic_json<>;
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -181,9 +181,9 @@
             m_tables.jobs.erase(found);
             // The store holds an end of this job: it ran, so that a rejection would be untrue.
             const bool ended = stored.error().kind == error_kind::conflict;
-            answerWaiters(id, ended ? answerOf(answer_kind::outcome_unknown, "the job has ended")
-                                    : answerOf(answer_kind::not_ready, "the store is away",
-                                               comeBack));
+            answerWaiters(id,
+                          ended ? answerOf(answer_kind::outcome_unknown, "the job has ended")
+                                : answerOf(answer_kind::not_ready, "the store is away", comeBack));
             return;
         }
         found->second.stored = true;
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -270,7 +270,8 @@
     if (!m_sizing.homesKnown && !m_tables.hosts.empty()) {
         const auto homes = countHosts(m_tables);
         setHomes(homes);
-        m_writer->add(homesKey, {{{std::string(homesKey), encodeHomes(homes)}}, {}, false, nullptr});
+        m_writer->add(homesKey,
+                      {{{std::string(homesKey), encodeHomes(homes)}}, {}, false, nullptr});
     }
     if (now >= m_nextHosts + hostListInterval) {
         refreshHosts();
--- a/src/fleet/http_peer_link.cpp
+++ b/src/fleet/http_peer_link.cpp
@@ -3,10 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <condition_variable>
 #include <cstdlib>
-#include <future>
-#include <mutex>
 #include <utility>
 
 namespace ibishinge::fleet {
@@ -25,9 +22,6 @@
 /// Requests in one call; a call is answered when all of them are.
 constexpr std::size_t requestsPerCall = 32;
 
-/// The node answers each request in bounded time; this only frees the thread if it does not.
-constexpr milliseconds longestAnswer {4000};
-
 error timedOut(const std::string &address)
 {
     error failure;
@@ -127,81 +121,77 @@
                 });
 }
 
-std::optional<http_response> servePeer(io_loop &loop, fleet_node &node, const http_request &request)
+namespace {
+
+/// Answers to the requests of one call, in their order.
+struct gathered_answers
+{
+    std::vector<std::string> texts;
+    std::size_t open = 0;
+    http_responder respond;
+
+    void set(std::size_t at, const caller_answer &answer)
+    {
+        texts[at] = encodeAnswer(answer);
+        if (--open == 0) {
+            respond(jsonResponse(200, json(texts).dump()));
+        }
+    }
+};
+
+void serveRequests(fleet_node &node, const std::string &body, http_responder respond)
+{
+    const auto requests = json::parse(body, nullptr, false);
+    if (!requests.is_array()) {
+        respond(jsonResponse(400, R"({"message":"not a list of requests"})"));
+        return;
+    }
+    const auto gathered = std::make_shared<gathered_answers>();
+    gathered->texts.resize(requests.size());
+    gathered->open = requests.size();
+    gathered->respond = std::move(respond);
+    if (requests.empty()) {
+        gathered->respond(jsonResponse(200, "[]"));
+        return;
+    }
+    for (std::size_t i = 0; i < requests.size(); ++i) {
+        const auto call =
+            decodeRequest(requests[i].is_string() ? requests[i].get<std::string>() : std::string());
+        if (call) {
+            node.handleForwarded(
+                *call, [gathered, i](const caller_answer &answer) { gathered->set(i, answer); });
+        } else {
+            caller_answer invalid;
+            invalid.kind = answer_kind::invalid;
+            invalid.message = call.error().message;
+            gathered->set(i, invalid);
+        }
+    }
+}
+
+} // namespace
+
+bool servePeer(scheduler &timers, fleet_node &node, const http_request &request,
+               const http_responder &respond)
 {
     if (request.path == leadershipPath) {
-        const auto accepted = std::make_shared<std::promise<bool>>();
         const auto revision = std::strtoll(request.body.c_str(), nullptr, 10);
-        loop.post([&node, accepted, revision] {
-            node.acceptLeadership(revision, [accepted](bool value) { accepted->set_value(value); });
+        node.acceptLeadership(revision, [respond](bool accepted) {
+            respond({accepted ? 200 : 409, {}, ""});
         });
-        auto answer = accepted->get_future();
-        const bool yes =
-            answer.wait_for(longestAnswer) == std::future_status::ready && answer.get();
-        return http_response {yes ? 200 : 409, {}, ""};
+        return true;
     }
     if (request.path == callsPath) {
-        const auto answered = std::make_shared<std::promise<std::string>>();
-        loop.post([&node, answered, calls = request.body, readAt = loop.now()] {
-            node.handleCalls(calls, readAt, [answered](std::string text) {
-                answered->set_value(std::move(text));
-            });
+        node.handleCalls(request.body, timers.now(), [respond](std::string text) {
+            respond(jsonResponse(200, std::move(text)));
         });
-        auto answer = answered->get_future();
-        if (answer.wait_for(longestAnswer) != std::future_status::ready) {
-            return jsonResponse(504, R"({"message":"the calls were not answered"})");
-        }
-        return jsonResponse(200, answer.get());
+        return true;
     }
-    if (request.path != requestsPath) {
-        return std::nullopt;
-    }
-    const auto texts = json::parse(request.body, nullptr, false);
-    if (!texts.is_array()) {
-        return jsonResponse(400, R"({"message":"not a list of requests"})");
-    }
-
-    struct gathering
-    {
-        std::mutex mutex;
-        std::condition_variable changed;
-        std::vector<std::string> answers;
-        std::size_t open = 0;
-    };
-    const auto gathered = std::make_shared<gathering>();
-    gathered->answers.resize(texts.size());
-    gathered->open = texts.size();
-    std::vector<result<caller_request>> calls;
-    calls.reserve(texts.size());
-    for (const auto &text : texts) {
-        calls.push_back(decodeRequest(text.is_string() ? text.get<std::string>() : std::string()));
-    }
-    loop.post([&node, gathered, calls = std::move(calls)] {
-        for (std::size_t i = 0; i < calls.size(); ++i) {
-            const auto finish = [gathered, i](const caller_answer &answer) {
-                const std::lock_guard lock(gathered->mutex);
-                gathered->answers[i] = encodeAnswer(answer);
-                if (--gathered->open == 0) {
-                    gathered->changed.notify_all();
-                }
-            };
-            if (calls[i]) {
-                node.handleForwarded(*calls[i], finish);
-            } else {
-                caller_answer invalid;
-                invalid.kind = answer_kind::invalid;
-                invalid.message = calls[i].error().message;
-                finish(invalid);
-            }
-        }
-    });
-    std::unique_lock lock(gathered->mutex);
-    const bool all =
-        gathered->changed.wait_for(lock, longestAnswer, [&] { return gathered->open == 0; });
-    if (!all) {
-        return jsonResponse(504, R"({"message":"not all requests were answered"})");
+    if (request.path == requestsPath) {
+        serveRequests(node, request.body, respond);
+        return true;
     }
-    return jsonResponse(200, json(gathered->answers).dump());
+    return false;
 }
 
 } // namespace ibishinge::fleet
--- /dev/null
+++ b/src/outside/async_http_server.cpp
@@ -0,0 +1,424 @@
+#include <ibishinge/outside/async_http_server.h>
+
+#include <ibishinge/base/logging.h>
+#include <ibishinge/outside/request_framing.h>
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cstdio>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace ibishinge {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Connections past their bound are looked for this often.
+constexpr milliseconds sweepInterval {500};
+
+/// Connections that wait to be accepted.
+constexpr unsigned int listenBacklog = 511;
+
+/// Rounds in which responses of the last moment are written when a server ends.
+constexpr int lastRounds = 16;
+
+constexpr std::size_t longestLibraryMessage = 200;
+
+} // namespace
+
+struct async_http_server::impl
+{
+    /// One request from its first line until its response is written.
+    struct exchange : std::enable_shared_from_this<exchange>
+    {
+        http_request request;
+        MHD_Connection *connection = nullptr;
+        std::optional<http_response> response;
+        instant since; ///< the request line was read, or the response was passed on
+        instant handedAt;
+        bool headersRead = false;
+        bool handed = false; ///< the handler has been called
+        bool suspended = false;
+    };
+    using exchange_ptr = std::shared_ptr<exchange>;
+
+    struct connection_state
+    {
+        int descriptor = -1;
+        instant idleSince; ///< accepted, or the last response was written
+        exchange *current = nullptr;
+    };
+
+    impl(io_loop &eventLoop, async_http_server_options serverOptions, async_http_handler function)
+        : loop(eventLoop)
+        , options(std::move(serverOptions))
+        , handler(std::move(function))
+    {
+    }
+
+    MHD_Result onAccess(exchange_ptr &current, const char *method, const char *upload,
+                        std::size_t *uploadSize);
+    MHD_Result onHeaders(exchange &current, const char *method);
+    MHD_Result onBody(exchange &current, const char *upload, std::size_t *uploadSize) const;
+    MHD_Result onComplete(const exchange_ptr &current);
+    MHD_Result queue(exchange &current) const;
+    void respond(const exchange_ptr &current, http_response response);
+    void run();
+    void planRun();
+    void sweep();
+
+    io_loop &loop;
+    const async_http_server_options options;
+    const async_http_handler handler;
+    MHD_Daemon *daemon = nullptr;
+    int epoll = -1;
+    std::uint16_t port = 0;
+    bool closing = false;
+    bool runPlanned = false;
+    std::map<MHD_Connection *, connection_state> connections;
+    std::set<exchange_ptr> handled; ///< with the handler
+    std::shared_ptr<int> alive = std::make_shared<int>(0);
+};
+
+namespace {
+
+template <class Impl>
+void *onRequestLine(void *user, const char *target, MHD_Connection *connection)
+{
+    auto &state = *static_cast<Impl *>(user);
+    auto current = std::make_shared<typename Impl::exchange>();
+    const std::string_view text(target);
+    const auto query = text.find('?');
+    current->request.path = text.substr(0, query);
+    if (query != std::string_view::npos) {
+        current->request.query = text.substr(query + 1);
+    }
+    current->connection = connection;
+    current->since = state.loop.now();
+    state.connections[connection].current = current.get();
+    return new typename Impl::exchange_ptr(std::move(current)); // freed by onCompleted
+}
+
+template <class Impl>
+MHD_Result onAccessCall(void *user, MHD_Connection * /*connection*/, const char * /*path*/,
+                        const char *method, const char * /*version*/, const char *upload,
+                        std::size_t *uploadSize, void **context)
+{
+    auto &current = *static_cast<typename Impl::exchange_ptr *>(*context);
+    return static_cast<Impl *>(user)->onAccess(current, method, upload, uploadSize);
+}
+
+template <class Impl>
+void onCompleted(void *user, MHD_Connection *connection, void **context,
+                 MHD_RequestTerminationCode /*reason*/)
+{
+    auto &state = *static_cast<Impl *>(user);
+    const std::unique_ptr<typename Impl::exchange_ptr> current(
+        static_cast<typename Impl::exchange_ptr *>(*context));
+    *context = nullptr;
+    auto &place = state.connections[connection];
+    place.current = nullptr;
+    place.idleSince = state.loop.now();
+    if (current) {
+        (*current)->connection = nullptr;
+        state.handled.erase(*current);
+    }
+}
+
+template <class Impl>
+void onConnection(void *user, MHD_Connection *connection, void ** /*context*/,
+                  MHD_ConnectionNotificationCode what)
+{
+    auto &state = *static_cast<Impl *>(user);
+    if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
+        state.connections.erase(connection);
+        return;
+    }
+    const auto *const info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    auto &place = state.connections[connection];
+    place.descriptor = info != nullptr ? info->connect_fd : -1;
+    place.idleSince = state.loop.now();
+}
+
+/// Paths are compared as they were sent.
+std::size_t keepEscapes(void * /*user*/, MHD_Connection * /*connection*/, char *text)
+{
+    return std::char_traits<char>::length(text);
+}
+
+void logLibraryMessage(void * /*user*/, const char *format, va_list arguments)
+{
+    std::array<char, longestLibraryMessage> text {};
+    static_cast<void>(std::vsnprintf(text.data(), text.size(), format, arguments));
+    logEvent(log_level::info, "http_server_message", {{"message", text.data()}});
+}
+
+MHD_Result addHeader(void *user, MHD_ValueKind /*kind*/, const char *name, const char *value)
+{
+    static_cast<http_request *>(user)->headers.push_back({name, value != nullptr ? value : ""});
+    return MHD_YES;
+}
+
+std::string addressOf(MHD_Connection *connection)
+{
+    const auto *const info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    std::array<char, INET_ADDRSTRLEN> text {};
+    if (info != nullptr && info->client_addr->sa_family == AF_INET) {
+        // The library stores the address of a socket of this family.
+        const auto *const peer = reinterpret_cast<const sockaddr_in *>(info->client_addr); // NOLINT
+        inet_ntop(AF_INET, &peer->sin_addr, text.data(), text.size());
+    }
+    return text.data();
+}
+
+} // namespace
+
+MHD_Result async_http_server::impl::onAccess(exchange_ptr &current, const char *method,
+                                             const char *upload, std::size_t *uploadSize)
+{
+    if (!std::exchange(current->headersRead, true)) {
+        return onHeaders(*current, method);
+    }
+    if (*uploadSize > 0) {
+        return onBody(*current, upload, uploadSize);
+    }
+    return onComplete(current);
+}
+
+MHD_Result async_http_server::impl::onHeaders(exchange &current, const char *method)
+{
+    auto &request = current.request;
+    request.method = method;
+    request.remoteAddress = addressOf(current.connection);
+    MHD_get_connection_values(current.connection, MHD_HEADER_KIND, addHeader, &request);
+    if (const auto refused = refuseByFraming(request, options.maxBodyBytes)) {
+        current.response = *refused;
+        return queue(current);
+    }
+    return MHD_YES;
+}
+
+MHD_Result async_http_server::impl::onBody(exchange &current, const char *upload,
+                                           std::size_t *uploadSize) const
+{
+    if (loop.now() > current.since + options.transferTimeout) {
+        return MHD_NO; // closes the connection
+    }
+    auto &body = current.request.body;
+    if (current.response || body.size() + *uploadSize > options.maxBodyBytes) {
+        // The library takes a response only before a body or after it: what comes is passed over.
+        body.clear();
+        current.response = unreadRequestResponse(error_kind::too_large, "body above the bound");
+    } else {
+        body.append(upload, *uploadSize);
+    }
+    *uploadSize = 0;
+    return MHD_YES;
+}
+
+MHD_Result async_http_server::impl::onComplete(const exchange_ptr &current)
+{
+    if (!current->response && !std::exchange(current->handed, true)) {
+        current->handedAt = loop.now();
+        handled.insert(current);
+        const auto answer = [this, current,
+                             alive = std::weak_ptr<int>(alive)](http_response value) {
+            if (!alive.expired()) {
+                respond(current, std::move(value));
+            }
+        };
+        try {
+            handler(current->request, answer);
+        } catch (const std::exception &problem) {
+            logEvent(log_level::error, "handler_failed",
+                     {{"path", current->request.path}, {"reason", problem.what()}});
+            respond(current, failedResponse());
+        }
+    }
+    if (current->response) {
+        return queue(*current);
+    }
+    if (!current->suspended) {
+        current->suspended = true;
+        MHD_suspend_connection(current->connection);
+    }
+    return MHD_YES;
+}
+
+void async_http_server::impl::respond(const exchange_ptr &current, http_response response)
+{
+    handled.erase(current);
+    if (current->connection == nullptr || current->response) {
+        return;
+    }
+    current->response = std::move(response);
+    current->since = loop.now();
+    if (std::exchange(current->suspended, false)) {
+        MHD_resume_connection(current->connection);
+        planRun();
+    }
+}
+
+MHD_Result async_http_server::impl::queue(exchange &current) const
+{
+    const auto &response = *current.response;
+    if (response.status == noResponseStatus) {
+        return MHD_NO;
+    }
+    auto *const made = MHD_create_response_from_buffer(
+        response.body.size(), const_cast<char *>(response.body.data()), // NOLINT: is copied
+        MHD_RESPMEM_MUST_COPY);
+    if (made == nullptr) {
+        return MHD_NO;
+    }
+    for (const auto &header : response.headers) {
+        MHD_add_response_header(made, header.name.c_str(), header.value.c_str());
+    }
+    if (closing) {
+        MHD_add_response_header(made, "Connection", "close");
+    }
+    const auto queued =
+        MHD_queue_response(current.connection, static_cast<unsigned int>(response.status), made);
+    MHD_destroy_response(made);
+    return queued;
+}
+
+void async_http_server::impl::run()
+{
+    MHD_run(daemon);
+    MHD_UNSIGNED_LONG_LONG wait = 0;
+    if (MHD_get_timeout(daemon, &wait) == MHD_YES && wait == 0) {
+        planRun(); // a connection has more to process
+    }
+}
+
+void async_http_server::impl::planRun()
+{
+    if (std::exchange(runPlanned, true)) {
+        return;
+    }
+    loop.after(milliseconds(0), [this, alive = std::weak_ptr<int>(alive)] {
+        if (!alive.expired()) {
+            runPlanned = false;
+            run();
+        }
+    });
+}
+
+void async_http_server::impl::sweep()
+{
+    const auto now = loop.now();
+    std::vector<exchange_ptr> forgotten;
+    for (const auto &[connection, place] : connections) {
+        auto *const current = place.current;
+        if (current != nullptr && current->handed && !current->response) {
+            if (now > current->handedAt + options.handlerTimeout) {
+                forgotten.push_back(current->shared_from_this());
+            }
+            continue;
+        }
+        const bool late = current != nullptr ? now > current->since + options.transferTimeout
+                                             : now > place.idleSince + options.keepAliveTimeout;
+        if (late) {
+            shutdown(place.descriptor, SHUT_RDWR); // the library sees the end and closes it
+        }
+    }
+    for (const auto &current : forgotten) {
+        logEvent(log_level::error, "request_not_answered", {{"path", current->request.path}});
+        respond(current, unansweredResponse());
+    }
+    loop.after(sweepInterval, [this, alive = std::weak_ptr<int>(alive)] {
+        if (!alive.expired()) {
+            sweep();
+        }
+    });
+}
+
+result<std::unique_ptr<async_http_server>>
+async_http_server::start(io_loop &loop, const async_http_server_options &options,
+                         async_http_handler handler)
+{
+    auto state = std::make_unique<impl>(loop, options, std::move(handler));
+    sockaddr_in listen {};
+    listen.sin_family = AF_INET;
+    listen.sin_port = htons(options.port);
+    if (inet_pton(AF_INET, options.address.c_str(), &listen.sin_addr) != 1) {
+        return makeError(error_kind::unavailable, options.address, "not an IPv4 address");
+    }
+    constexpr unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME
+                                   | MHD_USE_SUPPRESS_DATE_NO_CLOCK | MHD_USE_ERROR_LOG;
+    state->daemon = MHD_start_daemon(
+        flags, options.port, nullptr, nullptr, onAccessCall<impl>, state.get(),
+        MHD_OPTION_EXTERNAL_LOGGER, logLibraryMessage, nullptr, MHD_OPTION_SOCK_ADDR, &listen,
+        MHD_OPTION_CONNECTION_LIMIT, options.maxConnections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        options.connectionBytes, MHD_OPTION_LISTEN_BACKLOG_SIZE, listenBacklog,
+        MHD_OPTION_NOTIFY_COMPLETED, onCompleted<impl>, state.get(), MHD_OPTION_NOTIFY_CONNECTION,
+        onConnection<impl>, state.get(), MHD_OPTION_URI_LOG_CALLBACK, onRequestLine<impl>,
+        state.get(), MHD_OPTION_UNESCAPE_CALLBACK, keepEscapes, nullptr, MHD_OPTION_END);
+    const std::string where = options.address + ":" + std::to_string(options.port);
+    if (state->daemon == nullptr) {
+        return makeError(error_kind::unavailable, where, "cannot listen");
+    }
+    auto server = std::unique_ptr<async_http_server>(new async_http_server(std::move(state)));
+    auto &made = *server->m_impl;
+    const auto *const epoll = MHD_get_daemon_info(made.daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    const auto *const port = MHD_get_daemon_info(made.daemon, MHD_DAEMON_INFO_BIND_PORT);
+    if (epoll == nullptr || port == nullptr) {
+        return makeError(error_kind::internal, where, "the library does not use epoll");
+    }
+    made.epoll = epoll->epoll_fd;
+    made.port = port->port;
+    loop.addReadable(made.epoll, [&made] { made.run(); });
+    made.run();
+    made.sweep();
+    return server;
+}
+
+async_http_server::async_http_server(std::unique_ptr<impl> state) noexcept
+    : m_impl(std::move(state))
+{
+}
+
+async_http_server::~async_http_server()
+{
+    auto &state = *m_impl;
+    // The library requires that no connection is suspended when it stops.
+    state.closing = true;
+    for (const auto &current : std::set(state.handled)) {
+        state.respond(current, shuttingDownResponse());
+    }
+    for (int round = 0; round < lastRounds; ++round) {
+        MHD_run(state.daemon);
+    }
+    state.alive.reset();
+    if (state.epoll >= 0) {
+        state.loop.removeReadable(state.epoll);
+    }
+    MHD_stop_daemon(state.daemon);
+}
+
+std::uint16_t async_http_server::port() const noexcept
+{
+    return m_impl->port;
+}
+
+std::size_t async_http_server::openRequests() const noexcept
+{
+    return m_impl->handled.size();
+}
+
+void async_http_server::closeAfterResponses() noexcept
+{
+    m_impl->closing = true;
+}
+
+} // namespace ibishinge
--- a/src/outside/http_server.cpp
+++ b/src/outside/http_server.cpp
@@ -2,12 +2,12 @@
 
 #include <ibishinge/base/civetweb_library.h>
 #include <ibishinge/base/logging.h>
+#include <ibishinge/outside/request_framing.h>
 
 #include <civetweb.h>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <chrono>
 #include <condition_variable>
 #include <exception>
@@ -63,9 +63,6 @@
 /// Reads that take longer do not increase the size of the next one.
 constexpr std::chrono::milliseconds fastRead {1};
 
-/// CivetWeb drops further fields without an error (its constant MG_MAX_HEADERS).
-constexpr int maxHeaderCount = 64;
-
 enum class body_status { complete, cut, too_large, malformed };
 
 body_status readBody(mg_connection *connection, long long contentLength,
@@ -103,20 +100,6 @@
     return complete ? body_status::complete : body_status::cut;
 }
 
-http_response errorResponse(error_kind kind, std::string_view message)
-{
-    const auto &answer = answerFor(kind);
-    std::string body = R"({"error":")";
-    body += answer.name;
-    body += R"(","run":"attempt_not_run","message":")";
-    body += message;
-    body += "\"}\n";
-    auto response = jsonResponse(answer.httpStatus, std::move(body));
-    // The rest of the request was not read, so the connection cannot be used again.
-    response.headers.push_back({"Connection", "close"});
-    return response;
-}
-
 void send(mg_connection *connection, const http_response &response)
 {
     std::string head = "HTTP/1.1 " + std::to_string(response.status) + " "
@@ -142,33 +125,6 @@
     return request;
 }
 
-/// Counts the fields that say how long the body is.
-std::ptrdiff_t countFramingFields(const http_request &request)
-{
-    return std::count_if(
-        request.headers.begin(), request.headers.end(), [](const http_header &header) {
-            const std::vector<http_header> one {header};
-            return findHeader(one, "Content-Length") || findHeader(one, "Transfer-Encoding");
-        });
-}
-
-/// A request with both framings, with two lengths, or with an unreadable length, is how one request
-/// is passed off as two; it is rejected (RFC 9112, section 6.1).
-bool hasAmbiguousLength(const http_request &request)
-{
-    if (countFramingFields(request) > 1) {
-        return true;
-    }
-    const auto length = findHeader(request.headers, "Content-Length");
-    if (!length) {
-        return false;
-    }
-    std::uint64_t value = 0;
-    const char *end = length->data() + length->size();
-    const auto parsed = std::from_chars(length->data(), end, value);
-    return parsed.ec != std::errc {} || parsed.ptr != end;
-}
-
 long long bodyLength(const http_request &request, const mg_request_info &info)
 {
     const bool chunked = findHeader(request.headers, "Transfer-Encoding").has_value();
@@ -186,9 +142,7 @@
     } catch (const std::exception &e) {
         logEvent(log_level::error, "handler_failed",
                  {{"path", request.path}, {"reason", e.what()}});
-        const auto &answer = answerFor(error_kind::internal);
-        return jsonResponse(answer.httpStatus,
-                            R"({"error":"internal","run":"may_have_run","message":"see the log"})");
+        return failedResponse();
     }
 }
 
@@ -199,7 +153,7 @@
     const mg_request_info &info = *mg_get_request_info(connection);
     http_request request = toRequest(info);
     auto status = body_status::malformed;
-    const bool tooManyHeaders = info.num_headers >= maxHeaderCount;
+    const bool tooManyHeaders = request.headers.size() >= maxHeaderCount;
     if (!tooManyHeaders && !hasAmbiguousLength(request)) {
         status = readBody(connection, bodyLength(request, info), state.options, request.body);
     }
@@ -208,18 +162,18 @@
         mg_close_connection(connection);
         return 499; // Only for the access log: the caller is gone.
     case body_status::too_large:
-        send(connection, errorResponse(error_kind::too_large, "body above the bound"));
+        send(connection, unreadRequestResponse(error_kind::too_large, "body above the bound"));
         return 413;
     case body_status::malformed:
         send(connection,
-             errorResponse(error_kind::invalid_request,
-                           tooManyHeaders ? "too many headers" : "ambiguous body length"));
+             unreadRequestResponse(error_kind::invalid_request,
+                                   tooManyHeaders ? "too many headers" : "ambiguous body length"));
         return 400;
     case body_status::complete:
         break;
     }
     if (!state.enter()) {
-        send(connection, errorResponse(error_kind::shutting_down, "the process is stopping"));
+        send(connection, shuttingDownResponse());
         return answerFor(error_kind::shutting_down).httpStatus;
     }
     const http_response response = callHandler(state.handler, request);
--- a/src/outside/io_loop.cpp
+++ b/src/outside/io_loop.cpp
@@ -1,5 +1,7 @@
 #include <ibishinge/outside/io_loop.h>
 
+#include <ibishinge/base/logging.h>
+
 #include <curl/curl.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -8,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <exception>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -45,6 +48,17 @@
     return size * count;
 }
 
+/// Runs a function of the loop's users. One that fails must not end the process with all others.
+template <class Function>
+void runGuarded(Function &&function) noexcept
+{
+    try {
+        function();
+    } catch (const std::exception &problem) {
+        logEvent(log_level::error, "handler_failed", {{"reason", problem.what()}});
+    }
+}
+
 struct exchange
 {
     CURL *handle = nullptr;
@@ -69,6 +83,7 @@
     std::map<CURL *, std::unique_ptr<exchange>> exchanges;
     std::map<std::string, instant, std::less<>> freshUntil; ///< by address
     std::multimap<instant, std::function<void()>> timers;
+    std::map<int, std::function<void()>> readable; ///< by descriptor
     std::mutex mutex;
     std::vector<std::function<void()>> posted;
     std::atomic<bool> stopping = false;
@@ -256,7 +271,7 @@
         http_response response;
         response.status = static_cast<int>(status);
         response.body = std::move(call->responseBody);
-        call->done(std::move(response));
+        runGuarded([&] { call->done(std::move(response)); });
         return;
     }
     if (code == CURLE_OPERATION_TIMEDOUT) {
@@ -269,7 +284,7 @@
     failure.place = call->address;
     failure.message = curl_easy_strerror(code);
     failure.systemError = code == CURLE_COULDNT_CONNECT ? static_cast<int>(systemError) : 0;
-    call->done(tl::unexpected(std::move(failure)));
+    runGuarded([&] { call->done(tl::unexpected(std::move(failure))); });
 }
 
 void io_loop::impl::runPosted()
@@ -280,7 +295,7 @@
         functions.swap(posted);
     }
     for (auto &function : functions) {
-        function();
+        runGuarded(function);
     }
 }
 
@@ -289,7 +304,7 @@
     while (!timers.empty() && timers.begin()->first <= boot_clock::now()) {
         const auto function = std::move(timers.begin()->second);
         timers.erase(timers.begin());
-        function();
+        runGuarded(function);
     }
 }
 
@@ -333,6 +348,21 @@
     return std::max(milliseconds(0), end - boot_clock::now());
 }
 
+void io_loop::addReadable(int descriptor, std::function<void()> onReadable)
+{
+    epoll_event event {};
+    event.data.fd = descriptor;
+    event.events = EPOLLIN;
+    epoll_ctl(m_impl->epoll, EPOLL_CTL_ADD, descriptor, &event);
+    m_impl->readable[descriptor] = std::move(onReadable);
+}
+
+void io_loop::removeReadable(int descriptor)
+{
+    epoll_ctl(m_impl->epoll, EPOLL_CTL_DEL, descriptor, nullptr);
+    m_impl->readable.erase(descriptor);
+}
+
 void io_loop::run()
 {
     std::array<epoll_event, 64> events {};
@@ -346,6 +376,12 @@
                 static_cast<void>(!read(m_impl->wakeUp, &value, sizeof value));
                 continue;
             }
+            const auto reader = m_impl->readable.find(event.data.fd);
+            if (reader != m_impl->readable.end()) {
+                const auto onReadable = reader->second; // it may remove itself
+                runGuarded(onReadable);
+                continue;
+            }
             const int flags =
                 ((event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0)
                 | ((event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0)
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -304,7 +304,8 @@
     bool watchesSilent = false; ///< watches are cut without a word: changes do not wake them
     bool refuseCommits = false; ///< commits are answered, and certainly not done
     int loseCommits = 0; ///< so many commits take effect without an answer
-    int delayCommits = 0; ///< so many commits have no answer and are carried out `commitDelay` later
+    int delayCommits =
+        0; ///< so many commits have no answer and are carried out `commitDelay` later
     milliseconds commitDelay {3000};
     bool workersCut = false;
 
--- /dev/null
+++ b/tests/async_http_server_test.cpp
@@ -0,0 +1,312 @@
+#include "tests/support/bad_http_input.h"
+#include "tests/support/raw_socket.h"
+
+#include <ibishinge/outside/async_http_server.h>
+#include <ibishinge/outside/http_client.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+using namespace ibishinge;
+using namespace std::chrono_literals;
+
+/// The server on the loop's thread: the same table of bad inputs as the server with threads, and
+/// connections far beyond what threads would carry.
+class async_http_server_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(async_http_server_test);
+    CPPUNIT_TEST(badInputsAreRefused);
+    CPPUNIT_TEST(slowSenderIsBounded);
+    CPPUNIT_TEST(chunkedRequestArrivesComplete);
+    CPPUNIT_TEST(waitingRequestsTakeNoThread);
+    CPPUNIT_TEST(lateResponsesArriveInAnyOrder);
+    CPPUNIT_TEST(secondResponseIsIgnored);
+    CPPUNIT_TEST(exceptionEndsItsRequestOnly);
+    CPPUNIT_TEST(callerThatLeavesIsForgotten);
+    CPPUNIT_TEST(forgottenRequestIsAnswered);
+    CPPUNIT_TEST(openRequestsAreAnsweredAtTheEnd);
+    CPPUNIT_TEST(pathAndQueryAreKeptAsSent);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<io_loop> m_loop = std::move(io_loop::make().value());
+    std::unique_ptr<async_http_server> m_server;
+    std::thread m_thread;
+    endpoint m_where;
+    std::atomic<int> m_calls {0};
+    std::mutex m_mutex;
+    std::string m_lastBody;
+    std::string m_lastTarget;
+    std::vector<http_responder> m_waiting; ///< on the loop's thread
+
+    static async_http_server_options options()
+    {
+        async_http_server_options o;
+        o.maxBodyBytes = 1000;
+        o.connectionBytes = 8192;
+        o.transferTimeout = 400ms;
+        o.keepAliveTimeout = 400ms;
+        o.handlerTimeout = 700ms;
+        return o;
+    }
+
+    void handle(const http_request &request, const http_responder &respond)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_lastBody = request.body;
+            m_lastTarget = request.path + "|" + request.query;
+        }
+        ++m_calls;
+        if (request.path == "/wait") {
+            m_waiting.push_back(respond);
+        } else if (request.path == "/throw") {
+            throw std::runtime_error("unexpected");
+        } else {
+            respond({200, {}, request.body});
+        }
+    }
+
+    /// Runs `function` on the loop's thread and waits for it.
+    template <class Function>
+    void onLoop(Function function)
+    {
+        std::promise<void> done;
+        m_loop->post([&] {
+            function();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    void waitForCalls(int count)
+    {
+        const auto end = std::chrono::steady_clock::now() + 10s;
+        while (m_calls < count && std::chrono::steady_clock::now() < end) {
+            std::this_thread::yield();
+        }
+        CPPUNIT_ASSERT(m_calls >= count);
+    }
+
+    void checkServes(const std::string &name)
+    {
+        const auto client = http_client::create({});
+        http_request request;
+        request.method = "POST";
+        request.body = "after " + name;
+        const auto response = client->send(m_where, request, 10s);
+        CPPUNIT_ASSERT_MESSAGE(name, response.has_value());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, request.body, response->body);
+    }
+
+    std::string lastBody()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_lastBody;
+    }
+
+public:
+    void setUp() override
+    {
+        auto started = async_http_server::start(
+            *m_loop, options(), [this](const http_request &request, const http_responder &respond) {
+                handle(request, respond);
+            });
+        CPPUNIT_ASSERT(started.has_value());
+        m_server = std::move(*started);
+        m_where = {"127.0.0.1", m_server->port()};
+        m_thread = std::thread([this] { m_loop->run(); });
+    }
+
+    void tearDown() override
+    {
+        m_loop->stop();
+        m_thread.join();
+        m_server.reset();
+    }
+
+    void badInputsAreRefused()
+    {
+        std::string problems;
+        for (const auto &input : badInputs()) {
+            m_calls = 0;
+            raw_socket client(m_where);
+            CPPUNIT_ASSERT(client.connected());
+            client.write(input.bytes);
+            if (input.then == sender::ends) {
+                client.endWriting();
+            }
+            const auto response = client.readToEnd();
+            const int status = response ? statusOf(*response) : -1;
+            bool allowed = false;
+            for (const int expected : input.allowedStatus) {
+                allowed = allowed || status == expected;
+            }
+            if (!allowed) {
+                problems += input.name + ": status " + std::to_string(status) + "\n";
+            }
+            if (m_calls != 0) {
+                problems += input.name + ": handler called with '" + lastBody() + "'\n";
+            }
+            checkServes(input.name);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), problems);
+    }
+
+    void slowSenderIsBounded()
+    {
+        const std::vector<std::pair<std::string, std::string>> rows {
+            {"headers", "POST /x HTTP/1.1\r\nH: "},
+            {"body", post("Content-Length: 900\r\n")},
+            {"chunk", post("Transfer-Encoding: chunked\r\n", "384\r\n")},
+        };
+        for (const auto &[name, bytes] : rows) {
+            m_calls = 0;
+            raw_socket client(m_where);
+            client.write(bytes);
+            const auto begin = std::chrono::steady_clock::now();
+            bool closed = false;
+            while (!closed && std::chrono::steady_clock::now() - begin < 6s) {
+                closed = !client.write("x") || client.read(100ms).has_value();
+            }
+            CPPUNIT_ASSERT_MESSAGE(name, closed);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 0, m_calls.load());
+            checkServes(name);
+        }
+    }
+
+    void chunkedRequestArrivesComplete()
+    {
+        raw_socket client(m_where);
+        client.write(post("Transfer-Encoding: chunked\r\nConnection: close\r\n",
+                          "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"));
+        const auto response = client.readToEnd();
+        CPPUNIT_ASSERT(response.has_value());
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(*response));
+        CPPUNIT_ASSERT_EQUAL(std::string("abcde"), lastBody());
+    }
+
+    void waitingRequestsTakeNoThread()
+    {
+        constexpr int connections = 300;
+        std::vector<std::unique_ptr<raw_socket>> clients;
+        for (int i = 0; i < connections; ++i) {
+            clients.push_back(std::make_unique<raw_socket>(m_where));
+            clients.back()->write("POST /wait HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                                  "Content-Length: 0\r\n\r\n");
+        }
+        waitForCalls(connections);
+        checkServes("300 waiting requests");
+        onLoop([this] {
+            for (const auto &respond : m_waiting) {
+                respond({200, {}, "done"});
+            }
+        });
+        for (const auto &client : clients) {
+            const auto response = client->readToEnd();
+            CPPUNIT_ASSERT(response && response->ends_with("done"));
+        }
+    }
+
+    void lateResponsesArriveInAnyOrder()
+    {
+        const auto client = http_client::create({});
+        const auto ask = [&](const std::string &body) {
+            return std::async(std::launch::async, [&, body] {
+                http_request request;
+                request.method = "POST";
+                request.path = "/wait";
+                request.body = body;
+                return client->send(m_where, request, 10s);
+            });
+        };
+        auto first = ask("1");
+        waitForCalls(1);
+        auto second = ask("2");
+        waitForCalls(2);
+        onLoop([this] {
+            m_waiting[1]({200, {}, "second"});
+            m_waiting[0]({200, {}, "first"});
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), first.get()->body);
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), second.get()->body);
+    }
+
+    void secondResponseIsIgnored()
+    {
+        raw_socket client(m_where);
+        client.write("GET /wait HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        waitForCalls(1);
+        onLoop([this] {
+            m_waiting[0]({200, {}, "one"});
+            m_waiting[0]({200, {}, "two"});
+        });
+        const auto response = client.readToEnd();
+        CPPUNIT_ASSERT(response && response->ends_with("one"));
+        checkServes("two responses");
+    }
+
+    void exceptionEndsItsRequestOnly()
+    {
+        raw_socket client(m_where);
+        client.write("GET /throw HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        const auto response = client.readToEnd();
+        CPPUNIT_ASSERT(response.has_value());
+        CPPUNIT_ASSERT_EQUAL(500, statusOf(*response));
+        checkServes("an exception");
+    }
+
+    void callerThatLeavesIsForgotten()
+    {
+        {
+            raw_socket client(m_where);
+            client.write("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+            waitForCalls(1);
+        }
+        onLoop([this] { m_waiting[0]({200, {}, std::string(100000, 'x')}); });
+        checkServes("a caller that left");
+        std::size_t open = 1;
+        onLoop([&] { open = m_server->openRequests(); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, open);
+    }
+
+    void forgottenRequestIsAnswered()
+    {
+        raw_socket client(m_where);
+        client.write("GET /wait HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        const auto response = client.readToEnd();
+        CPPUNIT_ASSERT(response.has_value());
+        CPPUNIT_ASSERT_EQUAL(504, statusOf(*response));
+    }
+
+    void openRequestsAreAnsweredAtTheEnd()
+    {
+        raw_socket client(m_where);
+        client.write("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+        waitForCalls(1);
+        onLoop([this] { m_server.reset(); });
+        const auto response = client.readToEnd();
+        CPPUNIT_ASSERT(response.has_value());
+        CPPUNIT_ASSERT_EQUAL(503, statusOf(*response));
+    }
+
+    void pathAndQueryAreKeptAsSent()
+    {
+        raw_socket client(m_where);
+        client.write("GET /a%2Fb/c?x=%20y HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT(client.readToEnd().has_value());
+        const std::lock_guard lock(m_mutex);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a%2Fb/c|x=%20y"), m_lastTarget);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(async_http_server_test);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -309,8 +309,8 @@
     }
 
     /// A worker's bound on connections refused a burst of starts, which stayed open for seconds.
-    /// Played day: a transaction without an answer was repeated, its job ran and ended, and then the
-    /// first copy was carried out: the job's record was back, and the next coordinator ran it.
+    /// Played day: a transaction without an answer was repeated, its job ran and ended, and then
+    /// the first copy was carried out: the job's record was back, and the next coordinator ran it.
     void lateCopyOfASubmissionDoesNotRunItAgain()
     {
         auto &leader = startThree();
