Send messages between processes as CBOR, and survive those that cannot be read

Cause (by reading): a relayed message whose session or number had another type threw on the loop's thread and ended the process; a forwarded request with an unknown operation was never answered; requests were text inside text. Change: CBOR by the JSON library, read with a bound on nesting (its reader is recursive: 1 MB of opening bytes would use up the stack); a message that cannot be read is answered empty or as invalid.

--- a/include/ibishinge/base/json.h
+++ b/include/ibishinge/base/json.h
@@ -2,6 +2,20 @@
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
+#include <string>
+
 // Instantiated once, in json.cpp: compiling its members in every file took half of the build's
 // time.
 extern template class nlohmann::basic_json<>;
+
+namespace ibishinge {
+
+/// Encodes messages between processes: CBOR is shorter than text and cheaper to read. Thread-safe.
+[[nodiscard]] std::string encodeCbor(const nlohmann::json &value);
+
+/// Decodes what `encodeCbor` returned. Nothing if the bytes are malformed, go on behind the value,
+/// or are nested deeper than any message: the library's reader would use up the stack. Thread-safe.
+[[nodiscard]] std::optional<nlohmann::json> decodeCbor(const std::string &bytes);
+
+} // namespace ibishinge
--- a/src/fleet/caller.cpp
+++ b/src/fleet/caller.cpp
@@ -1,9 +1,8 @@
 #include <ibishinge/fleet/caller.h>
 
+#include <ibishinge/base/json.h>
 #include <ibishinge/fleet/record_codec.h>
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <array>
 
@@ -50,15 +49,23 @@
     if (request.spec) {
         out["spec"] = encodeSpec(*request.spec);
     }
-    return out.dump(-1, ' ', false, json::error_handler_t::replace);
+    return encodeCbor(out);
 }
 
 result<caller_request> decodeRequest(const std::string &text)
 {
+    const auto decoded = decodeCbor(text);
+    if (!decoded) {
+        return makeError(error_kind::invalid_request, "forwarded request", "unreadable");
+    }
     try {
-        const json in = json::parse(text);
+        const json &in = *decoded;
         caller_request request;
-        request.operation = static_cast<caller_operation>(in.at("operation").get<int>());
+        const auto operation = in.at("operation").get<int>();
+        if (operation < 0 || operation > static_cast<int>(caller_operation::count_waiting)) {
+            return makeError(error_kind::invalid_request, "forwarded request", "unknown operation");
+        }
+        request.operation = static_cast<caller_operation>(operation);
         request.host = in.at("host").get<std::string>();
         request.path = in.at("path").get<std::string>();
         request.key = in.at("key").get<std::string>();
@@ -95,13 +102,17 @@
     if (answer.retryAfter.count() > 0) {
         out["retry_after"] = answer.retryAfter.count();
     }
-    return out.dump();
+    return encodeCbor(out);
 }
 
 result<caller_answer> decodeAnswer(const std::string &text)
 {
+    const auto decoded = decodeCbor(text);
+    if (!decoded) {
+        return makeError(error_kind::invalid_request, "answer", "unreadable");
+    }
     try {
-        const json in = json::parse(text);
+        const json &in = *decoded;
         caller_answer answer;
         const auto name = in.at("kind").get<std::string>();
         const auto *const row = std::find_if(answerNames.begin(), answerNames.end(),
--- a/src/fleet/http_peer_link.cpp
+++ b/src/fleet/http_peer_link.cpp
@@ -1,6 +1,6 @@
 #include <ibishinge/fleet/http_peer_link.h>
 
-#include <nlohmann/json.hpp>
+#include <ibishinge/base/json.h>
 
 #include <algorithm>
 #include <cstdlib>
@@ -12,6 +12,8 @@
 
 using nlohmann::json;
 
+const http_header cborContent {"Content-Type", "application/cbor"};
+
 constexpr const char *requestsPath = "/v1/fleet/requests";
 constexpr const char *leadershipPath = "/v1/fleet/leadership";
 constexpr const char *callsPath = "/v1/fleet/worker-calls";
@@ -65,12 +67,12 @@
     }
     if (!batch->empty()) {
         ++to.calls;
-        m_loop.send({"POST", address, requestsPath, {}, texts.dump(), timeout},
+        m_loop.send({"POST", address, requestsPath, {cborContent}, encodeCbor(texts), timeout},
                     [this, address, batch](const result<http_response> &response) {
                         --m_peers[address].calls;
                         json answers;
                         if (response && response->status == 200) {
-                            answers = json::parse(response->body, nullptr, false);
+                            answers = decodeCbor(response->body).value_or(json());
                         }
                         const bool complete = answers.is_array() && answers.size() == batch->size();
                         for (std::size_t i = 0; i < batch->size(); ++i) {
@@ -108,7 +110,7 @@
 void http_peer_link::exchangeCalls(const std::string &address, const std::string &calls,
                                    milliseconds timeout, reply<std::string> done)
 {
-    m_loop.send({"POST", address, callsPath, {}, calls, timeout},
+    m_loop.send({"POST", address, callsPath, {cborContent}, calls, timeout},
                 [address, done = std::move(done)](const result<http_response> &response) {
                     if (!response) {
                         done(tl::unexpected(response.error()));
@@ -134,24 +136,25 @@
     {
         texts[at] = encodeAnswer(answer);
         if (--open == 0) {
-            respond(jsonResponse(200, json(texts).dump()));
+            respond({200, {cborContent}, encodeCbor(texts)});
         }
     }
 };
 
 void serveRequests(fleet_node &node, const std::string &body, http_responder respond)
 {
-    const auto requests = json::parse(body, nullptr, false);
-    if (!requests.is_array()) {
+    const auto decoded = decodeCbor(body);
+    if (!decoded || !decoded->is_array()) {
         respond(jsonResponse(400, R"({"message":"not a list of requests"})"));
         return;
     }
+    const auto &requests = *decoded;
     const auto gathered = std::make_shared<gathered_answers>();
     gathered->texts.resize(requests.size());
     gathered->open = requests.size();
     gathered->respond = std::move(respond);
     if (requests.empty()) {
-        gathered->respond(jsonResponse(200, "[]"));
+        gathered->respond({200, {cborContent}, encodeCbor(json::array())});
         return;
     }
     for (std::size_t i = 0; i < requests.size(); ++i) {
@@ -183,7 +186,7 @@
     }
     if (request.path == callsPath) {
         node.handleCalls(request.body, timers.now(), [respond](std::string text) {
-            respond(jsonResponse(200, std::move(text)));
+            respond({200, {cborContent}, std::move(text)});
         });
         return true;
     }
--- a/src/fleet/worker_relay.cpp
+++ b/src/fleet/worker_relay.cpp
@@ -1,5 +1,6 @@
 #include <ibishinge/fleet/worker_relay.h>
 
+#include <ibishinge/base/json.h>
 #include <ibishinge/base/logging.h>
 
 #include <algorithm>
@@ -142,6 +143,35 @@
     return failure;
 }
 
+/// Calls of one exchange.
+struct relayed_message
+{
+    std::string session;
+    std::int64_t number = 0; ///< counts the messages of a session; 0: not numbered
+    json calls;
+    json payloads; ///< by job
+};
+
+/// Returns nothing if the bytes are no such message. Single calls are not looked at.
+std::optional<relayed_message> decodeMessage(const std::string &bytes)
+{
+    const auto in = decodeCbor(bytes);
+    if (!in) {
+        return std::nullopt;
+    }
+    try {
+        relayed_message message;
+        message.session = in->at("session").get<std::string>();
+        message.number = in->value("number", std::int64_t {0});
+        message.calls = in->at("calls").get<json::array_t>();
+        message.payloads = in->value("payloads", json::object_t {});
+        return message;
+    } catch (const json::exception &problem) {
+        logEvent(log_level::error, "relayed_call_unreadable", {{"error", problem.what()}});
+        return std::nullopt;
+    }
+}
+
 /// `number` in front of what was encoded.
 json numbered(std::int64_t number, const json &row)
 {
@@ -313,9 +343,7 @@
                           {"payloads", std::exchange(to.payloads, json::object())}};
     ++to.exchanges;
     m_metrics.add("ibishinge_relay_exchanges_total");
-    m_peers.exchangeCalls(to.peer.address,
-                          message.dump(-1, ' ', false, json::error_handler_t::replace),
-                          exchangeTimeout,
+    m_peers.exchangeCalls(to.peer.address, encodeCbor(message), exchangeTimeout,
                           [this, address = to.peer.address,
                            alive = std::weak_ptr<int>(m_alive)](const result<std::string> &answer) {
                               if (!alive.expired()) {
@@ -333,7 +361,12 @@
         return;
     }
     try {
-        const json message = json::parse(*answer);
+        const auto read = decodeCbor(*answer);
+        if (!read) {
+            lose(from, "its answer cannot be read");
+            return;
+        }
+        const json &message = *read;
         const auto incarnation = message.at("incarnation").get<std::string>();
         if (!from.incarnation.empty() && from.incarnation != incarnation && !from.open.empty()) {
             from.incarnation = incarnation;
@@ -451,14 +484,14 @@
                            std::function<void(std::string)> done)
 {
     const auto now = m_timers.now();
-    json message = json::parse(text, nullptr, false);
-    if (!message.is_object() || !message.contains("session") || !message.contains("calls")) {
+    auto message = decodeMessage(text);
+    if (!message) {
         logEvent(log_level::error, "relayed_calls_unreadable", {{"bytes", text.size()}});
-        done(R"({})");
+        done({});
         return;
     }
     forgetOldSessions();
-    const auto name = message["session"].get<std::string>();
+    const auto &name = message->session;
     auto &of = m_sessions[name];
     of.usedAt = now;
     answer(of); // the exchange before this one
@@ -466,16 +499,15 @@
     const auto exchange = ++of.exchange;
     planAnswer(name, of); // results that came between two exchanges
     const bool old = since(readAt, now) > oldestCall;
-    if (const auto number = message.value("number", std::int64_t {0});
-        number != 0 && !of.seen.insert(number).second) {
+    if (message->number != 0 && !of.seen.insert(message->number).second) {
         // The HTTP client repeats a message whose connection was closed. A start must not be made
         // again: its run may have ended meanwhile, and the answer would look like a rejection.
-        message["calls"] = json::array();
+        message->calls = json::array();
     }
     while (of.seen.size() > messagesRemembered) {
         of.seen.erase(of.seen.begin());
     }
-    for (const auto &call : message["calls"]) {
+    for (const auto &call : message->calls) {
         try {
             if (old) {
                 error failure;
@@ -483,7 +515,7 @@
                 failure.message = "the relay stood still";
                 addResult(name, numbered(call.at(0).get<std::int64_t>(), encodeFailure(failure)));
             } else {
-                makeCall(name, call, message["payloads"]);
+                makeCall(name, call, message->payloads);
             }
         } catch (const json::exception &problem) {
             // The coordinator takes a call without a result for one of unknown outcome.
@@ -592,7 +624,7 @@
     const json message = {{"incarnation", m_incarnation},
                           {"leaving", m_leaving},
                           {"results", std::exchange(of.results, json::array())}};
-    done(message.dump(-1, ' ', false, json::error_handler_t::replace));
+    done(encodeCbor(message));
 }
 
 void relay_service::forgetOldSessions()
--- a/src/outside/io_loop.cpp
+++ b/src/outside/io_loop.cpp
@@ -239,7 +239,9 @@
         curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call->requestBody.c_str());
         curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE,
                          static_cast<long>(call->requestBody.size()));
-        call->headers = curl_slist_append(call->headers, "Content-Type: application/json");
+        if (!findHeader(request.headers, "Content-Type")) {
+            call->headers = curl_slist_append(call->headers, "Content-Type: application/json");
+        }
         call->headers = curl_slist_append(call->headers, "Expect:");
     }
     for (const auto &header : request.headers) {
--- a/tests/worker_relay_test.cpp
+++ b/tests/worker_relay_test.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/fleet_world.h"
 
+#include <ibishinge/base/json.h>
 #include <ibishinge/fleet/worker_relay.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -19,6 +20,12 @@
     return (i % 2 == 0 ? "/pool-a/" : "/pool-b/") + std::string(16 - digits.size(), '0') + digits;
 }
 
+/// A message as it is sent, from its text.
+std::string message(std::string_view text)
+{
+    return encodeCbor(nlohmann::json::parse(text));
+}
+
 } // namespace
 
 /// Calls to workers through other processes, in virtual time.
@@ -159,15 +166,15 @@
         relay_service service(platform, fleet.loop, "one");
         std::string answer;
         const auto take = [&](const std::string &text) { answer = text; };
-        const std::string message = R"({"session":"s","payloads":{"j":""},)"
-                                    R"("calls":[[7,0,"pool-a-0","x:1","j",0,0,0,1,9000,5,"",""]]})";
-        service.handle(message, fleet.loop.now() - 1s, take);
+        const auto calls = message(R"({"session":"s","payloads":{"j":""},)"
+                                   R"("calls":[[7,0,"pool-a-0","x:1","j",0,0,0,1,9000,5,"",""]]})");
+        service.handle(calls, fleet.loop.now() - 1s, take);
         CPPUNIT_ASSERT(fleet.loop.runUntil([&] { return !answer.empty(); }, 400ms));
         CPPUNIT_ASSERT(answer.find("unavailable") != std::string::npos);
         CPPUNIT_ASSERT_EQUAL(0, platform.workerCalls);
 
         answer.clear();
-        service.handle(message, fleet.loop.now(), take);
+        service.handle(calls, fleet.loop.now(), take);
         CPPUNIT_ASSERT(fleet.loop.runUntil([&] { return !answer.empty(); }, 400ms));
         CPPUNIT_ASSERT_EQUAL(1, platform.workerCalls);
     }
@@ -178,11 +185,11 @@
         fleet.loop.run(5s);
         standin::virtual_platform platform(fleet.world);
         relay_service service(platform, fleet.loop, "one");
-        const std::string message = R"({"session":"s","number":1,"payloads":{"j":""},)"
-                                    R"("calls":[[7,0,"pool-a-0","x:1","j",0,0,0,1,9000,5,"",""]]})";
+        const auto calls = message(R"({"session":"s","number":1,"payloads":{"j":""},)"
+                                   R"("calls":[[7,0,"pool-a-0","x:1","j",0,0,0,1,9000,5,"",""]]})");
         int answers = 0;
         for (int i = 0; i < 2; ++i) {
-            service.handle(message, fleet.loop.now(), [&](const std::string &) { ++answers; });
+            service.handle(calls, fleet.loop.now(), [&](const std::string &) { ++answers; });
             fleet.loop.run(400ms);
         }
         CPPUNIT_ASSERT_EQUAL(2, answers);
@@ -194,8 +201,22 @@
         fleet_world fleet;
         standin::virtual_platform platform(fleet.world);
         relay_service service(platform, fleet.loop, "one");
-        for (const std::string text :
-             {"", "[]", R"({"session":"s","calls":[[1]],"payloads":{}})", R"({"session":"s"})"}) {
+        const std::vector<std::string> texts {
+            "",
+            "[]",
+            std::string(100000, '\x81'), // an array in an array, and so on
+            message("[]"),
+            message("7"),
+            message(R"({"session":"s"})"),
+            message(R"({"session":7,"calls":[]})"),
+            message(R"({"session":"s","calls":{"a":1}})"),
+            message(R"({"session":"s","number":"x","calls":[]})"),
+            message(R"({"session":"s","calls":[],"payloads":[]})"),
+            message(R"({"session":"s","calls":[[1]],"payloads":{}})"),
+            message(R"({"session":"s","calls":[7,"x",null,[],[1,99]],"payloads":{}})"),
+            message(R"({"session":"s","calls":[[1,0,2,3]],"payloads":{}})"),
+        };
+        for (const auto &text : texts) {
             int answers = 0;
             service.handle(text, fleet.loop.now(), [&](const std::string &) { ++answers; });
             fleet.loop.run(400ms);
