Take the ports of process tests from below the range of outgoing connections

Its log says '127.0.0.1:52789: cannot listen': the harness asked the kernel for a free port, which lies in the range 32768 to 60999 of outgoing connections, and one of another test took it before the daemon listened. Ruled out: the daemon (it said so and ended at once), load (it failed in the first second of its start). Change: scripts/capacity.py had the remedy already; it is the harness's now, with ports counted up from a place that differs between runs. No wait or bound is changed.

--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -12,9 +12,7 @@
 import json
 import math
 import os
-import random
 import re
-import socket
 import subprocess
 import threading
 import time
@@ -33,19 +31,6 @@
 BOUND_CPU_PERCENT, BOUND_MB, BOUND_BYTES = 2.8, 256, 16 * 1024
 
 
-def listening_port():
-    """Returns a free port below the range that the kernel gives to outgoing connections, which
-    could otherwise take it before the daemon listens."""
-    while True:
-        port = random.randrange(15000, 32000)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-                return port
-            except OSError:
-                continue
-
-
 class Relay:
     """Forwards TCP connections to one address and counts bytes and calls by name."""
 
@@ -344,7 +329,6 @@
     parser.add_argument("--settle", type=float, default=5, help="seconds before a measurement")
     parser.add_argument("--seconds", type=float, default=8, help="seconds of a measurement")
     options = parser.parse_args()
-    fleet.free_port = listening_port
     measured = {}
 
     def idle(size):
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+import itertools
 import json
 import os
 import signal
@@ -25,11 +26,22 @@
 PEER_SECRET = "demo-peer-secret"
 
 
+# Below the range that the kernel gives to outgoing connections, which could otherwise take a port
+# before the daemon listens. Runs at the same time begin at different places.
+PORTS = range(15000, 32000)
+_next_ports = itertools.count(os.getpid() * 997)
+
+
 def free_port():
-    """Returns a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port that was free a moment ago and was not returned before."""
+    while True:
+        port = PORTS[next(_next_ports) % len(PORTS)]
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 def http(method, url, body=None, headers=None, timeout=5):
