Log what the coordinator is behind with, what it has learned, and where requests wait

New lines: coordinator_load (how late its timer runs, what waits for the store, starts without an answer), queue_learned, submission_open, request_not_decided. Two lines and one for each queue a second, and one for each request without a decision; info lines are bounded as before.

fleet_test and fleet_load_test pass; no decision is changed.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -172,6 +172,8 @@
     bool haveTickets(job_entry &job, const queue_rule &queue, int occurrence, int step);
     void tick();
     void summarize();
+    void summarizeLoad();
+    void summarizeQueues();
     void expireWorkers();
     void checkRuns();
     void evacuate();
@@ -221,6 +223,10 @@
     bool m_passPending = false;
     instant m_lastPass;
     std::size_t m_waitingSteps = 0; ///< at the last pass
+    instant m_tickDue;
+    milliseconds m_longestTickDelay {0}; ///< since the last summary
+    int m_startsUnanswered = 0; ///< since the last summary
+    int m_submissionsOpen = 0; ///< answered as open since the last summary: the store was slow
     bool m_hostsPending = false;
     bool m_plannedWork = false; ///< a wave is open
     instant m_nextHosts;
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -73,6 +73,7 @@
                                                    }
                                                });
     readRoster();
+    m_tickDue = m_timers.now() + tickInterval;
     later(tickInterval, [this] { tick(); });
 }
 
@@ -131,11 +132,13 @@
 
 void coordinator::tick()
 {
+    const auto now = m_timers.now();
+    m_longestTickDelay = std::max(m_longestTickDelay, now - m_tickDue);
+    m_tickDue = now + tickInterval;
     later(tickInterval, [this] { tick(); });
     if (!mayAct()) {
         return;
     }
-    const auto now = m_timers.now();
     for (auto &[id, worker] : m_tables.workers) {
         lookIfDue(worker);
     }
@@ -187,6 +190,32 @@
                   {"waiting_tasks", load.waitingTasks},
                   {"jobs", load.liveJobs}});
     }
+    summarizeLoad();
+    summarizeQueues();
+}
+
+void coordinator::summarizeLoad()
+{
+    logEvent(log_level::info, "coordinator_load",
+             {{"tick_delay_ms", std::exchange(m_longestTickDelay, milliseconds(0)).count()},
+              {"store_waiting", m_writer->waiting()},
+              {"store_stalled_ms", m_writer->stalledFor().count()},
+              {"submissions_open", std::exchange(m_submissionsOpen, 0)},
+              {"starts_unanswered", std::exchange(m_startsUnanswered, 0)},
+              {"waiting_steps", m_waitingSteps},
+              {"jobs", m_tables.jobs.size()},
+              {"runs", m_tables.runs.size()}});
+}
+
+void coordinator::summarizeQueues()
+{
+    for (const auto &[name, learned] : m_tables.statistics) {
+        logEvent(log_level::info, "queue_learned",
+                 {{"queue", name},
+                  {"mean_run_ms", static_cast<std::int64_t>(learned.meanRunMs)},
+                  {"runs", learned.samples}});
+        m_metrics.set("ibishinge_learned_run_seconds", {{"queue", name}}, learned.meanRunMs / 1000);
+    }
 }
 
 void coordinator::requestPass()
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -199,6 +199,11 @@
     later(storeAway, [this, id] {
         const auto found = m_tables.jobs.find(id);
         if (found != m_tables.jobs.end() && !found->second.stored) {
+            ++m_submissionsOpen;
+            logEvent(log_level::warning, "submission_open",
+                     {{"job", id},
+                      {"store_waiting", m_writer->waiting()},
+                      {"store_stalled_ms", m_writer->stalledFor().count()}});
             answerWaiters(id, answerOf(answer_kind::outcome_unknown, "the store has not answered"));
         }
     });
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -574,6 +574,7 @@
     run.callOpen = false;
     m_metrics.observe("ibishinge_start_seconds", {}, now - run.orderedAt);
     if (!answer) {
+        ++m_startsUnanswered;
         worker.verified = false;
         worker.nextLook = now;
         auto line = describeRun(key);
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -65,6 +65,8 @@
 {
     caller_request request;
     answer_handler done;
+    instant receivedAt;
+    int forwards = 0; ///< copies sent to a coordinator
     instant giveUpAt; ///< no coordinator found until then
     instant answerBy; ///< end of the caller's patience
     bool maybeReceived = false; ///< a coordinator may have received it without an answer
@@ -609,6 +611,7 @@
     const auto now = m_timers.now();
     auto each = std::make_shared<attempt>();
     each->request = request;
+    each->receivedAt = now;
     const auto patience = request.patience.count() > 0 ? request.patience : defaultPatience;
     each->answerBy = now + std::max(patience - answerMargin, answerMargin);
     each->giveUpAt = std::min(each->answerBy, now + longestLeaderWait);
@@ -658,6 +661,7 @@
         retryRequest(each, requestRetry);
         return;
     }
+    ++each->forwards;
     const auto left = each->answerBy - m_timers.now();
     const auto timeout = std::clamp(left, milliseconds(50), forwardTimeout);
     m_peers.forward(m_leader->address, encodeRequest(each->request), timeout,
@@ -728,6 +732,16 @@
         // An earlier copy may still reach a coordinator, so that a rejection might not stay true.
         answer.kind = answer_kind::outcome_unknown;
     }
+    if (answer.kind == answer_kind::outcome_unknown || answer.kind == answer_kind::not_ready) {
+        // Version 0: the answer was made here, because no coordinator gave one in time.
+        logEvent(log_level::info, "request_not_decided",
+                 {{"path", each->request.path},
+                  {"answer", nameOf(answer.kind)},
+                  {"place", answer.version > 0 ? "coordinator" : "entry"},
+                  {"reason", answer.message},
+                  {"waited_ms", since(each->receivedAt, m_timers.now()).count()},
+                  {"forwards", each->forwards}});
+    }
     m_shownVersion = std::max(m_shownVersion, answer.version);
     m_metrics.add("ibishinge_answers_total", {{"answer", std::string(nameOf(answer.kind))}});
     each->done(answer);
