--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -327,6 +327,7 @@
     milliseconds lookTime {2}; ///< until a look is answered
     milliseconds storeTime {5}; ///< until the store answers
     int refuseStarts = 0; ///< so many starts find no connection
+    int loseStartAnswers = 0; ///< so many starts are carried out without an answer
 
     void readItem(const std::string &key, reply<store_item> done) override
     {
@@ -412,6 +413,14 @@
             fail<start_reply>(std::move(done), error_kind::unavailable);
             return;
         }
+        if (loseStartAnswers > 0) {
+            --loseStartAnswers;
+            m_world.loop.after(workerTime, [this, id = worker.id, order] {
+                m_world.start(m_world.workers.at(id), order);
+            });
+            fail<start_reply>(std::move(done), error_kind::outcome_unknown);
+            return;
+        }
         atWorker<start_reply>(worker.id, done,
                               [this, order](virtual_worker &at) -> result<start_reply> {
                                   return m_world.start(at, order);
--- /dev/null
+++ b/tests/unanswered_start_test.cpp
@@ -0,0 +1,107 @@
+#include "tests/support/fleet_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace ibishinge;
+using namespace ibishinge::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr milliseconds runTime {250};
+constexpr int workersOfPool = 8;
+constexpr int tasksOfJob = 8;
+constexpr int coresOfWorker = 8;
+
+std::string pathOf(int number)
+{
+    const auto digits = std::to_string(number);
+    return "/pool-a/" + std::string(16 - digits.size(), '0') + digits;
+}
+
+job_spec twoSteps()
+{
+    auto spec = simpleJob(tasksOfJob);
+    spec.steps.front().estimate = runTime;
+    spec.steps.push_back(spec.steps.front());
+    spec.steps.back().after = {0};
+    return spec;
+}
+
+} // namespace
+
+/// Starts that are carried out while their answers are lost, as when a relay fails.
+class unanswered_start_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(unanswered_start_test);
+    CPPUNIT_TEST(endBeforeTheAnswerTeachesNoRunTime);
+    CPPUNIT_TEST(lostAnswersDrawNoHosts);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<fleet_world> m_fleet;
+    fleet_world::process *m_only = nullptr;
+
+    /// Mean run time that the coordinator has learned of the queue of pool-a.
+    [[nodiscard]] double learnedSeconds() const
+    {
+        const auto text = m_only->metrics->text();
+        const std::string name = "ibishinge_learned_run_seconds{queue=\"queue-pool-a\"} ";
+        const auto at = text.find(name);
+        CPPUNIT_ASSERT_MESSAGE(text, at != std::string::npos);
+        return std::strtod(text.c_str() + at + name.size(), nullptr);
+    }
+
+    /// Hosts of a pool, and those on their way to it.
+    [[nodiscard]] int hostsOf(const std::string &pool) const
+    {
+        return static_cast<int>(
+            std::count_if(m_fleet->world.hosts.begin(), m_fleet->world.hosts.end(),
+                          [&](const auto &each) { return each.second.pool == pool; }));
+    }
+
+public:
+    void setUp() override
+    {
+        m_fleet = std::make_unique<fleet_world>(workersOfPool);
+        m_fleet->world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {runTime, false};
+        };
+        m_only = &m_fleet->addProcess("only");
+        CPPUNIT_ASSERT(m_fleet->waitForLeader());
+        m_fleet->loop.run(1s);
+    }
+
+    /// SHORT: the time since the clock's epoch was learned as the run time.
+    void endBeforeTheAnswerTeachesNoRunTime()
+    {
+        m_only->platform->loseStartAnswers = tasksOfJob / 2;
+        m_fleet->ask(*m_only, caller_operation::submit, pathOf(1), twoSteps());
+        CPPUNIT_ASSERT(m_fleet->waitForState(*m_only, pathOf(1), job_state::completed, 5s));
+        m_fleet->loop.run(1100ms);
+        CPPUNIT_ASSERT(learnedSeconds() < 2 * 0.25);
+    }
+
+    /// SHORT: the pool's work was overestimated by orders of magnitude and drew the other pools'
+    /// hosts.
+    void lostAnswersDrawNoHosts()
+    {
+        // A peak that is over makes the other pool a donor.
+        m_fleet->ask(*m_only, caller_operation::submit, "/pool-b/0000000000000001",
+                     simpleJob(workersOfPool * coresOfWorker));
+        m_fleet->loop.run(3s);
+        m_only->platform->loseStartAnswers = tasksOfJob / 2;
+        constexpr int jobs = 20;
+        int most = 0;
+        for (int i = 0; i < jobs; ++i) {
+            m_fleet->ask(*m_only, caller_operation::submit, pathOf(i), twoSteps());
+            m_fleet->loop.run(250ms);
+            most = std::max(most, hostsOf("pool-a"));
+        }
+        // Each job needs one of the pool's eight workers.
+        CPPUNIT_ASSERT_EQUAL(workersOfPool, most);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(unanswered_start_test);
