Learn run times only from starts that were answered

Cause: a run's duration was the time since 'settledAt', which is the clock's epoch until the start is answered or the run is seen. A run whose start's answer was lost and that ended before a report listed it was learned as 15 hours long, and one such sample moves the mean of its queue by 5% of that. Objectives, order, pool sizes and the search for runs that stand still all follow the mean. Class of fault: an unset time used as a measurement.

Ruled out as the cause of that: the store (its records were stored within 0.1 s at the time) and load alone (objectives of 65,974,025 ms).

Now the time when a run began is optional, set only by the answer to its only start; without it nothing is learned. Runs of a former coordinator and runs that were only seen teach nothing either: they were learned as too short.

--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -47,6 +47,7 @@
     run_phase phase = run_phase::starting;
     instant orderedAt; ///< the start was sent
     instant settledAt; ///< the start was answered, or the run was seen
+    std::optional<instant> beganAt; ///< the start was answered; unset for a run that was only seen
     resources held; ///< counted against the worker and the customer
     std::string customer;
     std::string checkpoint;
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -251,11 +251,14 @@
     const run_key key {end.task, end.run};
     const auto found = m_tables.runs.find(key);
     const bool known = found != m_tables.runs.end() && found->second.worker == worker.entry.id;
-    const auto ranFor = known ? since(found->second.settledAt, m_timers.now()) : milliseconds(0);
+    std::optional<milliseconds> ranFor; // unknown if no answer told when it began
+    if (known && found->second.beganAt) {
+        ranFor = since(*found->second.beganAt, m_timers.now());
+    }
     m_endsToLog.push_back({end.number, end.task.job,
                            std::to_string(end.task.occurrence) + "." + std::to_string(end.task.step)
                                + "." + std::to_string(end.task.index),
-                           end.run, nameOf(end.kind), ranFor.count()});
+                           end.run, nameOf(end.kind), ranFor ? ranFor->count() : -1});
     m_metrics.add("ibishinge_runs_ended_total", {{"end", std::string(nameOf(end.kind))}});
     if (known) {
         removeRun(m_tables, key);
@@ -272,8 +275,8 @@
     }
     if (end.kind == end_kind::done && !step.lasting) {
         noteSuccess(worker);
-        if (known && ranFor.count() > 0) {
-            learnRunTime(m_tables, worker, job.queue, step, ranFor, task->checkpoint.empty());
+        if (ranFor && ranFor->count() > 0) {
+            learnRunTime(m_tables, worker, job.queue, step, *ranFor, task->checkpoint.empty());
         }
         finishTasks(job, end.task);
         return;
@@ -596,6 +599,9 @@
         run.settledAt = now;
         if (run.phase == run_phase::starting) {
             run.phase = run_phase::running;
+            if (run.orders == 1) {
+                run.beganAt = now;
+            }
             m_metrics.observe("ibishinge_run_ordered_to_running_seconds", {}, now - run.orderedAt);
         }
         lookIfDue(worker);
