Keep the pools' sizes while no jobs can be submitted

Cause: the cut coordinator refused all submissions from 1.5 s on, saw no demand, took the peak for over and between 2.0 and 2.4 s gave 21 of the pool's 61 hosts to the spare pool. The next coordinator found 42 workers and 250 jobs. Class of fault: absence of evidence taken as evidence, by a process that could not see.

Ruled out: the take-over itself (records read in 0.11 s) and the wave (found 1 s later; the hosts were away before it).

Now sizes are held while submissions are refused, while nothing may be ordered and after the process stood still: peaks do not end and hosts do not count as idle then.

Test: poolKeepsItsHostsWhileNothingCanBeSubmitted failed before (a host moved during the cut); pool_sizing_test 6, fleet_test 40, fleet_load_test 6, unanswered_start_test 2 pass.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -130,6 +130,7 @@
     void holdInherited(job_entry &job);
 
     // coordinator_callers.cpp
+    [[nodiscard]] bool takesSubmissions() const; ///< the store answers
     void submit(const caller_request &request, const queue_rule &queue, const std::string &customer,
                 const answer_handler &done);
     void answerWaiters(const std::string &id, const caller_answer &answer);
--- a/include/ibishinge/fleet/pool_sizing.h
+++ b/include/ibishinge/fleet/pool_sizing.h
@@ -50,8 +50,14 @@
 /// A pool in demand gets hosts from the spare pool, then idle ones of the pools whose peak is over.
 /// The pool that has gone longest without a peak keeps its home size, as it may be next; the others
 /// give their idle hosts back. Only hosts without runs are moved, so that a move ends no task.
+///
+/// Call `holdSizes` instead while no jobs can be submitted.
 [[nodiscard]] std::vector<host_move> planMoves(fleet_tables &tables, pool_sizing_state &state,
                                                const host_care_state &care, int movesAtOnce,
                                                instant now);
 
+/// Keeps the pools as they are while jobs cannot be submitted: that none come says nothing of the
+/// demand then, so that neither peaks end nor hosts count as idle.
+void holdSizes(pool_sizing_state &state, instant now);
+
 } // namespace ibishinge::fleet
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr milliseconds tickInterval {100};
+/// After a longer pause between ticks than this the process or its host stood still.
+constexpr milliseconds standstill {500};
 
 /// The load of each pool is logged this often.
 constexpr milliseconds summaryInterval {1000};
@@ -133,9 +135,13 @@
 void coordinator::tick()
 {
     const auto now = m_timers.now();
-    m_longestTickDelay = std::max(m_longestTickDelay, now - m_tickDue);
+    const auto delay = now - m_tickDue;
+    m_longestTickDelay = std::max(m_longestTickDelay, delay);
     m_tickDue = now + tickInterval;
     later(tickInterval, [this] { tick(); });
+    if (!mayAct() || delay > standstill) {
+        holdSizes(m_sizing, now);
+    }
     if (!mayAct()) {
         return;
     }
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -98,6 +98,11 @@
     }
 }
 
+bool coordinator::takesSubmissions() const
+{
+    return m_writer->stalledFor() <= storeAway;
+}
+
 void coordinator::submit(const caller_request &request, const queue_rule &queue,
                          const std::string &customer, const answer_handler &done)
 {
@@ -136,7 +141,7 @@
         m_metrics.add("ibishinge_jobs_refused_total", {{"reason", answer.message}});
         done(answer);
     };
-    if (m_writer->stalledFor() > storeAway) {
+    if (!takesSubmissions()) {
         reject(answerOf(answer_kind::not_ready, "the store is away", comeBack), {});
         return;
     }
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -276,8 +276,13 @@
     if (now >= m_nextHosts + hostListInterval) {
         refreshHosts();
     }
-    for (const auto &move : planMoves(m_tables, m_sizing, m_care, m_settings.movesAtOnce, now)) {
-        orderMove(move);
+    if (takesSubmissions()) {
+        for (const auto &move :
+             planMoves(m_tables, m_sizing, m_care, m_settings.movesAtOnce, now)) {
+            orderMove(move);
+        }
+    } else {
+        holdSizes(m_sizing, now);
     }
     for (auto &[id, worker] : m_tables.workers) {
         worker.emptying = worker.emptying || m_sizing.moves.count(worker.entry.host) > 0;
--- a/src/fleet/pool_sizing.cpp
+++ b/src/fleet/pool_sizing.cpp
@@ -302,4 +302,14 @@
     return moves;
 }
 
+void holdSizes(pool_sizing_state &state, instant now)
+{
+    state.idleSince.clear();
+    for (auto &[name, memory] : state.pools) {
+        if (memory.peaking) {
+            memory.peakAt = now;
+        }
+    }
+}
+
 } // namespace ibishinge::fleet
--- a/tests/pool_sizing_test.cpp
+++ b/tests/pool_sizing_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(noMoveBeforeAllWorkersRegistered);
     CPPUNIT_TEST(homeSizesOutliveTheCoordinator);
     CPPUNIT_TEST(hostOnItsWayIsNotTakenForMaintenance);
+    CPPUNIT_TEST(poolKeepsItsHostsWhileNothingCanBeSubmitted);
     CPPUNIT_TEST_SUITE_END();
 
     const instant m_now = instant {} + 100s;
@@ -117,6 +118,41 @@
         CPPUNIT_ASSERT(moving.world.violations.empty());
     }
 
+    /// SHORT: a coordinator that was cut off from the store refused all jobs, took that for the end
+    /// of the pool's peak and gave a third of its hosts away.
+    void poolKeepsItsHostsWhileNothingCanBeSubmitted()
+    {
+        fleet_world fleet(4);
+        addHosts(fleet, 0);
+        fleet.world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {250ms, false};
+        };
+        auto &only = fleet.addProcess("only");
+        CPPUNIT_ASSERT(fleet.waitForLeader());
+        fleet.loop.run(8s);
+        int number = 0;
+        const auto load = [&](milliseconds time) {
+            for (const auto end = fleet.loop.now() + time; fleet.loop.now() < end;) {
+                char text[17];
+                std::snprintf(text, sizeof text, "%016d", ++number);
+                fleet.ask(only, caller_operation::submit, std::string("/pool-a/") + text,
+                          simpleJob(24));
+                fleet.loop.run(60ms);
+            }
+        };
+        load(2s);
+        CPPUNIT_ASSERT(fleet.world.moved.empty());
+        only.platform->storeCut = true;
+        load(2500ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, fleet.world.moved.size());
+        only.platform->storeCut = false;
+        load(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, fleet.world.moved.size());
+        // Once jobs can be submitted again, their absence counts.
+        fleet.loop.run(6s);
+        CPPUNIT_ASSERT(!fleet.world.moved.empty());
+    }
+
     void noMoveEndsARun()
     {
         fleet_world fleet(4);
