Offer the leader's place sooner, and to three processes, when the store falls silent

Cause: the store's silence was noticed by a renewal only, sent every 0.7 s and given up after 0.8 s; then one process was asked after the other, and a process that is cut off as well takes up to a second to answer.

Now a write that stalls for 0.25 s makes a renewal due at once, 0.6 s without any answer of the store (the answers to writes count too) lead to an offer, and three processes get it. Each of them may replace only the record offered, under the store's condition, so that one leads; the coordinator orders nothing from the offer on, as before. Answers to an offer of an earlier term no longer end a later one's. After all three declined, only a renewal sent later counts as a sign of silence (leaderStaysWhileTheStoreIsAwayForAll failed with a simpler version that asked again at once).

Test: leaderCutWithOthersIsReplacedSoon failed before (2,184 ms of 1,200), passes; fleet_test 41 of 41.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -78,6 +78,11 @@
     /// Returns true once the records are read, while the leader's record is proved.
     [[nodiscard]] bool isServing() const;
 
+    /// Returns the longest time that a write has been without success.
+    [[nodiscard]] milliseconds storeStalledFor() const;
+    /// Returns when the store last answered a write; the epoch if it never did.
+    [[nodiscard]] instant storeAnsweredAt() const;
+
     void handle(const caller_request &request, answer_handler done);
 
     void onConfiguration(const configuration &config);
--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 namespace ibishinge::fleet {
@@ -72,6 +73,12 @@
 
 private:
     struct attempt;
+    /// An offer of the leader's place to some processes.
+    struct place_offer
+    {
+        std::int64_t revision = 0; ///< of the leader's record offered
+        std::size_t open = 0; ///< processes that have not answered
+    };
     struct peer_state
     {
         instant heardAt; ///< it last passed on a request
@@ -101,15 +108,20 @@
     void campaignWithLease(const store_lease &lease, instant sentAt);
     void commitCampaign(const store_lease &lease, instant sentAt, const store_item &termItem);
     void lead(const store_lease &lease, instant sentAt, std::int64_t revision, std::int64_t term);
+    void renewIfDue();
     void renew();
     void stopLeading(std::string_view reason);
     void giveUpLease(std::int64_t lease);
-    void considerAbdication();
+    /// Precondition: the renewal sent at `renewalSentAt` has no answer.
+    void considerAbdication(instant renewalSentAt);
     void considerStrongerPeer();
     void updateRelays();
     void readRelays();
     void writeRelays(const std::vector<relay_peer> &relays);
-    void offerLeadershipTo(const std::string &heir, std::string_view reason);
+    [[nodiscard]] std::vector<std::string> heirsWithTheStore() const;
+    void offerLeadershipTo(const std::vector<std::string> &heirs, std::string_view reason);
+    void onOfferAnswered(const std::string &heir, const result<bool> &accepted, place_offer &offer);
+    [[nodiscard]] milliseconds storeSilentFor() const;
     void tryRequest(const std::shared_ptr<attempt> &request);
     void retryRequest(const std::shared_ptr<attempt> &request, milliseconds delay);
     void finishRequest(const std::shared_ptr<attempt> &request, caller_answer answer);
@@ -142,9 +154,12 @@
     std::vector<relay_peer> m_storedRelays;
     std::shared_ptr<coordinator> m_coordinator;
     std::int64_t m_lease = 0;
+    std::optional<instant> m_renewalSentAt; ///< of the renewal without an answer yet
+    instant m_nextRenewal;
+    instant m_declinedAt; ///< all who were offered the place had declined
     instant m_leadingSince;
     std::map<std::string, peer_state> m_peersHeard; ///< by address
-    std::string m_declinedBy;
+    std::set<std::string> m_declinedBy; ///< the offer before
     bool m_abdicating = false;
     bool m_campaigning = false;
     std::int64_t m_replaces = 0; ///< revision of the record that the campaign replaces
--- a/include/ibishinge/fleet/record_writer.h
+++ b/include/ibishinge/fleet/record_writer.h
@@ -30,6 +30,9 @@
     /// Returns the longest time that a transaction has been without success.
     [[nodiscard]] milliseconds stalledFor() const;
 
+    /// Returns when the store last answered a transaction; the epoch if it never did.
+    [[nodiscard]] instant answeredAt() const;
+
     /// Returns how many changes wait.
     [[nodiscard]] std::size_t waiting() const;
 
--- a/include/ibishinge/fleet/store_writer.h
+++ b/include/ibishinge/fleet/store_writer.h
@@ -96,6 +96,12 @@
     /// Returns how long the oldest transaction has been without success; 0 if none is open.
     [[nodiscard]] milliseconds stalledFor() const;
 
+    /// Returns when the store last answered a transaction; the epoch if it never did.
+    [[nodiscard]] instant answeredAt() const noexcept
+    {
+        return m_answeredAt;
+    }
+
     /// Returns how many units wait behind the transaction in progress.
     [[nodiscard]] std::size_t waiting() const noexcept
     {
@@ -137,6 +143,7 @@
     std::vector<write_unit> m_current;
     bool m_closed = false;
     bool m_outcomeUnknown = false; ///< an attempt of the current transaction may still land
+    instant m_answeredAt;
     instant m_currentSince;
     milliseconds m_backoff {0};
 };
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -113,6 +113,16 @@
     return m_loaded && mayAct();
 }
 
+milliseconds coordinator::storeStalledFor() const
+{
+    return m_writer->stalledFor();
+}
+
+instant coordinator::storeAnsweredAt() const
+{
+    return m_writer->answeredAt();
+}
+
 void coordinator::later(milliseconds delay, std::function<void()> function)
 {
     m_timers.after(delay, [weak = weak_from_this(), function = std::move(function)] {
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -21,6 +21,11 @@
 /// The lease is renewed about four times in its length, and more often after a failure.
 constexpr milliseconds renewInterval {700};
 constexpr milliseconds renewRetry {150};
+/// A coordinator looks this often whether a renewal is due or has had no answer.
+constexpr milliseconds renewCheck {50};
+/// A write without success for this long makes a renewal due: longer than the store's response time
+/// when it is slow.
+constexpr milliseconds stalledWrite {250};
 /// Taken off the lease's length for the store's clock and the time of the call.
 constexpr milliseconds leaseMargin {200};
 
@@ -29,6 +34,8 @@
 
 /// A leader without the store for this long offers its place to a process that reaches the store.
 constexpr milliseconds abdicationDelay {600};
+/// Processes offered the place at once: some may be cut off from the store as well.
+constexpr std::size_t heirsAsked = 3;
 /// Processes heard of longer ago are not asked.
 constexpr milliseconds peerMemory {5000};
 /// Processes heard of within this time count as sound alike.
@@ -108,7 +115,7 @@
     m_storeAnsweredAt = m_timers.now();
     pollConfiguration();
     readLeader();
-    renew();
+    renewIfDue();
 }
 
 void fleet_node::pollConfiguration()
@@ -357,6 +364,8 @@
                       std::int64_t term)
 {
     m_lease = lease.id;
+    m_renewalSentAt.reset();
+    m_nextRenewal = m_timers.now() + renewInterval;
     m_leadingSince = sentAt;
     m_leaderRevision = revision;
     m_leader =
@@ -378,59 +387,90 @@
     m_coordinator->start();
 }
 
-void fleet_node::renew()
+void fleet_node::renewIfDue()
 {
+    later(m_coordinator ? renewCheck : renewInterval, [this] { renewIfDue(); });
     if (!m_coordinator) {
-        later(renewInterval, [this] { renew(); });
         return;
     }
+    const auto now = m_timers.now();
+    if (m_renewalSentAt) {
+        if (since(*m_renewalSentAt, now) >= abdicationDelay) {
+            considerAbdication(*m_renewalSentAt);
+        }
+        return;
+    }
+    // A write that stalls is the first sign of a store out of reach: the renewal shows which.
+    const bool silent =
+        m_coordinator->storeStalledFor() >= stalledWrite && storeSilentFor() >= stalledWrite;
+    if (now >= m_nextRenewal || silent) {
+        renew();
+    }
+}
+
+void fleet_node::renew()
+{
     const auto sentAt = m_timers.now();
+    m_renewalSentAt = sentAt;
     m_platform.renewLease(m_lease, whileAlive<store_lease>([this, sentAt, renewed = m_lease](
                                                                const result<store_lease> &lease) {
-                              if (m_coordinator && renewed == m_lease) {
-                                  if (lease) {
-                                      m_storeAnsweredAt = m_timers.now();
-                                      m_coordinator->extend(sentAt + lease->ttl - leaseMargin);
-                                      considerStrongerPeer();
-                                      updateRelays();
-                                  } else if (lease.error().kind == error_kind::unknown_entity) {
-                                      stopLeading("lease_ended");
-                                      m_leader.reset();
-                                      m_leaderRevision = 0;
-                                      considerCampaign(milliseconds(0));
-                                  } else {
-                                      logEvent(log_level::warning, "lease_not_renewed",
-                                               {{"error", describe(lease.error())}});
-                                      considerAbdication();
-                                  }
+                              if (!m_coordinator || renewed != m_lease) {
+                                  return;
+                              }
+                              m_renewalSentAt.reset();
+                              m_nextRenewal = m_timers.now() + (lease ? renewInterval : renewRetry);
+                              if (lease) {
+                                  m_storeAnsweredAt = m_timers.now();
+                                  m_coordinator->extend(sentAt + lease->ttl - leaseMargin);
+                                  considerStrongerPeer();
+                                  updateRelays();
+                              } else if (lease.error().kind == error_kind::unknown_entity) {
+                                  stopLeading("lease_ended");
+                                  m_leader.reset();
+                                  m_leaderRevision = 0;
+                                  considerCampaign(milliseconds(0));
+                              } else {
+                                  logEvent(log_level::warning, "lease_not_renewed",
+                                           {{"error", describe(lease.error())}});
+                                  considerAbdication(sentAt);
                               }
-                              later(lease ? renewInterval : renewRetry, [this] { renew(); });
                           }));
 }
 
-void fleet_node::considerAbdication()
+void fleet_node::considerAbdication(instant renewalSentAt)
 {
-    const auto now = m_timers.now();
-    if (m_abdicating || since(m_storeAnsweredAt, now) < abdicationDelay) {
+    // After an offer was declined the store may be back for all: a later renewal has to show it.
+    if (m_abdicating || renewalSentAt <= m_declinedAt || storeSilentFor() < abdicationDelay) {
+        return;
+    }
+    const auto heirs = heirsWithTheStore();
+    if (heirs.empty()) {
+        m_declinedBy.clear();
         return;
     }
-    // Processes heard of just now are the most likely to be sound. Of these the strongest reads the
+    offerLeadershipTo(heirs, "store_away");
+}
+
+std::vector<std::string> fleet_node::heirsWithTheStore() const
+{
+    // Processes heard of just now are the most likely to be sound. Of these the strongest read the
     // records first.
-    std::string heir;
-    std::tuple<bool, double, instant> best {false, 0, now - peerMemory};
+    const auto now = m_timers.now();
+    std::vector<std::pair<std::tuple<bool, double, instant>, std::string>> ranked;
     for (const auto &[address, peer] : m_peersHeard) {
-        const bool justNow = since(peer.heardAt, now) < soundPeerAge;
-        const std::tuple rank {justNow, justNow ? peer.processorShare : 0, peer.heardAt};
-        if (since(peer.heardAt, now) < peerMemory && address != m_declinedBy && rank > best) {
-            heir = address;
-            best = rank;
+        if (since(peer.heardAt, now) < peerMemory && m_declinedBy.count(address) == 0) {
+            const bool justNow = since(peer.heardAt, now) < soundPeerAge;
+            ranked.push_back({{justNow, justNow ? peer.processorShare : 0, peer.heardAt}, address});
         }
     }
-    if (heir.empty()) {
-        m_declinedBy.clear();
-        return;
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<std::string> heirs;
+    for (const auto &[rank, address] : ranked) {
+        if (heirs.size() < heirsAsked) {
+            heirs.push_back(address);
+        }
     }
-    offerLeadershipTo(heir, "store_away");
+    return heirs;
 }
 
 void fleet_node::considerStrongerPeer()
@@ -444,13 +484,13 @@
     double share = m_settings.processorShare * strongerPeerFactor;
     for (const auto &[address, peer] : m_peersHeard) {
         if (since(peer.heardAt, now) < peerMemory && peer.processorShare >= share
-            && address != m_declinedBy) {
+            && m_declinedBy.count(address) == 0) {
             heir = address;
             share = peer.processorShare;
         }
     }
     if (!heir.empty()) {
-        offerLeadershipTo(heir, "stronger_peer");
+        offerLeadershipTo({heir}, "stronger_peer");
     }
 }
 
@@ -521,32 +561,54 @@
     m_relayService.handle(calls, readAt, std::move(done));
 }
 
-void fleet_node::offerLeadershipTo(const std::string &heir, std::string_view reason)
+void fleet_node::offerLeadershipTo(const std::vector<std::string> &heirs, std::string_view reason)
 {
     m_abdicating = true;
-    // From here on nothing is ordered: the heir may lead before its answer arrives.
+    m_declinedBy.clear();
+    // From here on nothing is ordered: an heir may lead before its answer arrives.
     m_coordinator->suspend();
     logEvent(log_level::warning, "leadership_offered_to",
-             {{"heir", heir},
-              {"reason", reason},
-              {"store_silent_ms", since(m_storeAnsweredAt, m_timers.now()).count()}});
-    m_peers.offerLeadership(
-        heir, m_leaderRevision, whileAlive<bool>([this, heir](const result<bool> &accepted) {
-            m_abdicating = false;
-            const bool declined = accepted && !*accepted;
-            const bool notReached = !accepted && accepted.error().kind == error_kind::unavailable;
-            if (!declined && !notReached) {
-                stopLeading("abdicated");
-                return;
-            }
-            m_declinedBy = heir;
-            if (notReached) {
-                m_peersHeard.erase(heir);
-            }
-            if (m_coordinator) {
-                m_coordinator->endSuspension();
-            }
-        }));
+             {{"heirs", heirs}, {"reason", reason}, {"store_silent_ms", storeSilentFor().count()}});
+    // Several may accept: each replaces only the record offered, so that one of them leads.
+    const auto offer = std::make_shared<place_offer>(place_offer {m_leaderRevision, heirs.size()});
+    for (const auto &heir : heirs) {
+        m_peers.offerLeadership(heir, offer->revision,
+                                whileAlive<bool>([this, heir, offer](const result<bool> &accepted) {
+                                    onOfferAnswered(heir, accepted, *offer);
+                                }));
+    }
+}
+
+void fleet_node::onOfferAnswered(const std::string &heir, const result<bool> &accepted,
+                                 place_offer &offer)
+{
+    --offer.open;
+    if (!m_coordinator || !m_abdicating || offer.revision != m_leaderRevision) {
+        return; // that place has been given up
+    }
+    const bool declined = accepted && !*accepted;
+    const bool notReached = !accepted && accepted.error().kind == error_kind::unavailable;
+    if (!declined && !notReached) {
+        stopLeading("abdicated");
+        return;
+    }
+    m_declinedBy.insert(heir);
+    if (notReached) {
+        m_peersHeard.erase(heir);
+    }
+    if (offer.open == 0) {
+        m_abdicating = false;
+        m_declinedAt = m_timers.now();
+        m_coordinator->endSuspension();
+    }
+}
+
+milliseconds fleet_node::storeSilentFor() const
+{
+    const auto answeredAt = m_coordinator
+                                ? std::max(m_storeAnsweredAt, m_coordinator->storeAnsweredAt())
+                                : m_storeAnsweredAt;
+    return since(answeredAt, m_timers.now());
 }
 
 void fleet_node::acceptLeadership(std::int64_t revision, const std::function<void(bool)> &done)
@@ -585,6 +647,7 @@
     const auto former = std::exchange(m_coordinator, nullptr);
     former->close();
     m_lease = 0;
+    m_abdicating = false;
     considerCampaign(campaignRetry);
 }
 
--- a/src/fleet/record_writer.cpp
+++ b/src/fleet/record_writer.cpp
@@ -59,6 +59,15 @@
     return longest;
 }
 
+instant record_writer::answeredAt() const
+{
+    instant newest;
+    for (const auto &lane : m_lanes) {
+        newest = std::max(newest, lane->answeredAt());
+    }
+    return newest;
+}
+
 std::size_t record_writer::waiting() const
 {
     std::size_t count = 0;
--- a/src/fleet/store_writer.cpp
+++ b/src/fleet/store_writer.cpp
@@ -289,6 +289,9 @@
 
 void store_writer::onReply(const result<transaction_reply> &answer)
 {
+    if (answer) {
+        m_answeredAt = m_timers.now();
+    }
     if (answer && answer->applied) {
         finishCurrent(answer->revision);
         return;
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -326,6 +326,7 @@
     int workerCalls = 0; ///< of all kinds
     milliseconds lookTime {2}; ///< until a look is answered
     milliseconds storeTime {5}; ///< until the store answers
+    milliseconds silence {300}; ///< until a call without an answer is given up
     int refuseStarts = 0; ///< so many starts find no connection
     int loseStartAnswers = 0; ///< so many starts are carried out without an answer
 
@@ -578,7 +579,6 @@
 
 private:
     static constexpr milliseconds workerTime {2};
-    static constexpr milliseconds silence {300}; ///< until a call without an answer is given up
     static constexpr milliseconds downTime {1500};
 
     void deliver(std::function<void()> reply)
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(restartedLeaderTakesItsOwnPlace);
     CPPUNIT_TEST(campaignLeavesALiveLeaderAlone);
     CPPUNIT_TEST(leaderWithoutStoreOffersItsPlace);
+    CPPUNIT_TEST(leaderCutWithOthersIsReplacedSoon);
     CPPUNIT_TEST(leaderStaysWhileTheStoreIsAwayForAll);
     CPPUNIT_TEST(lostAnswerOfTheStoreStoresOnce);
     CPPUNIT_TEST(lateCopyOfASubmissionDoesNotRunItAgain);
@@ -279,6 +280,55 @@
         CPPUNIT_ASSERT(m_fleet.loop.now() - before < 2500ms);
     }
 
+    /// SHORT: a coordinator that was cut off from the store led on for 1.5 s, and then lost a
+    /// second to an heir that was cut off as well, while a queue was at its peak.
+    void leaderCutWithOthersIsReplacedSoon()
+    {
+        constexpr int processes = 6;
+        for (int i = 0; i < processes; ++i) {
+            const auto name = "process-" + std::to_string(i);
+            m_fleet.shares[name] = i < 2 ? 2 : 1; // the strong ones lead, and are asked first
+            m_fleet.addProcess(name).platform->silence = 800ms;
+        }
+        CPPUNIT_ASSERT(m_fleet.waitForLeader());
+        m_fleet.loop.run(3s);
+        auto &leader = *m_fleet.leader();
+        CPPUNIT_ASSERT(m_fleet.shares.at(leader.name) > 1);
+        int number = 0;
+        const auto submitEverywhere = [&] {
+            for (auto &[name, each] : m_fleet.processes) {
+                caller_request request;
+                request.operation = caller_operation::submit;
+                request.host = "jobs.example";
+                const auto digits = std::to_string(++number);
+                request.path = "/pool-a/" + std::string(16 - digits.size(), '0') + digits;
+                request.key = "key-north";
+                request.spec = simpleJob(1);
+                each.node->handle(request, [](const caller_answer &) {});
+            }
+        };
+        submitEverywhere();
+        m_fleet.loop.run(100ms);
+        for (auto &[name, each] : m_fleet.processes) {
+            each.platform->storeCut = m_fleet.shares.at(name) > 1;
+        }
+        const auto before = m_fleet.loop.now();
+        CPPUNIT_ASSERT(m_fleet.loop.runUntil(
+            [&] {
+                const auto *now = m_fleet.leader();
+                if (now != nullptr && now->name != leader.name) {
+                    return true;
+                }
+                submitEverywhere();
+                m_fleet.loop.run(20ms);
+                return false;
+            },
+            4s));
+        const auto taken = m_fleet.loop.now() - before;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(taken.count()) + " ms", taken <= 1200ms);
+        CPPUNIT_ASSERT(m_fleet.world.violations.empty());
+    }
+
     void leaderStaysWhileTheStoreIsAwayForAll()
     {
         auto &leader = startThree();
