Tell entry processes without the store who coordinates

The same cut with a coordinator elsewhere harmed nobody.

Cause: who leads was learned from the store only. These processes went on asking the former coordinator, which they reached and which answered that it does not coordinate. Class of fault: a partial outage of the store makes a healthy way unusable.

Now a process that does not coordinate adds to that answer whom it takes for the coordinator, a former coordinator the heir that accepted; whoever asked follows. The word of peers holds until the store shows a record, or the process named denies it. Nothing is proved by it: only a process with a proved record serves, as before.

--- a/include/ibishinge/fleet/caller.h
+++ b/include/ibishinge/fleet/caller.h
@@ -51,6 +51,8 @@
     std::string message;
     milliseconds retryAfter {0}; ///< 0: not told
     std::int64_t version = 0; ///< configuration by which it was handled; 0: none
+    /// Address of the process that coordinates, as far as one that does not knows; may be empty.
+    std::string coordinator {};
 };
 
 using answer_handler = std::function<void(const caller_answer &)>;
--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -122,7 +122,10 @@
     void offerLeadershipTo(const std::vector<std::string> &heirs, std::string_view reason);
     void onOfferAnswered(const std::string &heir, const result<bool> &accepted, place_offer &offer);
     [[nodiscard]] milliseconds storeSilentFor() const;
+    [[nodiscard]] std::string coordinatorAddress() const;
     void tryRequest(const std::shared_ptr<attempt> &request);
+    void onForwardAnswered(const std::shared_ptr<attempt> &request, const std::string &address,
+                           const caller_answer &answer);
     void retryRequest(const std::shared_ptr<attempt> &request, milliseconds delay);
     void finishRequest(const std::shared_ptr<attempt> &request, caller_answer answer);
     void onForwardFailed(const std::string &address, const error &failure);
@@ -142,6 +145,9 @@
 
     std::optional<leader_record> m_leader;
     std::int64_t m_leaderRevision = 0; ///< 0: there is none
+    /// Who coordinates by the word of other processes, until the store shows a record: a process
+    /// that the store does not answer would not learn of a new coordinator otherwise. May be empty.
+    std::string m_leaderByPeers;
     std::int64_t m_leaderSeenAt = 0; ///< store revision up to which the record is known
     bool m_leaderKnown = false;
     instant m_noLeaderSince;
--- a/src/fleet/caller.cpp
+++ b/src/fleet/caller.cpp
@@ -98,6 +98,9 @@
     if (answer.retryAfter.count() > 0) {
         out["retry_after"] = answer.retryAfter.count();
     }
+    if (!answer.coordinator.empty()) {
+        out["coordinator"] = answer.coordinator;
+    }
     return encodeCbor(out);
 }
 
@@ -123,6 +126,7 @@
         answer.message = in.value("message", std::string());
         answer.retryAfter = milliseconds(in.value("retry_after", std::int64_t {0}));
         answer.version = in.value("version", std::int64_t {0});
+        answer.coordinator = in.value("coordinator", std::string());
         return answer;
     } catch (const json::exception &problem) {
         return makeError(error_kind::invalid_request, "answer", problem.what());
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -226,6 +226,7 @@
 
 void fleet_node::applyLeader(const store_item &item)
 {
+    m_leaderByPeers.clear();
     const bool none = item.deleted || item.revision == 0;
     if (none) {
         if (m_leader) {
@@ -590,6 +591,7 @@
     const bool notReached = !accepted && accepted.error().kind == error_kind::unavailable;
     if (!declined && !notReached) {
         stopLeading("abdicated");
+        m_leaderByPeers = accepted ? heir : std::string();
         return;
     }
     m_declinedBy.insert(heir);
@@ -693,6 +695,7 @@
         caller_answer answer;
         answer.message = "this process does not coordinate";
         answer.retryAfter = comeBack;
+        answer.coordinator = coordinatorAddress();
         done(answer);
         return;
     }
@@ -708,28 +711,22 @@
     each->request.sender = m_settings.peerAddress;
     each->request.senderShare = m_resigned ? 0 : m_settings.processorShare;
     each->request.senderDataCentre = m_settings.dataCentre;
-    const auto onAnswer = [this, each](const caller_answer &answer) {
-        if (answer.kind == answer_kind::not_ready && m_timers.now() < each->giveUpAt
-            && !(answer.version > 0 && each->request.operation == caller_operation::submit)) {
-            retryRequest(each, requestRetry);
-            return;
-        }
-        finishRequest(each, answer);
-    };
     if (m_coordinator) {
-        handleForwarded(each->request, onAnswer);
+        handleForwarded(each->request, [this, each](const caller_answer &answer) {
+            onForwardAnswered(each, m_settings.peerAddress, answer);
+        });
         return;
     }
-    if (!m_leader || m_leader->address == m_settings.peerAddress) {
+    const auto address = coordinatorAddress();
+    if (address.empty()) {
         retryRequest(each, requestRetry);
         return;
     }
     ++each->forwards;
     const auto left = each->answerBy - m_timers.now();
     const auto timeout = std::clamp(left, milliseconds(50), forwardTimeout);
-    m_peers.forward(m_leader->address, encodeRequest(each->request), timeout,
-                    whileAlive<std::string>([this, each, onAnswer, address = m_leader->address](
-                                                const result<std::string> &body) {
+    m_peers.forward(address, encodeRequest(each->request), timeout,
+                    whileAlive<std::string>([this, each, address](const result<std::string> &body) {
                         if (!body) {
                             each->maybeReceived =
                                 each->maybeReceived || body.error().kind != error_kind::unavailable;
@@ -746,14 +743,45 @@
                             return;
                         }
                         m_refusals = 0;
-                        onAnswer(*answer);
+                        onForwardAnswered(each, address, *answer);
                     }));
 }
 
+std::string fleet_node::coordinatorAddress() const
+{
+    if (!m_leaderByPeers.empty()) {
+        return m_leaderByPeers;
+    }
+    return m_leader && m_leader->address != m_settings.peerAddress ? m_leader->address
+                                                                   : std::string();
+}
+
+void fleet_node::onForwardAnswered(const std::shared_ptr<attempt> &each, const std::string &address,
+                                   const caller_answer &answer)
+{
+    const bool notCoordinating = answer.kind == answer_kind::not_ready && answer.version == 0;
+    if (notCoordinating && address == coordinatorAddress()) {
+        // What the asked process knows is followed; what it denies is not believed any longer.
+        const bool other =
+            answer.coordinator != address && answer.coordinator != m_settings.peerAddress;
+        m_leaderByPeers = other ? answer.coordinator : std::string();
+    }
+    if (answer.kind == answer_kind::not_ready && m_timers.now() < each->giveUpAt
+        && !(answer.version > 0 && each->request.operation == caller_operation::submit)) {
+        retryRequest(each, requestRetry);
+        return;
+    }
+    finishRequest(each, answer);
+}
+
 void fleet_node::onForwardFailed(const std::string &address, const error &failure)
 {
     logEvent(log_level::warning, "forward_failed",
              {{"address", address}, {"error", describe(failure)}});
+    if (address == m_leaderByPeers) {
+        m_leaderByPeers.clear();
+        return;
+    }
     if (!m_leader || m_leader->address != address) {
         return;
     }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(campaignLeavesALiveLeaderAlone);
     CPPUNIT_TEST(leaderWithoutStoreOffersItsPlace);
     CPPUNIT_TEST(leaderCutWithOthersIsReplacedSoon);
+    CPPUNIT_TEST(processWithoutTheStoreFindsTheNextLeader);
     CPPUNIT_TEST(leaderStaysWhileTheStoreIsAwayForAll);
     CPPUNIT_TEST(lostAnswerOfTheStoreStoresOnce);
     CPPUNIT_TEST(lateCopyOfASubmissionDoesNotRunItAgain);
@@ -329,6 +330,35 @@
         CPPUNIT_ASSERT(m_fleet.world.violations.empty());
     }
 
+    /// SHORT: processes that were cut off from the store together with the coordinator went on
+    /// asking it after its place had been taken, and refused their callers until the store was
+    /// back.
+    void processWithoutTheStoreFindsTheNextLeader()
+    {
+        auto &leader = startThree();
+        auto &cut = other(leader);
+        submit(cut, jobPath, simpleJob(1));
+        cut.platform->storeCut = true;
+        leader.platform->storeCut = true;
+        CPPUNIT_ASSERT(m_fleet.loop.runUntil(
+            [&] {
+                for (auto &[name, each] : m_fleet.processes) {
+                    m_fleet.ask(each, caller_operation::show, jobPath);
+                }
+                const auto *now = m_fleet.leader();
+                return now != nullptr && now->name != leader.name;
+            },
+            4s));
+        m_fleet.loop.run(1s);
+        int number = 0;
+        for (auto *each : {&cut, &leader}) {
+            const auto path = "/pool-a/000000000000000" + std::to_string(++number);
+            const auto answer = m_fleet.ask(*each, caller_operation::submit, path, simpleJob(1));
+            CPPUNIT_ASSERT_EQUAL(std::string("accepted"), std::string(nameOf(answer.kind)));
+            CPPUNIT_ASSERT(m_fleet.waitForState(*each, path, job_state::completed, 2s));
+        }
+    }
+
     void leaderStaysWhileTheStoreIsAwayForAll()
     {
         auto &leader = startThree();
