Learn no run time across a standstill of the coordinator

Ends that waited while the process or its host stood still made their runs look longer by that time; all runs under way then are learned at once, so that a few hundred samples carry the whole error into objectives, order and pool sizes.

A pause of more than 0.5 s between ticks counts as a standstill and is logged (stood_still).

Test: standstillTeachesNoRunTime failed before, passes; unanswered_start_test 3, fleet_test 42, pool_sizing_test 6, fleet_load_test 6 pass.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -177,6 +177,8 @@
     void startGang(const waiting_step &where, pool_room &room);
     bool haveTickets(job_entry &job, const queue_rule &queue, int occurrence, int step);
     void tick();
+    /// Returns true if the process or its host stands still or has just done so.
+    bool noteStandstill();
     void summarize();
     void summarizeLoad();
     void summarizeQueues();
@@ -230,6 +232,7 @@
     instant m_lastPass;
     std::size_t m_waitingSteps = 0; ///< at the last pass
     instant m_tickDue;
+    instant m_stoodStillUntil; ///< the process or its host stood still last; epoch: never
     milliseconds m_longestTickDelay {0}; ///< since the last summary
     int m_startsUnanswered = 0; ///< since the last summary
     int m_submissionsOpen = 0; ///< answered as open since the last summary: the store was slow
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -142,14 +142,28 @@
     requestPass();
 }
 
+bool coordinator::noteStandstill()
+{
+    const auto now = m_timers.now();
+    const bool stoodStill = now - m_tickDue > standstill;
+    if (stoodStill) {
+        m_stoodStillUntil = now;
+    }
+    return stoodStill;
+}
+
 void coordinator::tick()
 {
     const auto now = m_timers.now();
     const auto delay = now - m_tickDue;
+    const bool stoodStill = noteStandstill();
+    if (stoodStill) {
+        logEvent(log_level::warning, "stood_still", {{"tick_delay_ms", delay.count()}});
+    }
     m_longestTickDelay = std::max(m_longestTickDelay, delay);
     m_tickDue = now + tickInterval;
     later(tickInterval, [this] { tick(); });
-    if (!mayAct() || delay > standstill) {
+    if (!mayAct() || stoodStill) {
         holdSizes(m_sizing, now);
     }
     if (!mayAct()) {
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -251,8 +251,10 @@
     const run_key key {end.task, end.run};
     const auto found = m_tables.runs.find(key);
     const bool known = found != m_tables.runs.end() && found->second.worker == worker.entry.id;
-    std::optional<milliseconds> ranFor; // unknown if no answer told when it began
-    if (known && found->second.beganAt) {
+    // Unknown if no answer told when it began, or if the end waited for this process.
+    std::optional<milliseconds> ranFor;
+    noteStandstill();
+    if (known && found->second.beganAt && *found->second.beganAt > m_stoodStillUntil) {
         ranFor = since(*found->second.beganAt, m_timers.now());
     }
     m_endsToLog.push_back({end.number, end.task.job,
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -762,9 +762,10 @@
     const bool notCoordinating = answer.kind == answer_kind::not_ready && answer.version == 0;
     if (notCoordinating && address == coordinatorAddress()) {
         // What the asked process knows is followed; what it denies is not believed any longer.
-        const bool other =
-            answer.coordinator != address && answer.coordinator != m_settings.peerAddress;
-        m_leaderByPeers = other ? answer.coordinator : std::string();
+        const auto &known = answer.coordinator;
+        const bool recorded = m_leader && known == m_leader->address;
+        const bool other = known != address && known != m_settings.peerAddress && !recorded;
+        m_leaderByPeers = other ? known : std::string();
     }
     if (answer.kind == answer_kind::not_ready && m_timers.now() < each->giveUpAt
         && !(answer.version > 0 && each->request.operation == caller_operation::submit)) {
--- a/standins/virtual_loop.h
+++ b/standins/virtual_loop.h
@@ -37,6 +37,12 @@
         m_now = end;
     }
 
+    /// Lets time pass while nothing runs: what falls due meanwhile runs late.
+    void standStill(std::chrono::milliseconds time)
+    {
+        m_now += time;
+    }
+
     /// Runs until `condition` holds. Returns false if it does not within `limit`.
     bool runUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit)
     {
--- a/tests/unanswered_start_test.cpp
+++ b/tests/unanswered_start_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST_SUITE(unanswered_start_test);
     CPPUNIT_TEST(endBeforeTheAnswerTeachesNoRunTime);
     CPPUNIT_TEST(lostAnswersDrawNoHosts);
+    CPPUNIT_TEST(standstillTeachesNoRunTime);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<fleet_world> m_fleet;
@@ -83,6 +84,18 @@
         CPPUNIT_ASSERT(learnedSeconds() < 2 * 0.25);
     }
 
+    /// Runs that were under way while the coordinator stood still were learned as longer by that
+    /// time.
+    void standstillTeachesNoRunTime()
+    {
+        m_fleet->ask(*m_only, caller_operation::submit, pathOf(1), twoSteps());
+        m_fleet->loop.run(50ms);
+        m_fleet->loop.standStill(2s);
+        CPPUNIT_ASSERT(m_fleet->waitForState(*m_only, pathOf(1), job_state::completed, 5s));
+        m_fleet->loop.run(1100ms);
+        CPPUNIT_ASSERT(learnedSeconds() < 2 * 0.25);
+    }
+
     /// SHORT: the pool's work was overestimated by orders of magnitude and drew the other pools'
     /// hosts.
     void lostAnswersDrawNoHosts()
