--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -695,7 +695,8 @@
         caller_answer answer;
         answer.message = "this process does not coordinate";
         answer.retryAfter = comeBack;
-        answer.coordinator = coordinatorAddress();
+        answer.coordinator =
+            m_coordinator || m_campaigning ? m_settings.peerAddress : coordinatorAddress();
         done(answer);
         return;
     }
@@ -761,11 +762,13 @@
 {
     const bool notCoordinating = answer.kind == answer_kind::not_ready && answer.version == 0;
     if (notCoordinating && address == coordinatorAddress()) {
-        // What the asked process knows is followed; what it denies is not believed any longer.
+        // What the asked process knows is followed; what it denies is not believed any longer. One
+        // that names itself is about to serve; one that names this process has old news.
         const auto &known = answer.coordinator;
-        const bool recorded = m_leader && known == m_leader->address;
-        const bool other = known != address && known != m_settings.peerAddress && !recorded;
-        m_leaderByPeers = other ? known : std::string();
+        if (known != address && known != m_settings.peerAddress) {
+            const bool recorded = m_leader && known == m_leader->address;
+            m_leaderByPeers = recorded ? std::string() : known;
+        }
     }
     if (answer.kind == answer_kind::not_ready && m_timers.now() < each->giveUpAt
         && !(answer.version > 0 && each->request.operation == caller_operation::submit)) {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -340,11 +340,20 @@
         submit(cut, jobPath, simpleJob(1));
         cut.platform->storeCut = true;
         leader.platform->storeCut = true;
-        CPPUNIT_ASSERT(m_fleet.loop.runUntil(
-            [&] {
+        // Requests meet every moment of the hand-over.
+        caller_request request;
+        request.host = "jobs.example";
+        request.path = jobPath;
+        request.key = "key-north";
+        for (milliseconds at {0}; at < 4s; at += 2ms) {
+            m_fleet.loop.after(at, [&, request] {
                 for (auto &[name, each] : m_fleet.processes) {
-                    m_fleet.ask(each, caller_operation::show, jobPath);
+                    each.node->handle(request, [](const caller_answer &) {});
                 }
+            });
+        }
+        CPPUNIT_ASSERT(m_fleet.loop.runUntil(
+            [&] {
                 const auto *now = m_fleet.leader();
                 return now != nullptr && now->name != leader.name;
             },
