Do not take a standstill of the coordinator for silence of the store

Since the store's silence is looked for every 50 ms, a coordinator that wakes up may look before it has read the answers that came meanwhile: the loop serves at most 64 sockets before its timers, and hundreds of looks may be ready. It then offered its place to a process that reaches the store, needlessly. A look that is itself late by more than 0.2 s judges nothing now.

Test: standstillIsNoSilenceOfTheStore failed before (term 2), passes; fleet_test 43, fleet_load_test 6, unanswered_start_test 3, pool_sizing_test 6 pass.

--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -162,6 +162,7 @@
     std::int64_t m_lease = 0;
     std::optional<instant> m_renewalSentAt; ///< of the renewal without an answer yet
     instant m_nextRenewal;
+    instant m_renewCheckDue;
     instant m_declinedAt; ///< all who were offered the place had declined
     instant m_leadingSince;
     std::map<std::string, peer_state> m_peersHeard; ///< by address
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds renewRetry {150};
 /// A coordinator looks this often whether a renewal is due or has had no answer.
 constexpr milliseconds renewCheck {50};
+/// After a longer delay of that look this process stood still.
+constexpr milliseconds standstill {200};
 /// A write without success for this long makes a renewal due: longer than the store's response time
 /// when it is slow.
 constexpr milliseconds stalledWrite {250};
@@ -115,6 +117,7 @@
     m_storeAnsweredAt = m_timers.now();
     pollConfiguration();
     readLeader();
+    m_renewCheckDue = m_timers.now();
     renewIfDue();
 }
 
@@ -390,13 +393,17 @@
 
 void fleet_node::renewIfDue()
 {
-    later(m_coordinator ? renewCheck : renewInterval, [this] { renewIfDue(); });
+    const auto now = m_timers.now();
+    // After a standstill of this process answers of the store are still to be read.
+    const bool stoodStill = now - m_renewCheckDue > standstill;
+    const auto pause = m_coordinator ? renewCheck : renewInterval;
+    m_renewCheckDue = now + pause;
+    later(pause, [this] { renewIfDue(); });
     if (!m_coordinator) {
         return;
     }
-    const auto now = m_timers.now();
     if (m_renewalSentAt) {
-        if (since(*m_renewalSentAt, now) >= abdicationDelay) {
+        if (since(*m_renewalSentAt, now) >= abdicationDelay && !stoodStill) {
             considerAbdication(*m_renewalSentAt);
         }
         return;
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -324,6 +324,7 @@
 
     std::set<std::string> unansweredStops; ///< workers whose stops fail
     int workerCalls = 0; ///< of all kinds
+    int renewals = 0; ///< of leases, sent
     milliseconds lookTime {2}; ///< until a look is answered
     milliseconds storeTime {5}; ///< until the store answers
     milliseconds silence {300}; ///< until a call without an answer is given up
@@ -389,6 +390,7 @@
 
     void renewLease(std::int64_t lease, reply<store_lease> done) override
     {
+        ++renewals;
         atStore<store_lease>(done, [this, lease]() -> result<store_lease> {
             if (m_world.leaseEnds.count(lease) == 0) {
                 return makeError(error_kind::unknown_entity, "lease", "ended");
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(leaderWithoutStoreOffersItsPlace);
     CPPUNIT_TEST(leaderCutWithOthersIsReplacedSoon);
     CPPUNIT_TEST(processWithoutTheStoreFindsTheNextLeader);
+    CPPUNIT_TEST(standstillIsNoSilenceOfTheStore);
     CPPUNIT_TEST(leaderStaysWhileTheStoreIsAwayForAll);
     CPPUNIT_TEST(lostAnswerOfTheStoreStoresOnce);
     CPPUNIT_TEST(lateCopyOfASubmissionDoesNotRunItAgain);
@@ -368,6 +369,20 @@
         }
     }
 
+    /// A leader that woke up took its own standstill for the store's and offered its place.
+    void standstillIsNoSilenceOfTheStore()
+    {
+        auto &leader = startThree();
+        m_fleet.ask(other(leader), caller_operation::count_waiting, "/pool-a/");
+        leader.platform->storeTime = 80ms;
+        const int before = leader.platform->renewals;
+        CPPUNIT_ASSERT(
+            m_fleet.loop.runUntil([&] { return leader.platform->renewals > before; }, 1s));
+        m_fleet.loop.standStill(1500ms); // the answer is still to be read when it wakes up
+        m_fleet.loop.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), m_fleet.world.items.at("fleet/term").value);
+    }
+
     void leaderStaysWhileTheStoreIsAwayForAll()
     {
         auto &leader = startThree();
