Campaign again at once when the record to replace has lapsed

Cause: the processes that accept the place replace the record offered; if it lapses meanwhile their campaigns are refused, and each waited 0.2 s before the next, longer than a weak process waits to begin with.

Now a refusal without a record means that the place is free and is followed by the next campaign at once; a refusal with a newer record takes note of it, so that the campaign is not repeated before the watch tells.

Test: lapsed_record_test failed before (the weak process led), passes; fleet_test 43, fleet_load_test 6, worker_relay_test 11 pass.

--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -107,6 +107,8 @@
     void campaign();
     void campaignWithLease(const store_lease &lease, instant sentAt);
     void commitCampaign(const store_lease &lease, instant sentAt, const store_item &termItem);
+    /// Takes note of the records that refused a campaign. Returns when to try again.
+    [[nodiscard]] milliseconds delayAfterRefusal(const std::vector<store_item> &current);
     void lead(const store_lease &lease, instant sentAt, std::int64_t revision, std::int64_t term);
     void renewIfDue();
     void renew();
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -345,23 +345,34 @@
                          {std::string(termKey), termItem.revision}};
     change.puts = {{std::string(leaderKey), encodeLeader(record), lease.id},
                    {std::string(termKey), std::to_string(term), 0}};
-    m_platform.commit(change,
-                      whileAlive<transaction_reply>(
-                          [this, lease, sentAt, term](const result<transaction_reply> &answer) {
-                              m_campaigning = false;
-                              if (answer && answer->applied) {
-                                  if (m_resigned) {
-                                      giveUpLease(lease.id);
-                                      return;
-                                  }
-                                  lead(lease, sentAt, answer->revision, term);
-                                  return;
-                              }
-                              // Lost to another process, or the outcome is open: the lease ends
-                              // what was written.
-                              giveUpLease(lease.id);
-                              considerCampaign(campaignRetry);
-                          }));
+    m_platform.commit(
+        change, whileAlive<transaction_reply>([this, lease, sentAt,
+                                               term](const result<transaction_reply> &answer) {
+            m_campaigning = false;
+            if (answer && answer->applied) {
+                if (m_resigned) {
+                    giveUpLease(lease.id);
+                    return;
+                }
+                lead(lease, sentAt, answer->revision, term);
+                return;
+            }
+            // Lost to another process, or the outcome is open: the lease ends
+            // what was written.
+            giveUpLease(lease.id);
+            considerCampaign(answer ? delayAfterRefusal(answer->current) : campaignRetry);
+        }));
+}
+
+milliseconds fleet_node::delayAfterRefusal(const std::vector<store_item> &current)
+{
+    const auto record = std::find_if(current.begin(), current.end(),
+                                     [](const store_item &item) { return item.key == leaderKey; });
+    if (record == current.end() || record->deleted || record->revision == 0) {
+        return milliseconds(0); // it lapsed meanwhile: the place is free
+    }
+    applyLeader(*record);
+    return campaignRetry;
 }
 
 void fleet_node::lead(const store_lease &lease, instant sentAt, std::int64_t revision,
