Keep inherited runs through a slow take-over

Cause: a new coordinator polls the workers that one page of the registry names while it reads the next. A worker's leases of the coordinator before were noted only when the whole registry had been read. A worker that had both runs and an end to be stored was adopted, not polled again at once, and had no lease on record: the next tick took its runs for lapsed, and they were started a second time. Two kin: the note at the end of the reads overwrote leases that the new coordinator had given meanwhile with earlier times; and reports applied before the job records are read would have lost ends.

Change: a worker gets the bound of inherited leases when it is added to the table, nothing overwrites it, and no worker is polled before the records are read.

Measured: slowTakeoverKeepsInheritedRuns starts 7 runs for 4 tasks on the code before (two runs at the same time), 4 now; leaseGivenDuringATakeoverIsRemembered breaks with the overwriting put back.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -139,6 +139,9 @@
     void readRegistry(const std::string &after);
     void watchRegistry();
     void onRegistryItem(const store_item &item);
+    /// Returns the worker with this id. One that is not known yet may have runs that hold leases of
+    /// an earlier coordinator.
+    worker_status &findOrAddWorker(const std::string &id);
     void unregisterMissingWorkers();
     /// Writes the changed records of the roster.
     void writeRoster();
@@ -238,6 +241,9 @@
 
     bool m_closed = false;
     bool m_suspended = false;
+    /// The records of all jobs are read. Before that, reported ends would be taken for those of
+    /// ended jobs and then forgotten by their workers.
+    bool m_recordsRead = false;
     bool m_loaded = false; ///< the records and the registry are read
     instant m_startedAt;
     instant m_leadershipProvenUntil;
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -73,7 +73,7 @@
             return;
         }
         for (const auto &entry : *workers) {
-            auto &worker = m_tables.workers[entry.id];
+            auto &worker = findOrAddWorker(entry.id);
             worker.entry = entry;
             worker.registered = false;
             worker.onRoster = item.key == rosterKeyOf(entry.id);
@@ -130,7 +130,10 @@
     readRecords(std::string(rosterPrefix), "", applyRoster, [=, this] {
         readRecords(std::string(jobPrefix), "", applyJob, [=, this] {
             readRecords(std::string(progressPrefix), "", applyProgressItem, [=, this] {
-                readRecords(std::string(endedPrefix), "", applyEnded, [this] { readRegistry(""); });
+                readRecords(std::string(endedPrefix), "", applyEnded, [this] {
+                    m_recordsRead = true;
+                    readRegistry("");
+                });
             });
         });
     });
@@ -175,7 +178,6 @@
             if (!m_loaded) {
                 m_loaded = true;
                 for (auto &[id, worker] : m_tables.workers) {
-                    worker.leasesEndBy = inheritedLeasesEnd();
                     pollIfDue(worker);
                 }
                 for (auto &[id, job] : m_tables.jobs) {
@@ -196,6 +198,15 @@
         }));
 }
 
+worker_status &coordinator::findOrAddWorker(const std::string &id)
+{
+    const auto [worker, added] = m_tables.workers.try_emplace(id);
+    if (added) {
+        worker->second.leasesEndBy = inheritedLeasesEnd();
+    }
+    return worker->second;
+}
+
 instant coordinator::inheritedLeasesEnd() const
 {
     const auto lease = static_cast<double>(m_settings.taskLease.count()) * slowClockFactor;
@@ -290,7 +301,7 @@
         return; // the decoder has logged the reason
     }
     const bool isNew = known == m_tables.workers.end() || !known->second.registered;
-    auto &worker = m_tables.workers[id];
+    auto &worker = findOrAddWorker(id);
     const bool addressChanged = worker.entry.address != entry->address;
     const bool otherIncarnation =
         entry->incarnation != 0 && worker.contacted && entry->incarnation != worker.incarnation;
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -94,7 +94,7 @@
     const bool toAcknowledge = worker.storedEnd > worker.acknowledgedEnd;
     const bool reachable = worker.registered || worker.leasesEndBy > now;
     const bool needed = hasRuns || toAcknowledge || !worker.verified;
-    if (worker.pollInProgress || !mayIssueOrders() || !reachable || !needed
+    if (worker.pollInProgress || !m_recordsRead || !mayIssueOrders() || !reachable || !needed
         || worker.nextPollAt > now) {
         return;
     }
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -327,6 +327,7 @@
     int renewals = 0; ///< of leases, sent
     milliseconds pollTime {2}; ///< until a look is answered
     milliseconds storeTime {5}; ///< until the store answers
+    std::size_t pageSize = 500; ///< items in one answer of the store
     milliseconds silence {300}; ///< until a call without an answer is given up
     int refuseStarts = 0; ///< so many starts find no connection
     int loseStartAnswers = 0; ///< so many starts are carried out without an answer
@@ -345,9 +346,14 @@
         atStore<store_page>(done, [this, prefix, after]() -> result<store_page> {
             store_page page;
             for (const auto &[key, item] : m_world.items) {
-                if (key.starts_with(prefix) && key > after) {
-                    page.items.push_back(item);
+                if (!key.starts_with(prefix) || key <= after) {
+                    continue;
                 }
+                if (page.items.size() == pageSize) {
+                    page.more = true;
+                    break;
+                }
+                page.items.push_back(item);
             }
             page.revision = m_world.revision;
             return page;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -57,6 +57,8 @@
     CPPUNIT_TEST(replacedWorkerDoesNotDelayATakeover);
     CPPUNIT_TEST(newWorkersAreFoundDespiteADeadWatch);
     CPPUNIT_TEST(taskIsNotRestartedBeforeAnInheritedLeaseExpires);
+    CPPUNIT_TEST(slowTakeoverKeepsInheritedRuns);
+    CPPUNIT_TEST(leaseGivenDuringATakeoverIsRemembered);
     CPPUNIT_TEST(newCoordinatorPollsWorkersBeforeItOrdersMaintenance);
     CPPUNIT_TEST(revokedKeyIsRejectedByAllProcesses);
     CPPUNIT_TEST(coordinatorWithoutTheStoreDoesNotAcceptARevokedKey);
@@ -870,6 +872,50 @@
         CPPUNIT_ASSERT(m_fleet.loop.now() > worker.leaseEnd);
     }
 
+    /// Starts a job of four tasks in pool-b and replaces the leader while the store is so slow that
+    /// workers are polled between two pages of the registry. The first task ends meanwhile, the
+    /// others run until they are stopped.
+    fleet_world::process &takeOverSlowly()
+    {
+        auto &leader = startThree();
+        m_fleet.world.behaviourOf = [](const task_name &task) {
+            return virtual_world::behaviour {task.index == 0 ? 300ms : 0ms, false};
+        };
+        submit(other(leader), "/pool-b/00000000000000aa", simpleJob(4));
+        m_fleet.loop.run(200ms);
+        CPPUNIT_ASSERT_EQUAL(4, m_fleet.world.starts);
+        for (auto &[name, each] : m_fleet.processes) {
+            each.platform->storeTime = 135ms;
+            each.platform->pageSize = 1;
+        }
+        m_fleet.kill(leader.name, false);
+        m_fleet.ask(other(leader), caller_operation::show, jobPath);
+        CPPUNIT_ASSERT(m_fleet.waitForLeader(4s));
+        return *m_fleet.leader();
+    }
+
+    /// Guards against two runs of a task: a worker with an end to be stored was polled again
+    /// without a new lease, no lease of the previous coordinator was known yet, and so the worker's
+    /// other runs were taken for expired.
+    void slowTakeoverKeepsInheritedRuns()
+    {
+        takeOverSlowly();
+        m_fleet.loop.run(2s);
+        CPPUNIT_ASSERT_EQUAL(4, m_fleet.world.starts);
+    }
+
+    /// Guards against two runs of a task: at the end of a take-over the leases that had been given
+    /// during it were forgotten.
+    void leaseGivenDuringATakeoverIsRemembered()
+    {
+        takeOverSlowly();
+        auto &worker = m_fleet.world.workers.at("pool-b-0");
+        CPPUNIT_ASSERT_EQUAL(std::size_t {3}, worker.running.size());
+        worker.reachable = false;
+        CPPUNIT_ASSERT(m_fleet.loop.runUntil([&] { return m_fleet.world.starts > 4; }, 9s));
+        CPPUNIT_ASSERT(m_fleet.loop.now() > worker.leaseEnd);
+    }
+
     /// Guards against maintenance of hosts with running tasks: a new coordinator took workers for
     /// idle that it had not polled yet.
     void newCoordinatorPollsWorkersBeforeItOrdersMaintenance()
