Let a job's objective follow the run times of its steps

Change: the objective belongs to the occurrence, and is computed again from the run times of the tasks that have ended; the remaining time uses them as well. It is counted from the time an occurrence is due, no longer from the submission. The decisions are in objective.cpp, apart from the coordinator.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -159,7 +159,6 @@
     void answerWaiters(const std::string &id, const caller_answer &answer);
     void show(const std::string &id, const answer_handler &done);
     void cancel(const std::string &id, const answer_handler &done);
-    void estimateJob(job_entry &job);
     void endJob(job_entry &job, job_state state);
     void markDirty(const std::string &id);
     void flush();
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -90,9 +90,19 @@
     std::string avoidWorker; ///< worker on which the last run failed or made no progress
 };
 
+/// Run times of the tasks of one step that have ended `done`.
+struct step_run_times
+{
+    int runs = 0;
+    double meanMs = 0; ///< milliseconds
+};
+
 /// Tasks of one occurrence of a job.
 struct occurrence_entry
 {
+    /// Latest completion that meets the objective; unset until `updateObjective`.
+    std::optional<instant> objectiveAt;
+    std::vector<step_run_times> runTimes; ///< by step; empty until the first run has ended
     std::vector<std::vector<task_entry>> steps; ///< tasks by step and index
     std::vector<int> unfinished; ///< number of unfinished tasks by step
     int unfinishedTasks = 0;
@@ -117,7 +127,8 @@
     job_spec spec;
     std::int64_t acceptedWallMs = 0; ///< wall time, milliseconds since 1970
     instant submittedAt; ///< when this coordinator first received the submission
-    instant objectiveAt; ///< latest completion that meets the objective
+    /// Latest completion of a job that runs once, as expected at its submission.
+    instant objectiveAt;
     milliseconds criticalPath {0}; ///< estimated length of the critical path
     double work = 0; ///< estimated work of all tasks, in core-milliseconds
     job_state state = job_state::queued;
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -2,6 +2,7 @@
 #include <ibishinge/fleet/coordinator.h>
 
 #include <ibishinge/base/logging.h>
+#include <ibishinge/fleet/objective.h>
 #include <ibishinge/fleet/record_codec.h>
 
 #include <algorithm>
@@ -158,7 +159,7 @@
     for (const auto &step : job.spec.steps) {
         job.longRunning = job.longRunning || step.longRunning;
     }
-    estimateJob(job);
+    estimateJob(m_tables, job);
     const auto decision = decideAdmission(m_tables, job, queue, m_timers.now());
     if (decision.verdict != admission_verdict::accept) {
         reject(answerOf(decision.verdict == admission_verdict::never ? answer_kind::invalid
@@ -271,24 +272,6 @@
     }
 }
 
-void coordinator::estimateJob(job_entry &job)
-{
-    const auto queue = m_tables.queues.find(job.queue);
-    job.work = 0;
-    for (const auto &step : job.spec.steps) {
-        job.work += expectedRunMs(m_tables, job.queue, step) * step.count
-                    * static_cast<double>(step.need.cpuMillis) / 1000;
-    }
-    const double criticalPath = criticalPathLength(
-        job.spec, [&](const step_spec &step) { return expectedRunMs(m_tables, job.queue, step); });
-    job.criticalPath = milliseconds(static_cast<std::int64_t>(criticalPath));
-    if (queue != m_tables.queues.end()) {
-        const auto stretched =
-            static_cast<std::int64_t>(queue->second->objectiveFactor * criticalPath);
-        job.objectiveAt = job.submittedAt + milliseconds(stretched) + queue->second->objectiveSlack;
-    }
-}
-
 void coordinator::endJob(job_entry &job, job_state state)
 {
     job.ending = true;
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -1,6 +1,7 @@
 #include <ibishinge/fleet/coordinator.h>
 
 #include <ibishinge/base/logging.h>
+#include <ibishinge/fleet/objective.h>
 #include <ibishinge/fleet/record_codec.h>
 
 #include <algorithm>
@@ -90,7 +91,7 @@
             m_timers.now()
             - milliseconds(std::max<std::int64_t>(0, m_timers.wallMs() - job->acceptedWallMs));
         job->inherited = true;
-        estimateJob(*job);
+        estimateJob(m_tables, *job);
         openDueOccurrences(*job, m_timers.wallMs());
         m_tables.jobs.emplace(job->id, std::move(*job));
     };
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -1,6 +1,7 @@
 #include <ibishinge/fleet/coordinator.h>
 
 #include <ibishinge/base/logging.h>
+#include <ibishinge/fleet/objective.h>
 #include <ibishinge/fleet/throttling.h>
 #include <ibishinge/fleet/worker_health.h>
 
@@ -295,6 +296,9 @@
         recordRunSuccess(worker);
         if (ranFor && ranFor->count() > 0) {
             learnRunTime(m_tables, worker, job.queue, step, *ranFor, task->checkpoint.empty());
+            if (task->checkpoint.empty()) {
+                observeRunTime(m_tables, job, end.task, *ranFor);
+            }
         }
         finishTasks(job, end.task);
         return;
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -1,5 +1,7 @@
 #include <ibishinge/fleet/placement.h>
 
+#include <ibishinge/fleet/objective.h>
+
 #include <algorithm>
 #include <tuple>
 
@@ -18,9 +20,6 @@
 constexpr double crowdedRackPenalty = 0.2;
 constexpr double maintenancePenalty = 0.1; ///< the host is part of an unfinished maintenance wave
 constexpr double maintenancePenaltyLasting = 2;
-/// Factor on expected run times: a step ends with its slowest task, which takes longer than the
-/// mean.
-constexpr double slowRunMargin = 1.1;
 
 constexpr double mixedRunsPenalty = 0.3; ///< a serving and a best-effort task on the same worker
 
@@ -68,27 +67,6 @@
     return racks;
 }
 
-/// Returns the expected time from the start of `step` to the end of the job, with a margin for slow
-/// runs.
-milliseconds remainingTime(const fleet_tables &tables, const job_entry &job, std::size_t step)
-{
-    const auto &steps = job.spec.steps;
-    std::vector<double> ends(steps.size(), 0);
-    double longest = 0;
-    for (std::size_t i = step; i < steps.size(); ++i) {
-        double begin = i == step ? 0 : -1;
-        for (const int earlier : steps[i].after) {
-            const auto end = ends[static_cast<std::size_t>(earlier)];
-            begin = end > 0 ? std::max(begin, end) : begin;
-        }
-        if (begin >= 0) {
-            ends[i] = begin + expectedRunMs(tables, job.queue, steps[i]);
-            longest = std::max(longest, ends[i]);
-        }
-    }
-    return milliseconds(static_cast<std::int64_t>(longest * slowRunMargin));
-}
-
 /// Returns true if the worker has best-effort runs, or serving runs if `bestEffort` is false.
 bool hasRunsOfClass(const fleet_tables &tables, const worker_status &worker, bool bestEffort)
 {
@@ -117,6 +95,9 @@
             continue;
         }
         for (const auto &[number, occurrence] : job.occurrences) {
+            if (!occurrence.objectiveAt) {
+                updateObjective(tables, job, number);
+            }
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 if (occurrence.unfinished[step] == 0
                     || !isStepReady(job.spec, occurrence, static_cast<int>(step))) {
@@ -135,10 +116,12 @@
                 // can: if jobs were ordered by objective only, an overloaded pool would finish
                 // every job a little late.
                 const bool longRunning = job.spec.steps[step].longRunning;
-                const auto need = longRunning ? milliseconds(0) : remainingTime(tables, job, step);
-                const int rank = longRunning ? 0 : (now + need <= job.objectiveAt ? 1 : 2);
+                const auto need =
+                    longRunning ? milliseconds(0) : remainingTime(tables, job, occurrence, step);
+                const auto objectiveAt = *occurrence.objectiveAt;
+                const int rank = longRunning ? 0 : (now + need <= objectiveAt ? 1 : 2);
                 rowsByPool[queue->second->pool].push_back(
-                    {{rank, job.objectiveAt}, {&job, number, static_cast<int>(step)}});
+                    {{rank, objectiveAt}, {&job, number, static_cast<int>(step)}});
             }
         }
     }
