--- a/tests/objective_test.cpp
+++ b/tests/objective_test.cpp
@@ -96,8 +96,8 @@
 
     /// Load: one and a half times the capacity of a pool for 8 s. Every eighth job has tasks that
     /// take three times as long as its caller says, and so an objective that is later. Guards
-    /// against such jobs being taken for late and placed behind all others: they have to end in time
-    /// as often as all jobs do.
+    /// against such jobs being taken for late and placed behind all others: they have to end in
+    /// time as often as all jobs do.
     void longTasksAreNotLeftBehind()
     {
         constexpr int workers = 8;
