Measure the coordinator's processor time by kind of work, and the age of unstored ends

Change: coordinator_load has processor_us by kind of work, ends_unstored, end_unstored_ms, ends_listed_again and reports; the counter ibishinge_processor_us_total has the same sums.

Result: metrics_test has a case for nested scopes and passes.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ibishinge/base/metrics.h>
+#include <ibishinge/base/processor_time.h>
 #include <ibishinge/base/scheduler.h>
 #include <ibishinge/fleet/caller.h>
 #include <ibishinge/fleet/host_maintenance.h>
@@ -263,6 +264,12 @@
     instant m_lastProcessStallAt; ///< end of the last stall; epoch: none
     milliseconds m_longestTickDelay {0}; ///< since the last summary
     int m_unansweredStarts = 0; ///< since the last summary
+    int m_reports = 0; ///< reports of workers since the last summary
+    /// Ends since the last summary that were applied before, listed again for want of an
+    /// acknowledgement.
+    int m_endsListedAgain = 0;
+    /// Processor time at the last summary, in microseconds.
+    std::map<work_kind, std::uint64_t> m_processorUsBefore;
     /// Submissions answered with `outcome_unknown` since the last summary, as the store was slow.
     int m_unresolvedSubmissions = 0;
     bool m_hostListPending = false;
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -159,6 +159,8 @@
     instant leasesEndBy;
     std::int64_t processedEnd = 0; ///< number of the last end that was applied to the tables
     std::int64_t storedEnd = 0; ///< number of the last end whose effects are in the store
+    /// When the oldest end whose effects are not in the store was applied. Valid if there is one.
+    instant unstoredSince;
     /// Number of the last end that was acknowledged to the worker.
     std::int64_t acknowledgedEnd = 0;
     bool hasMixedWorkloads = false; ///< serving and best-effort runs share the worker
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -1,6 +1,7 @@
 #include <ibishinge/fleet/coordinator.h>
 
 #include <ibishinge/base/logging.h>
+#include <ibishinge/base/processor_time.h>
 #include <ibishinge/fleet/placement.h>
 #include <ibishinge/fleet/pool_load.h>
 #include <ibishinge/fleet/record_codec.h>
@@ -166,6 +167,7 @@
     if (processStalled) {
         logEvent(log_level::warning, "stood_still", {{"tick_delay_ms", delay.count()}});
     }
+    const processor_time_scope used(m_metrics, work_kind::periodic_checks);
     m_longestTickDelay = std::max(m_longestTickDelay, delay);
     m_tickDueAt = now + tickInterval;
     callAfter(tickInterval, [this] { tick(); });
@@ -232,8 +234,28 @@
 
 void coordinator::logCoordinatorLoad()
 {
+    const auto now = m_timers.now();
+    std::int64_t unstoredEnds = 0;
+    milliseconds oldestUnstored {0};
+    for (const auto &[id, worker] : m_tables.workers) {
+        if (worker.processedEnd > worker.storedEnd) {
+            unstoredEnds += worker.processedEnd - worker.storedEnd;
+            oldestUnstored = std::max(oldestUnstored, since(worker.unstoredSince, now));
+        }
+    }
+    auto processorUs = nlohmann::json::object();
+    for (const auto kind : allWorkKinds) {
+        const auto total = processorTimeUs(m_metrics, kind);
+        auto &before = m_processorUsBefore[kind];
+        processorUs[std::string(nameOf(kind))] = total - std::exchange(before, total);
+    }
     logEvent(log_level::info, "coordinator_load",
              {{"tick_delay_ms", std::exchange(m_longestTickDelay, milliseconds(0)).count()},
+              {"ends_unstored", unstoredEnds},
+              {"end_unstored_ms", oldestUnstored.count()},
+              {"ends_listed_again", std::exchange(m_endsListedAgain, 0)},
+              {"reports", std::exchange(m_reports, 0)},
+              {"processor_us", std::move(processorUs)},
               {"store_waiting", m_writer->waiting()},
               {"store_stalled_ms", m_writer->stalledFor().count()},
               {"submissions_open", std::exchange(m_unresolvedSubmissions, 0)},
@@ -276,6 +298,7 @@
     if (!isServing()) {
         return;
     }
+    const processor_time_scope used(m_metrics, work_kind::scheduling);
     const auto now = m_timers.now();
     const auto waiting = waitingSteps(m_tables, now);
     m_waitingSteps = 0;
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -2,6 +2,7 @@
 #include <ibishinge/fleet/coordinator.h>
 
 #include <ibishinge/base/logging.h>
+#include <ibishinge/base/processor_time.h>
 #include <ibishinge/fleet/objective.h>
 #include <ibishinge/fleet/record_codec.h>
 
@@ -50,6 +51,7 @@
 
 void coordinator::handle(const caller_request &request, answer_handler done)
 {
+    const processor_time_scope used(m_metrics, work_kind::callers);
     const auto version = m_tables.config.version;
     const auto finish = [version, done = std::move(done)](caller_answer answer) {
         answer.version = version;
@@ -333,6 +335,8 @@
         return;
     }
     m_flushPending = false;
+    const processor_time_scope used(m_metrics, work_kind::progress);
+    const auto flushedAt = m_timers.now();
     // Ends that the workers may forget once the records written below are in the store.
     auto marks = std::make_shared<std::vector<flush_mark>>();
     for (const auto &[id, worker] : m_tables.workers) {
@@ -340,7 +344,7 @@
             marks->push_back({id, worker.incarnation, worker.processedEnd});
         }
     }
-    const auto onStored = [this, marks](const result<void> &stored) {
+    const auto onStored = [this, marks, flushedAt](const result<void> &stored) {
         if (m_closed || !stored) {
             return;
         }
@@ -349,6 +353,7 @@
             if (worker != m_tables.workers.end()
                 && worker->second.incarnation == mark.incarnation) {
                 worker->second.storedEnd = std::max(worker->second.storedEnd, mark.end);
+                worker->second.unstoredSince = flushedAt;
                 pollIfDue(worker->second);
             }
         }
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -1,6 +1,7 @@
 #include <ibishinge/fleet/coordinator.h>
 
 #include <ibishinge/base/logging.h>
+#include <ibishinge/base/processor_time.h>
 #include <ibishinge/fleet/record_codec.h>
 #include <ibishinge/fleet/throttling.h>
 
@@ -136,6 +137,7 @@
 
 void coordinator::maintainHosts()
 {
+    const processor_time_scope used(m_metrics, work_kind::maintenance);
     const auto now = m_timers.now();
     bool open = false;
     std::set<std::string> busyPools;
@@ -273,6 +275,7 @@
 
 void coordinator::resizePools()
 {
+    const processor_time_scope used(m_metrics, work_kind::pool_sizing);
     const auto now = m_timers.now();
     if (m_tables.hostsReadAt == instant {}) {
         refreshHosts();
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -1,6 +1,7 @@
 #include <ibishinge/fleet/coordinator.h>
 
 #include <ibishinge/base/logging.h>
+#include <ibishinge/base/processor_time.h>
 #include <ibishinge/fleet/objective.h>
 #include <ibishinge/fleet/throttling.h>
 #include <ibishinge/fleet/worker_health.h>
@@ -174,8 +175,10 @@
 
 void coordinator::onReport(const std::string &id, const worker_report &report, instant sentAt)
 {
+    const processor_time_scope used(m_metrics, work_kind::worker_reports);
     auto &worker = m_tables.workers.at(id);
     const auto now = m_timers.now();
+    ++m_reports;
     if (report.fenced) {
         logEvent(log_level::warning, "deposed_by_worker",
                  {{"worker", id}, {"token", m_leadership.fencingToken}});
@@ -205,8 +208,13 @@
 
     for (const auto &end : report.ended) {
         if (end.number > worker.processedEnd) {
+            if (worker.processedEnd == worker.storedEnd) {
+                worker.unstoredSince = now;
+            }
             worker.processedEnd = end.number;
             applyEnd(worker, end);
+        } else {
+            ++m_endsListedAgain;
         }
     }
     if (!m_endsToLog.empty()) {
--- a/src/fleet/worker_relay.cpp
+++ b/src/fleet/worker_relay.cpp
@@ -2,6 +2,7 @@
 
 #include <ibishinge/base/json.h>
 #include <ibishinge/base/logging.h>
+#include <ibishinge/base/processor_time.h>
 
 #include <algorithm>
 #include <array>
@@ -348,6 +349,7 @@
     if (to.open.empty() || to.exchanges >= maxConcurrentExchanges) {
         return;
     }
+    const processor_time_scope used(m_metrics, work_kind::relay_messages);
     const json message = {{"session", m_session},
                           {"number", m_nextNumber++},
                           {"calls", std::exchange(to.calls, json::array())},
@@ -366,6 +368,7 @@
 
 void relay_client::onExchanged(const std::string &address, const result<std::string> &answer)
 {
+    const processor_time_scope used(m_metrics, work_kind::relay_messages);
     auto &from = m_relays.at(address);
     --from.exchanges;
     if (!answer) {
--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -1,9 +1,11 @@
 #include <ibishinge/base/metrics.h>
+#include <ibishinge/base/processor_time.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
 #include <cmath>
+#include <ctime>
 #include <string>
 #include <vector>
 
@@ -17,6 +19,7 @@
     CPPUNIT_TEST(textHoldsEverySeries);
     CPPUNIT_TEST(quantileIsAnUpperBound);
     CPPUNIT_TEST(quantileAboveTheHighestBoundIsInfinite);
+    CPPUNIT_TEST(processorTimeOfNestedScopesIsCountedOnce);
     CPPUNIT_TEST(bucketsAreThoseOfTheHistograms);
     CPPUNIT_TEST_SUITE_END();
 
@@ -57,6 +60,26 @@
         CPPUNIT_ASSERT_EQUAL(0.0, duration_summary {}.quantileSeconds(1));
     }
 
+    void processorTimeOfNestedScopesIsCountedOnce()
+    {
+        metrics_registry metrics;
+        const auto burn = [](std::clock_t ticks) {
+            const auto end = std::clock() + ticks;
+            while (std::clock() < end) { }
+        };
+        {
+            const processor_time_scope outer(metrics, work_kind::scheduling);
+            const processor_time_scope inner(metrics, work_kind::callers);
+            burn(CLOCKS_PER_SEC / 50);
+        }
+        const auto inner = processorTimeUs(metrics, work_kind::callers);
+        CPPUNIT_ASSERT(inner > 0);
+        CPPUNIT_ASSERT(processorTimeUs(metrics, work_kind::scheduling) < inner / 2);
+        for (const auto kind : allWorkKinds) {
+            CPPUNIT_ASSERT(!nameOf(kind).empty());
+        }
+    }
+
     void bucketsAreThoseOfTheHistograms()
     {
         for (const auto duration : std::vector<std::chrono::nanoseconds> {
