--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -162,6 +162,10 @@
     void cancel(const std::string &id, const answer_handler &done);
     void endJob(job_entry &job, job_state state);
     void markDirty(const std::string &id);
+    /// Has `flush` called after `delay`, or soon after the flush in progress.
+    void requestFlush(milliseconds delay);
+    /// Writes the progress of changed jobs, then marks the ends applied so far as stored. One flush
+    /// is in progress at a time, so that a slow store gets fewer and larger ones.
     void flush();
     void pruneEnded();
 
@@ -255,7 +259,9 @@
     /// Callers that wait until the cancellation of their jobs is stored, by id of the job.
     std::map<std::string, std::vector<answer_handler>> m_cancelWaiters;
     std::set<std::string> m_dirtyJobs; ///< ids of jobs with progress to write
-    bool m_flushPending = false;
+    bool m_flushScheduled = false;
+    bool m_flushInProgress = false;
+    bool m_flushRequested = false; ///< there are changes that the flush in progress does not cover
     nlohmann::json m_endsToLog = nlohmann::json::array(); ///< ends in the report being applied
     bool m_schedulingPassPending = false;
     instant m_lastSchedulingPassAt;
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -321,20 +321,23 @@
 void coordinator::markDirty(const std::string &id)
 {
     m_dirtyJobs.insert(id);
-    if (!m_flushPending) {
-        m_flushPending = true;
-        callAfter(flushDelay, [this] { flush(); });
+    requestFlush(flushDelay);
+}
+
+void coordinator::requestFlush(milliseconds delay)
+{
+    if (m_flushInProgress) {
+        m_flushRequested = true;
+    } else if (!m_flushScheduled) {
+        m_flushScheduled = true;
+        callAfter(delay, [this] { flush(); });
     }
 }
 
 void coordinator::flush()
 {
-    if (m_writer->waiting() > 0) {
-        // The write waits until the writers are idle, so that one record covers more progress.
-        callAfter(flushDelay, [this] { flush(); });
-        return;
-    }
-    m_flushPending = false;
+    m_flushScheduled = false;
+    m_flushInProgress = true;
     const processor_time_scope used(m_metrics, work_kind::progress);
     const auto flushedAt = m_timers.now();
     // Ends that the workers may forget once the records written below are in the store.
@@ -348,6 +351,10 @@
         if (m_closed || !stored) {
             return;
         }
+        m_flushInProgress = false;
+        if (std::exchange(m_flushRequested, false)) {
+            requestFlush(flushDelay);
+        }
         for (const auto &mark : *marks) {
             const auto worker = m_tables.workers.find(mark.worker);
             if (worker != m_tables.workers.end()
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -206,6 +206,7 @@
     worker.verified = true;
     worker.contacted = true;
 
+    const auto endsBefore = worker.processedEnd;
     for (const auto &end : report.ended) {
         if (end.number > worker.processedEnd) {
             if (worker.processedEnd == worker.storedEnd) {
@@ -231,9 +232,8 @@
         removeUnlistedRuns(worker, report, sentAt);
     }
     updateMixedWorkloads(m_tables, worker);
-    if (worker.processedEnd > worker.storedEnd && !m_flushPending) {
-        m_flushPending = true;
-        callAfter(m_dirtyJobs.empty() ? lazyFlushDelay : milliseconds(0), [this] { flush(); });
+    if (worker.processedEnd > endsBefore) {
+        requestFlush(lazyFlushDelay);
     }
     if (firstContact) {
         releaseInheritedTasks();
