Do not relay ends again that the coordinator knows

Cause: a worker lists its ends until they are acknowledged, and they are acknowledged after they are stored.

Change: a poll tells the relay up to which number the coordinator knows the ends of which incarnation, and the relay leaves these out. Lists that the worker has truncated stay as they are.

Result: worker_relay_test::knownEndsAreNotRelayedAgain; without the removal it fails (1 expected, 3 relayed).

--- a/include/ibishinge/fleet/types.h
+++ b/include/ibishinge/fleet/types.h
@@ -244,6 +244,9 @@
     bool otherIncarnation = false;
 };
 
+/// Length at which a worker truncates the list of ends in its report.
+inline constexpr std::size_t maxReportedEnds = 500;
+
 /// Request for the state of a worker, which also renews leases and acknowledges ends.
 struct poll_request
 {
@@ -252,6 +255,10 @@
     std::int64_t fencingToken = 0;
     std::int64_t acknowledgedEnd = 0; ///< the worker forgets ends up to this number
     milliseconds wait {0}; ///< how long the worker may delay the answer until a run ends
+    /// The caller knows the ends up to this number of the worker process `knownIncarnation`, so
+    /// that a relay need not repeat them.
+    std::int64_t knownEnd = 0;
+    std::int64_t knownIncarnation = 0;
 };
 
 /// State of a host as listed by the platform.
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -35,9 +35,6 @@
 constexpr milliseconds pollRetryDelayBase {80};
 constexpr milliseconds maxPollRetryDelay {800};
 
-/// Length at which a worker truncates the list of ends in its report.
-constexpr std::size_t maxReportedEnds = 500;
-
 /// Delay before a task is placed again: after a failed run, and after a start that was rejected or
 /// did not reach the worker.
 constexpr milliseconds failedRunRetryDelay {60};
@@ -109,6 +106,8 @@
     // A worker numbers its ends from 1 again after a restart, so it would take a number from before
     // the restart as an acknowledgement of its new ends.
     order.acknowledgedEnd = worker.verified ? worker.storedEnd : 0;
+    order.knownEnd = worker.processedEnd;
+    order.knownIncarnation = worker.incarnation;
     if (hasRuns && worker.verified) {
         order.leaseUntil = leaseUntil(worker);
         if (!hasUnstoredEnds) {
--- a/src/fleet/worker_relay.cpp
+++ b/src/fleet/worker_relay.cpp
@@ -76,9 +76,24 @@
 
 json encodePollCall(const worker_entry &worker, const poll_request &order)
 {
-    return {call_kind::poll,   worker.id,          worker.address,
-            order.leaseUntil,  order.fencingToken, order.acknowledgedEnd,
-            order.wait.count()};
+    json call = {call_kind::poll,   worker.id,          worker.address,
+                 order.leaseUntil,  order.fencingToken, order.acknowledgedEnd,
+                 order.wait.count()};
+    if (order.knownEnd > 0) {
+        call.push_back(order.knownEnd);
+        call.push_back(order.knownIncarnation);
+    }
+    return call;
+}
+
+/// Removes the ends that the coordinator knows from a report. A truncated list is left unchanged,
+/// because its length tells the coordinator that ends are missing.
+void removeKnownEnds(worker_report &report, const poll_request &order)
+{
+    if (report.incarnation != order.knownIncarnation || report.ended.size() >= maxReportedEnds) {
+        return;
+    }
+    std::erase_if(report.ended, [&](const run_end &end) { return end.number <= order.knownEnd; });
 }
 
 task_name decodeTask(const json &row, std::size_t at)
@@ -587,13 +602,21 @@
         order.fencingToken = call.at(5).get<std::int64_t>();
         order.acknowledgedEnd = call.at(6).get<std::int64_t>();
         order.wait = milliseconds(call.at(7).get<std::int64_t>());
-        m_direct.poll(
-            worker, order, [this, name, number, alive](const result<worker_report> &answer) {
-                if (!alive.expired()) {
-                    addResult(name, numbered(number, answer ? encodeReport(*answer)
-                                                            : encodeFailure(answer.error())));
-                }
-            });
+        if (call.size() > 9) {
+            order.knownEnd = call.at(8).get<std::int64_t>();
+            order.knownIncarnation = call.at(9).get<std::int64_t>();
+        }
+        m_direct.poll(worker, order,
+                      [this, name, number, order, alive](result<worker_report> answer) {
+                          if (alive.expired()) {
+                              return;
+                          }
+                          if (answer) {
+                              removeKnownEnds(*answer, order);
+                          }
+                          addResult(name, numbered(number, answer ? encodeReport(*answer)
+                                                                  : encodeFailure(answer.error())));
+                      });
         break;
     }
     }
--- a/tests/worker_relay_test.cpp
+++ b/tests/worker_relay_test.cpp
@@ -27,6 +27,56 @@
     return encodeCbor(nlohmann::json::parse(text));
 }
 
+/// Answers each poll with the same report.
+class fixed_report final : public worker_calls
+{
+public:
+    worker_report report;
+
+    void startRun(const worker_entry &, const run_order &, reply<run_command_reply>) override
+    {
+    }
+    void stopRun(const worker_entry &, const task_name &, std::int64_t, std::int64_t,
+                 reply<run_command_reply>) override
+    {
+    }
+    void throttleRun(const worker_entry &, const task_name &, std::int64_t, int, std::int64_t,
+                     reply<run_command_reply>) override
+    {
+    }
+    void poll(const worker_entry &, const poll_request &, reply<worker_report> done) override
+    {
+        done(report);
+    }
+};
+
+/// Passes messages of a relay client to a relay service.
+class service_link final : public peer_link
+{
+public:
+    service_link(relay_service &service, virtual_loop &loop)
+        : m_service(service)
+        , m_loop(loop)
+    {
+    }
+    void forward(const std::string &, const std::string &, milliseconds,
+                 reply<std::string>) override
+    {
+    }
+    void offerLeadership(const std::string &, std::int64_t, reply<bool>) override
+    {
+    }
+    void exchangeWorkerCalls(const std::string &, const std::string &calls, milliseconds,
+                             reply<std::string> done) override
+    {
+        m_service.handle(calls, m_loop.now(), [done](const std::string &text) { done(text); });
+    }
+
+private:
+    relay_service &m_service;
+    virtual_loop &m_loop;
+};
+
 } // namespace
 
 /// Guards against tasks that are lost or run twice when calls to workers go through relays that are
@@ -45,6 +95,7 @@
     CPPUNIT_TEST(delayedCallsAreNotMade);
     CPPUNIT_TEST(repeatedMessageMakesNoCallAgain);
     CPPUNIT_TEST(unreadableMessageIsAnswered);
+    CPPUNIT_TEST(knownEndsAreNotRelayedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -228,6 +279,50 @@
         }
     }
 
+    /// Guards against messages that grow with the ends that are not stored yet, and against ends of
+    /// a restarted worker, whose numbers begin at 1 again, that are taken for known ones.
+    void knownEndsAreNotRelayedAgain()
+    {
+        constexpr std::int64_t incarnation = 7;
+        struct row
+        {
+            int listedEnds;
+            std::int64_t knownEnd;
+            std::int64_t knownIncarnation;
+            std::size_t relayedEnds;
+        };
+        const int truncated = static_cast<int>(maxReportedEnds);
+        const std::vector<row> rows = {
+            {3, 0, 0, 3},
+            {3, 2, incarnation, 1},
+            {3, 3, incarnation, 0},
+            {3, 2, incarnation - 1, 3},
+            {truncated, 2, incarnation, maxReportedEnds},
+        };
+        for (const auto &each : rows) {
+            virtual_loop loop;
+            metrics_registry metrics;
+            fixed_report worker;
+            worker.report.incarnation = incarnation;
+            for (int number = 1; number <= each.listedEnds; ++number) {
+                worker.report.ended.push_back(
+                    {number, {"job", 0, 0, number}, 1, end_kind::done, ""});
+            }
+            relay_service service(worker, loop, "relay-1");
+            service_link link(service, loop);
+            relay_client client(worker, link, loop, metrics, "session-1");
+            client.useRelays({{"relay:1", "north", 1}});
+            poll_request order;
+            order.knownEnd = each.knownEnd;
+            order.knownIncarnation = each.knownIncarnation;
+            std::optional<worker_report> seen;
+            client.poll({}, order, [&](const result<worker_report> &report) { seen = *report; });
+            loop.run(400ms);
+            CPPUNIT_ASSERT(seen);
+            CPPUNIT_ASSERT_EQUAL(each.relayedEnds, seen->ended.size());
+        }
+    }
+
 private:
     static void startProcesses(fleet_world &fleet)
     {
