Measure the pools in one pass

Cause: the sizes of pools are decided every 100 ms, and for each pool all workers were visited twice and all jobs once; each run cost two look-ups for an amount that nobody read (runningWork), and each move searched all workers. Cost that grows with pools times workers, at a fixed rate.

Change: measurePools and countPoolHosts visit each worker, run and job once. The decisions are the same.

--- a/include/ibishinge/fleet/pool_load.h
+++ b/include/ibishinge/fleet/pool_load.h
@@ -2,6 +2,7 @@
 
 #include <ibishinge/fleet/tables.h>
 
+#include <map>
 #include <string>
 
 namespace ibishinge::fleet {
@@ -16,13 +17,13 @@
     std::int64_t batchHeld = 0; ///< held by other tasks on those workers
     double waitingWork = 0; ///< core-ms of waiting tasks whose earlier steps are complete
     double laterWork = 0; ///< core-ms of waiting tasks whose earlier steps are not complete
-    double runningWork = 0; ///< core-ms that running tasks still need
     int waitingTasks = 0; ///< waiting tasks whose earlier steps are complete
     int liveJobs = 0; ///< jobs that have not ended and have no long-running tasks
 };
 
-/// Returns the capacity and demand of a pool as of `now`. Thread-safe for constant tables.
-[[nodiscard]] pool_load measurePool(const fleet_tables &tables, const std::string &pool,
-                                    instant now);
+/// Returns the capacity and demand of all pools as of `now`, by name. Visits each worker, run and
+/// job once. Thread-safe for constant tables.
+[[nodiscard]] std::map<std::string, pool_load> measurePools(const fleet_tables &tables,
+                                                            instant now);
 
 } // namespace ibishinge::fleet
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -212,11 +212,10 @@
 {
     const auto now = m_timers.now();
     m_nextSummaryAt = now + summaryInterval;
-    for (const auto &[name, pool] : m_tables.config.pools) {
-        if (pool.spare) {
+    for (const auto &[name, load] : measurePools(m_tables, now)) {
+        if (m_tables.config.pools.at(name).spare) {
             continue;
         }
-        const auto load = measurePool(m_tables, name, now);
         logEvent(log_level::info, "pool_load",
                  {{"pool", name},
                   {"workers", load.workers},
--- a/src/fleet/pool_load.cpp
+++ b/src/fleet/pool_load.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-/// Minimum share of its expected run time that a running task is assumed to need still, also after
-/// it has exceeded that time.
-constexpr double minimumRemainingShare = 0.2;
-
 /// Adds the waiting tasks of a job, except long-running ones, to `load`.
 void addWaitingWork(pool_load &load, const fleet_tables &tables, const job_entry &job)
 {
@@ -35,38 +31,40 @@
 
 } // namespace
 
-pool_load measurePool(const fleet_tables &tables, const std::string &pool, instant now)
+std::map<std::string, pool_load> measurePools(const fleet_tables &tables, instant now)
 {
-    pool_load load;
+    std::map<std::string, pool_load> loads;
+    for (const auto &[name, pool] : tables.config.pools) {
+        loads[name];
+    }
     for (const auto &[id, worker] : tables.workers) {
-        if (worker.entry.pool != pool || !isUsable(worker, now)) {
+        const auto load = loads.find(worker.entry.pool);
+        if (load == loads.end() || !isUsable(worker, now)) {
             continue;
         }
-        ++load.workers;
-        load.capacity += worker.entry.capacity.cpuMillis;
-        for (const auto &key : worker.runs) {
-            const auto &run = tables.runs.at(key);
-            (run.longRunning ? load.longRunningHeld : load.batchHeld) += run.held.cpuMillis;
-            const auto job = tables.jobs.find(key.task.job);
-            if (run.longRunning || job == tables.jobs.end()) {
-                continue;
-            }
-            const auto &step = job->second.spec.steps[static_cast<std::size_t>(key.task.step)];
-            const double expected = expectedRunMs(tables, job->second.queue, step);
-            const auto ran = static_cast<double>(since(run.orderedAt, now).count());
-            load.runningWork += std::max(expected - ran, minimumRemainingShare * expected)
-                                * static_cast<double>(run.held.cpuMillis) / 1000;
+        ++load->second.workers;
+        load->second.capacity += worker.entry.capacity.cpuMillis;
+    }
+    for (const auto &[key, run] : tables.runs) {
+        const auto &worker = tables.workers.at(run.worker);
+        const auto load = loads.find(worker.entry.pool);
+        if (load != loads.end() && isUsable(worker, now)) {
+            (run.longRunning ? load->second.longRunningHeld : load->second.batchHeld) +=
+                run.held.cpuMillis;
         }
     }
     for (const auto &[id, job] : tables.jobs) {
         const auto queue = tables.queues.find(job.queue);
-        if (queue != tables.queues.end() && queue->second->pool == pool && !job.ending
-            && !job.longRunning) {
-            ++load.liveJobs;
-            addWaitingWork(load, tables, job);
+        if (queue == tables.queues.end() || job.ending || job.longRunning) {
+            continue;
+        }
+        const auto load = loads.find(queue->second->pool);
+        if (load != loads.end()) {
+            ++load->second.liveJobs;
+            addWaitingWork(load->second, tables, job);
         }
     }
-    return load;
+    return loads;
 }
 
 } // namespace ibishinge::fleet
--- a/src/fleet/pool_sizing.cpp
+++ b/src/fleet/pool_sizing.cpp
@@ -107,13 +107,20 @@
 void removeCompletedMoves(const fleet_tables &tables, pool_sizing_state &state, instant now)
 {
     constexpr milliseconds longestMove {6000};
+    if (state.moves.empty()) {
+        return;
+    }
+    std::set<std::string> arrivedHosts;
+    for (const auto &[id, worker] : tables.workers) {
+        const auto move = state.moves.find(worker.entry.host);
+        if (move != state.moves.end() && worker.registered
+            && worker.entry.pool == move->second.to) {
+            arrivedHosts.insert(move->first);
+        }
+    }
     for (auto move = state.moves.begin(); move != state.moves.end();) {
         const auto &each = move->second;
-        const bool arrived =
-            std::any_of(tables.workers.begin(), tables.workers.end(), [&](const auto &entry) {
-                return entry.second.entry.host == each.host && entry.second.registered
-                       && entry.second.entry.pool == each.to;
-            });
+        const bool arrived = arrivedHosts.count(each.host) > 0;
         const auto listed = tables.hosts.find(each.host);
         const bool spare = tables.hostsReadAt > each.orderedAt && listed != tables.hosts.end()
                            && listed->second.pool == each.to
@@ -127,35 +134,43 @@
     }
 }
 
-/// Measures the demand and the hosts of a pool, and updates its peak.
-pool_demand measureDemand(fleet_tables &tables, pool_sizing_state &state,
-                          const maintenance_state &maintenance, const std::string &name,
-                          double hostCores, instant now)
+/// Counts the hosts of the pools and finds the idle ones. Visits each worker once.
+void countPoolHosts(const fleet_tables &tables, const pool_sizing_state &state,
+                    const maintenance_state &maintenance, std::map<std::string, pool_demand> &pools,
+                    instant now)
 {
-    pool_demand pool;
-    pool.name = name;
-    pool.load = measurePool(tables, name, now);
     for (const auto &[id, worker] : tables.workers) {
-        if (worker.entry.pool != name || !worker.registered
-            || worker.entry.state != worker_state::ready
+        const auto pool = pools.find(worker.entry.pool);
+        if (pool == pools.end() || !worker.registered || worker.entry.state != worker_state::ready
             || worker.failedPolls >= failedPollsOfLostWorker) {
             continue;
         }
-        ++pool.hosts;
+        ++pool->second.hosts;
         const auto since = state.idleSince.find(id);
         if (since != state.idleSince.end() && isUsable(worker, now) && !worker.entry.host.empty()
             && state.moves.count(worker.entry.host) == 0
             && !isInMaintenance(maintenance, worker.entry.host)) {
-            pool.idle.push_back({since->second, worker.entry.host});
+            pool->second.idle.push_back({since->second, worker.entry.host});
         }
     }
-    std::sort(pool.idle.begin(), pool.idle.end(),
-              [](const idle_host &a, const idle_host &b) { return a.since < b.since; });
+    for (auto &[name, pool] : pools) {
+        std::sort(pool.idle.begin(), pool.idle.end(),
+                  [](const idle_host &a, const idle_host &b) { return a.since < b.since; });
+    }
     for (const auto &[host, move] : state.moves) {
-        pool.hosts += move.to == name ? 1 : 0;
-        pool.hosts -= move.from == name ? 1 : 0;
+        if (const auto to = pools.find(move.to); to != pools.end()) {
+            ++to->second.hosts;
+        }
+        if (const auto from = pools.find(move.from); from != pools.end()) {
+            --from->second.hosts;
+        }
     }
-    auto &memory = state.pools[name];
+}
+
+/// Sets how many hosts a pool wants, and updates its peak.
+void updateDemand(pool_sizing_state &state, pool_demand &pool, double hostCores, instant now)
+{
+    auto &memory = state.pools[pool.name];
     const double demand =
         static_cast<double>(pool.load.longRunningHeld + pool.load.batchHeld)
         + (pool.load.waitingWork / waitingWorkTargetMs + pool.load.laterWork / laterWorkTargetMs)
@@ -167,7 +182,6 @@
     memory.peaking =
         memory.lastPeakAt != instant {} && since(memory.lastPeakAt, now) < peakHoldTime;
     pool.wanted = static_cast<int>(std::ceil(demand / hostCores)) + reserveHosts;
-    return pool;
 }
 
 /// Returns true when the workers of all hosts that should run one have registered, or the wait has
@@ -211,24 +225,29 @@
         return {};
     }
     std::string spareName;
-    std::vector<pool_demand> pools;
+    std::map<std::string, pool_demand> pools;
     const double hostCores = coresOfHost(tables);
-    for (const auto &[name, rule] : tables.config.pools) {
-        if (rule.spare) {
+    for (const auto &[name, load] : measurePools(tables, now)) {
+        if (tables.config.pools.at(name).spare) {
             spareName = name;
         } else {
-            pools.push_back(measureDemand(tables, state, maintenance, name, hostCores, now));
+            pools[name].name = name;
+            pools[name].load = load;
         }
     }
+    countPoolHosts(tables, state, maintenance, pools, now);
+    for (auto &[name, pool] : pools) {
+        updateDemand(state, pool, hostCores, now);
+    }
     instant oldestPeak = now;
-    for (const auto &pool : pools) {
-        const auto &memory = state.pools.at(pool.name);
+    for (const auto &[name, pool] : pools) {
+        const auto &memory = state.pools.at(name);
         if (!memory.peaking) {
             oldestPeak = std::min(oldestPeak, memory.lastPeakAt);
         }
     }
-    for (auto &pool : pools) {
-        const auto &memory = state.pools.at(pool.name);
+    for (auto &[name, pool] : pools) {
+        const auto &memory = state.pools.at(name);
         pool.returnsHosts = !memory.peaking && memory.lastPeakAt > oldestPeak;
         if (!pool.returnsHosts) {
             pool.wanted = std::max(pool.wanted, memory.baselineHosts);
@@ -254,7 +273,7 @@
     // The pools with the most recent peak are the last to need their hosts again.
     std::vector<pool_demand *> donors;
     donors.reserve(pools.size());
-    for (auto &pool : pools) {
+    for (auto &[name, pool] : pools) {
         donors.push_back(&pool);
     }
     std::sort(donors.begin(), donors.end(), [&](const pool_demand *a, const pool_demand *b) {
@@ -262,7 +281,7 @@
     });
     std::vector<pool_demand *> receivers;
     receivers.reserve(pools.size());
-    for (auto &pool : pools) {
+    for (auto &[name, pool] : pools) {
         receivers.push_back(&pool);
     }
     std::sort(receivers.begin(), receivers.end(), [](const pool_demand *a, const pool_demand *b) {
