Do not poll workers that an accepted order has ended

Cause: after an accepted move or maintenance order a worker without runs was unregistered and unverified, but its lease bound stayed, so that it counted as reachable and was polled every 80 to 800 ms for four seconds. Each of these calls fails and logs. A peak moves hundreds of hosts: work that nobody needs any longer, done while the processor is the bottleneck.

Change: the bound ends with the order that ended the worker.

--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -311,6 +311,7 @@
         if (worker.entry.host == host && worker.runs.empty()) {
             worker.registered = false;
             worker.verified = false;
+            worker.leasesEndBy = m_timers.now(); // it has ended, so there is nobody to poll
         }
     }
 }
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -324,6 +324,7 @@
 
     std::set<std::string> unansweredStops; ///< workers whose stops fail
     int workerCalls = 0; ///< of all kinds
+    int pollsOfEndedWorkers = 0;
     int renewals = 0; ///< of leases, sent
     milliseconds pollTime {2}; ///< until a look is answered
     milliseconds storeTime {5}; ///< until the store answers
@@ -472,6 +473,7 @@
         ++workerCalls;
         m_world.loop.after(pollTime, [=, this] {
             auto &at = m_world.workers.at(worker.id);
+            pollsOfEndedWorkers += at.alive ? 0 : 1;
             if (workersCut || !at.alive || !at.reachable) {
                 fail<worker_report>(done, error_kind::outcome_unknown);
                 return;
--- a/tests/pool_sizing_test.cpp
+++ b/tests/pool_sizing_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST_SUITE(pool_sizing_test);
     CPPUNIT_TEST(hostsMoveToPoolsInDemand);
     CPPUNIT_TEST(moveDoesNotEndRuns);
+    CPPUNIT_TEST(workersOfMovedHostsAreNotPolled);
     CPPUNIT_TEST(noMoveBeforeAllWorkersRegistered);
     CPPUNIT_TEST(assignedHostCountsSurviveRestart);
     CPPUNIT_TEST(movingHostIsNotSelectedForMaintenance);
@@ -170,6 +171,17 @@
         CPPUNIT_ASSERT(!cut);
     }
 
+    /// Guards against calls to workers that a move has ended, which fail until their leases would
+    /// have expired.
+    void workersOfMovedHostsAreNotPolled()
+    {
+        fleet_world fleet(4);
+        addHosts(fleet, 2);
+        replay(fleet);
+        CPPUNIT_ASSERT(!fleet.world.moved.empty());
+        CPPUNIT_ASSERT_EQUAL(0, fleet.processes.at("only").platform->pollsOfEndedWorkers);
+    }
+
     /// Fault: while workers were still starting, their pools appeared too small, and the first pool
     /// received all spare hosts.
     void noMoveBeforeAllWorkersRegistered()
