Stop comparing a submission with hosts once one can run it

Change: the search ends with the first host that can run the step.

Result: same verdicts; fleet_test and fleet_load_test pass.

--- a/src/fleet/admission.cpp
+++ b/src/fleet/admission.cpp
@@ -29,20 +29,24 @@
                           const std::string &pool)
 {
     step_fit fit;
+    // Returns true once a host is found that can run the step.
     const auto consider = [&](const resources &capacity, const std::vector<std::string> &labels) {
         fit.hostsKnown = true;
         if (fits(heldBy(step), capacity) && step.need.cpuMillis <= capacity.cpuMillis) {
             fit.anyFits = true;
-            fit.anyLabelled = fit.anyLabelled || hasLabel(labels, step.requiredLabel);
+            fit.anyLabelled = hasLabel(labels, step.requiredLabel);
         }
+        return fit.anyLabelled;
     };
     for (const auto &[id, worker] : tables.workers) {
-        if (worker.entry.pool == pool) {
-            consider(worker.entry.capacity, worker.entry.labels);
+        if (worker.entry.pool == pool && consider(worker.entry.capacity, worker.entry.labels)) {
+            return fit;
         }
     }
     for (const auto &[name, host] : tables.hosts) {
-        consider(host.capacity, host.labels);
+        if (consider(host.capacity, host.labels)) {
+            return fit;
+        }
     }
     return fit;
 }
