Check runs and reports without look-ups that decide nothing

Cause: every 100 ms each running run was looked up by job, task and queue before its state was looked at, and each report of a worker built a set of copies of the names that it lists.

Change: the phase and the age of the progress are compared first; a listed run carries the number of the report. The outcome is the same.

Result: fleet_test, unanswered_start_test, worker_relay_test, pool_sizing_test, progress_flush_test and fleet_load_test pass.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -179,9 +179,9 @@
     void finishTasks(job_entry &job, const task_name &name);
     void applyFailure(worker_status &worker, job_entry &job, task_entry &task, const run_end &end);
     void applyRunning(worker_status &worker, const running_task &seen);
-    /// Removes runs that the report should list but does not: stopped ones at once, running ones if
-    /// the report before did not list them either.
-    void removeUnlistedRuns(worker_status &worker, const worker_report &report, instant sentAt);
+    /// Removes runs that the report being applied should list but does not: stopped ones at once,
+    /// running ones if the report before did not list them either.
+    void removeUnlistedRuns(worker_status &worker, instant sentAt);
     void releaseTask(const run_key &key);
     void stopGangMembers(const task_name &member);
     void stopRunsOf(const std::string &job, std::string_view reason);
@@ -270,6 +270,7 @@
     instant m_lastProcessStallAt; ///< end of the last stall; epoch: none
     milliseconds m_longestTickDelay {0}; ///< since the last summary
     int m_unansweredStarts = 0; ///< since the last summary
+    std::int64_t m_reportNumber = 0; ///< number of the report being applied
     int m_reports = 0; ///< reports of workers since the last summary
     /// Ends since the last summary that were applied before, listed again for want of an
     /// acknowledgement.
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -67,6 +67,7 @@
     bool callPending = false; ///< a start or stop request has not been answered yet
     bool stopAnswered = false; ///< the worker answered the stop request
     instant stopSentAt;
+    std::int64_t listedInReport = 0; ///< number of the last report that listed the run
     /// The last report did not list the run; it is removed if the next one does not either.
     bool missingFromReport = false;
 };
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -178,6 +178,7 @@
     auto &worker = m_tables.workers.at(id);
     const auto now = m_timers.now();
     ++m_reports;
+    ++m_reportNumber;
     if (report.fenced) {
         logEvent(log_level::warning, "deposed_by_worker",
                  {{"worker", id}, {"token", m_leadership.fencingToken}});
@@ -228,7 +229,7 @@
         applyRunning(worker, seen);
     }
     if (report.ended.size() < maxReportedEnds) {
-        removeUnlistedRuns(worker, report, sentAt);
+        removeUnlistedRuns(worker, sentAt);
     }
     updateMixedWorkloads(m_tables, worker);
     if (worker.processedEnd > endsBefore) {
@@ -399,6 +400,7 @@
             run.percent = seen.percent;
             run.progressAt = now;
         }
+        run.listedInReport = m_reportNumber;
         run.missingFromReport = false;
         run.usage = seen.usage;
         run.checkpoint = seen.checkpoint;
@@ -419,6 +421,7 @@
     run.percent = seen.percent;
     run.checkpoint = seen.checkpoint;
     run.usage = seen.usage;
+    run.listedInReport = m_reportNumber;
     auto *task = findTask(m_tables, seen.task);
     const bool live = task != nullptr && !m_tables.jobs.at(seen.task.job).ending;
     if (task != nullptr) {
@@ -447,17 +450,12 @@
     orderStop(key, live ? "second_run" : "no_live_task");
 }
 
-void coordinator::removeUnlistedRuns(worker_status &worker, const worker_report &report,
-                                     instant sentAt)
+void coordinator::removeUnlistedRuns(worker_status &worker, instant sentAt)
 {
-    std::set<run_key> listed;
-    for (const auto &seen : report.running) {
-        listed.insert({seen.task, seen.run});
-    }
     std::vector<run_key> gone;
     for (const auto &key : worker.runs) {
         auto &run = m_tables.runs.at(key);
-        if (listed.count(key) > 0 || run.callPending || run.confirmedAt >= sentAt) {
+        if (run.listedInReport == m_reportNumber || run.callPending || run.confirmedAt >= sentAt) {
             continue;
         }
         if (run.phase == run_phase::stopping && run.stopAnswered) {
@@ -703,14 +701,14 @@
     std::vector<run_key> toStop;
     const auto now = m_timers.now();
     for (auto &[key, run] : m_tables.runs) {
-        if (run.callPending) {
+        if (run.callPending || run.phase == run_phase::running) {
             continue;
         }
-        const bool live =
-            findTask(m_tables, key.task) != nullptr && !m_tables.jobs.at(key.task.job).ending;
         if (run.phase == run_phase::starting) {
             // The order may have been carried out or may still be. Repeating it is safe: the worker
             // gives the same answer. On a silent worker the lease of the run expires.
+            const bool live =
+                findTask(m_tables, key.task) != nullptr && !m_tables.jobs.at(key.task.job).ending;
             if (!live) {
                 toStop.push_back(key);
             } else if (m_tables.workers.at(run.worker).verified) {
@@ -760,9 +758,12 @@
     const auto now = m_timers.now();
     std::vector<run_key> toStop;
     for (const auto &[key, run] : m_tables.runs) {
+        if (run.phase != run_phase::running || run.longRunning || run.speedPercent != 100
+            || since(run.progressAt, now) <= stuckRunTimeout) {
+            continue;
+        }
         const auto job = m_tables.jobs.find(key.task.job);
-        if (run.phase != run_phase::running || run.longRunning || job == m_tables.jobs.end()
-            || run.speedPercent != 100) {
+        if (job == m_tables.jobs.end()) {
             continue;
         }
         const auto &step = job->second.spec.steps[static_cast<std::size_t>(key.task.step)];
@@ -771,7 +772,7 @@
         const auto &worker = m_tables.workers.at(run.worker);
         const bool reportIsYoung = since(worker.reportAt, now) < maxReportAge;
         if (worker.verified && reportIsYoung && !step.gang
-            && since(run.progressAt, now) > std::max(stuckRunTimeout, expected)) {
+            && since(run.progressAt, now) > expected) {
             toStop.push_back(key);
         }
     }
