--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -79,6 +79,39 @@
         worker.ended.clear();
     }
 
+    /// Crashes a worker and brings it back on the same host after `crashDownTime`: as the same
+    /// entry of the registry if `restartsInPlace`, else as a new one.
+    void crashAndReturn(const std::string &id)
+    {
+        crash(id);
+        const auto host = workers.at(id).entry.host;
+        if (restartsInPlace) {
+            loop.after(crashDownTime, [this, id] {
+                auto &worker = workers.at(id);
+                worker.alive = true;
+                worker.entry.incarnation = ++lives;
+                worker.startedAt = loop.now();
+                worker.leaseEnd = {};
+                worker.fence = 0;
+                worker.endCount = 0;
+                worker.closedRuns.clear();
+                putItem("workers/" + id, id, 0);
+            });
+            return;
+        }
+        hosts.at(host).worker.clear();
+        loop.after(crashDownTime, [this, id, host] {
+            deleteItem("workers/" + id);
+            const auto &before = workers.at(id).entry;
+            const auto fresh = "w" + std::to_string(lives + 1);
+            auto &worker = addWorker(fresh, before.pool, before.capacity.cpuMillis);
+            hosts.erase(worker.entry.host);
+            worker.entry.host = host;
+            hosts.at(host).worker = fresh;
+            putItem("workers/" + fresh, fresh, 0);
+        });
+    }
+
     void putItem(const std::string &key, const std::string &value, std::int64_t lease)
     {
         auto &item = items[key];
@@ -211,6 +244,19 @@
             });
         }
         worker.running[order.task] = run;
+        if (planned.crashesWorker) {
+            ++startsOfDeadlyTasks[order.task];
+            loop.after(crashDelay,
+                       [this, id = worker.entry.id, order, incarnation = worker.entry.incarnation] {
+                           auto &at = workers.at(id);
+                           const auto found = at.running.find(order.task);
+                           if (at.alive && at.entry.incarnation == incarnation
+                               && found != at.running.end() && found->second.run == order.run) {
+                               ++crashesByTask[order.task];
+                               crashAndReturn(id);
+                           }
+                       });
+        }
         return {run_command_outcome::running, clock};
     }
 
@@ -252,6 +298,7 @@
     {
         milliseconds duration {500}; ///< 0: runs until it is stopped
         bool fails = false;
+        bool crashesWorker = false; ///< `crashDelay` after its start
     };
 
     void notify(const store_item &item)
@@ -279,6 +326,11 @@
     configuration config;
     std::vector<maintenance_wave> waves;
     int maxAttempts = 2;
+    milliseconds crashDelay {50};
+    milliseconds crashDownTime {1500};
+    bool restartsInPlace = false; ///< a crashed worker keeps its entry in the registry
+    std::map<task_name, int> startsOfDeadlyTasks;
+    std::map<task_name, int> crashesByTask;
     std::set<task_name> doneTasks;
     std::map<task_name, int> failures;
     std::vector<std::string> violations;
--- /dev/null
+++ b/tests/deadly_task_test.cpp
@@ -0,0 +1,225 @@
+#include "tests/support/fleet_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+
+using namespace ibishinge;
+using namespace ibishinge::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int workersOfPool = 6;
+constexpr int harmlessJobs = 60;
+constexpr int tasksOfJob = 4;
+
+/// After this many crashes a task may be started at most `toleratedStarts` times more.
+constexpr int provingCrashes = 3;
+constexpr int toleratedStarts = 2;
+
+std::string pathOf(int number)
+{
+    const auto digits = std::to_string(number);
+    return "/pool-a/" + std::string(16 - digits.size(), '0') + digits;
+}
+
+std::string idOf(int number)
+{
+    return pathOf(number).substr(std::string("/pool-a/").size());
+}
+
+constexpr int firstDeadlyJob = 900;
+
+bool isDeadly(const task_name &task)
+{
+    return task.job >= idOf(firstDeadlyJob) && task.index == 1;
+}
+
+} // namespace
+
+/// Guards against a task that crashes each worker that starts it, and is started again without end,
+/// with all that runs beside it lost each time.
+class deadly_task_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(deadly_task_test);
+    CPPUNIT_TEST(deadlyTaskIsGivenUp);
+    CPPUNIT_TEST(deadlyTaskIsGivenUpIfWorkersKeepTheirIds);
+    CPPUNIT_TEST(crashesAreRememberedAfterTakeovers);
+    CPPUNIT_TEST(crashesAreRememberedWhileTheStoreIsAway);
+    CPPUNIT_TEST(deadlyLongRunningTaskIsGivenUp);
+    CPPUNIT_TEST(deadlyGangIsGivenUp);
+    CPPUNIT_TEST(severalDeadlyTasksCondemnNoOthers);
+    CPPUNIT_TEST(unrelatedCrashesCondemnNoTask);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<fleet_world> m_fleet;
+
+    void submit(int number, const job_spec &spec)
+    {
+        caller_request request;
+        request.operation = caller_operation::submit;
+        request.host = "jobs.example";
+        request.path = pathOf(number);
+        request.key = "key-north";
+        request.callerTimeout = 3000ms;
+        request.spec = spec;
+        auto &through = *m_fleet->processes.rbegin();
+        through.second.node->handle(request, [](const caller_answer &) {});
+    }
+
+    /// Submits jobs without deadly tasks for six seconds, and `deadlyJobs` jobs with one each in
+    /// the first second.
+    void submitAll(int deadlyJobs, const job_spec &deadlySpec)
+    {
+        for (int i = 0; i < harmlessJobs; ++i) {
+            m_fleet->loop.after(milliseconds(100 * i),
+                                [this, i] { submit(i, simpleJob(tasksOfJob)); });
+        }
+        for (int i = 0; i < deadlyJobs; ++i) {
+            m_fleet->loop.after(milliseconds(350 + 70 * i),
+                                [this, i, deadlySpec] { submit(firstDeadlyJob + i, deadlySpec); });
+        }
+    }
+
+    void checkHarmlessJobsComplete()
+    {
+        auto &through = m_fleet->processes.rbegin()->second;
+        for (int i = 0; i < harmlessJobs; ++i) {
+            const bool completed =
+                m_fleet->waitForState(through, pathOf(i), job_state::completed, 20s);
+            CPPUNIT_ASSERT_MESSAGE("job " + std::to_string(i), completed);
+        }
+        CPPUNIT_ASSERT(m_fleet->world.violations.empty());
+    }
+
+    void checkDeadlyJobsAreGivenUp(int deadlyJobs)
+    {
+        auto &through = m_fleet->processes.rbegin()->second;
+        for (int i = 0; i < deadlyJobs; ++i) {
+            CPPUNIT_ASSERT_MESSAGE(
+                "deadly job " + std::to_string(i),
+                m_fleet->waitForState(through, pathOf(firstDeadlyJob + i), job_state::failed, 40s));
+        }
+        for (const auto &[task, crashes] : m_fleet->world.crashesByTask) {
+            CPPUNIT_ASSERT_MESSAGE(task.job + ": " + std::to_string(crashes) + " crashes",
+                                   crashes <= provingCrashes + toleratedStarts);
+        }
+    }
+
+public:
+    void setUp() override
+    {
+        m_fleet = std::make_unique<fleet_world>(workersOfPool);
+        m_fleet->world.behaviourOf = [](const task_name &task) {
+            return virtual_world::behaviour {isDeadly(task) ? 0ms : 500ms, false, isDeadly(task)};
+        };
+        for (const std::string name : {"one", "two", "three"}) {
+            m_fleet->addProcess(name);
+        }
+        CPPUNIT_ASSERT(m_fleet->waitForLeader());
+        m_fleet->loop.run(1s);
+    }
+
+    void deadlyTaskIsGivenUp()
+    {
+        submitAll(1, simpleJob(tasksOfJob));
+        checkDeadlyJobsAreGivenUp(1);
+        checkHarmlessJobsComplete();
+    }
+
+    void deadlyTaskIsGivenUpIfWorkersKeepTheirIds()
+    {
+        m_fleet->world.restartsInPlace = true;
+        submitAll(1, simpleJob(tasksOfJob));
+        checkDeadlyJobsAreGivenUp(1);
+        checkHarmlessJobsComplete();
+    }
+
+    /// The coordinator is killed whenever a crash has been stored for a second.
+    void crashesAreRememberedAfterTakeovers()
+    {
+        submitAll(1, simpleJob(tasksOfJob));
+        const auto crashes = [this] {
+            int sum = 0;
+            for (const auto &[task, count] : m_fleet->world.crashesByTask) {
+                sum += count;
+            }
+            return sum;
+        };
+        for (int seen = 1; seen <= 2; ++seen) {
+            CPPUNIT_ASSERT(m_fleet->loop.runUntil([&] { return crashes() >= seen; }, 20s));
+            m_fleet->loop.run(2500ms);
+            if (auto *const leader = m_fleet->leader()) {
+                m_fleet->kill(leader->name, true);
+            }
+        }
+        checkDeadlyJobsAreGivenUp(1);
+        checkHarmlessJobsComplete();
+    }
+
+    /// The store answers nobody from the first crash on for three seconds; then another process
+    /// coordinates.
+    void crashesAreRememberedWhileTheStoreIsAway()
+    {
+        submitAll(1, simpleJob(tasksOfJob));
+        CPPUNIT_ASSERT(
+            m_fleet->loop.runUntil([this] { return !m_fleet->world.crashesByTask.empty(); }, 20s));
+        for (auto &[name, process] : m_fleet->processes) {
+            process.platform->storeCut = true;
+        }
+        m_fleet->loop.run(3s);
+        for (auto &[name, process] : m_fleet->processes) {
+            process.platform->storeCut = false;
+        }
+        checkDeadlyJobsAreGivenUp(1);
+    }
+
+    void deadlyLongRunningTaskIsGivenUp()
+    {
+        auto spec = simpleJob(tasksOfJob);
+        spec.steps.front().longRunning = true;
+        submitAll(1, spec);
+        checkDeadlyJobsAreGivenUp(1);
+        checkHarmlessJobsComplete();
+    }
+
+    void deadlyGangIsGivenUp()
+    {
+        auto spec = simpleJob(tasksOfJob);
+        spec.steps.front().gang = true;
+        submitAll(1, spec);
+        checkDeadlyJobsAreGivenUp(1);
+        checkHarmlessJobsComplete();
+    }
+
+    void severalDeadlyTasksCondemnNoOthers()
+    {
+        constexpr int deadlyJobs = 4;
+        submitAll(deadlyJobs, simpleJob(tasksOfJob));
+        checkDeadlyJobsAreGivenUp(deadlyJobs);
+        checkHarmlessJobsComplete();
+    }
+
+    /// Every worker of the pool crashes three times, as in outages of a rack, with no deadly task.
+    void unrelatedCrashesCondemnNoTask()
+    {
+        submitAll(0, {});
+        for (int round = 0; round < 3; ++round) {
+            m_fleet->loop.run(1500ms);
+            std::vector<std::string> ids;
+            for (const auto &[id, worker] : m_fleet->world.workers) {
+                if (worker.alive && worker.entry.pool == "pool-a") {
+                    ids.push_back(id);
+                }
+            }
+            for (const auto &id : ids) {
+                m_fleet->world.crashAndReturn(id);
+            }
+        }
+        checkHarmlessJobsComplete();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(deadly_task_test);
