Observe suspects at their start instead of running them alone

Cause: suspects had to run alone from beginning to end, and to be alone twice after two crashes beside others: four crashes a task, and a queue of suspects for emptied workers.

Change: a task that crashes its workers does so soon after its start. A suspect starts on a worker whose other runs have run for half a second, which then starts nothing else until a report shows that the suspect has run for as long; two crashes meanwhile prove it. The time grows with each crash, so that a late one is found too. Crashes of several workers without suspects at one time are an outage and prove nothing.

--- a/include/ibishinge/fleet/placement.h
+++ b/include/ibishinge/fleet/placement.h
@@ -51,11 +51,11 @@
                                  const resources &need);
 
 /// Returns the worker for the task with index `index`, or null if none has enough free resources or
-/// permits the isolation that the task needs. If `tickets` is not
+/// may start it now without mixing up the causes of a crash. If `tickets` is not
 /// null, only workers with a ticket are considered. Updates the upper bound in `candidates`. Not
 /// thread-safe.
 [[nodiscard]] worker_status *chooseWorker(const fleet_tables &tables, pool_candidates &candidates,
                                           const waiting_step &where, int index,
-                                          const step_tickets *tickets);
+                                          const step_tickets *tickets, instant now);
 
 } // namespace ibishinge::fleet
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -41,13 +41,6 @@
     friend auto operator<=>(const run_key &, const run_key &) = default; // NOLINT
 };
 
-/// How a run is separated from others, because workers crashed under earlier runs of its task.
-enum class run_isolation : std::uint8_t {
-    none,
-    apart, ///< no other run with an isolation is on the worker
-    alone, ///< no run but long-running ones without an isolation is on the worker
-};
-
 /// A run that exists on a worker, or may exist there.
 struct run_entry
 {
@@ -69,7 +62,9 @@
     bool serving = false; ///< `tailTarget` is set
     milliseconds tailTarget {0};
     bool bestEffort = false; ///< uses spare processor time only
-    run_isolation isolation = run_isolation::none; ///< changed by `setIsolation`
+    /// Under observation: workers crashed under earlier runs of the task, so no other run is
+    /// started beside this one until it has run for a while. Changed by `endObservation`.
+    bool observed = false;
     std::string ticket; ///< ticket of the advice service that is sent with the start
     int orders = 0; ///< number of start requests sent for this run
     bool callPending = false; ///< a start or stop request has not been answered yet
@@ -107,7 +102,7 @@
     instant notBefore;
     std::string avoidWorker; ///< worker on which the last run failed or made no progress
     int crashes = 0; ///< workers that crashed while they had a run of the task
-    int crashesAlone = 0; ///< of these, workers on which the task ran alone
+    int observedCrashes = 0; ///< of these, crashes during the observation of the run
     int storedCrashes = 0; ///< value of `crashes` in the store
     std::optional<suspect_run> suspectRun; ///< current run, if the task is suspected
 };
@@ -195,8 +190,8 @@
     instant unreachableSince; ///< time of the first of the consecutive failures
     resources held;
     std::set<run_key> runs;
-    int runsAlone = 0; ///< number of runs with `run_isolation::alone`
-    /// Task that waits until it can run alone here; no other task is started.
+    int observedRuns = 0; ///< number of runs under observation
+    /// Task to be started under observation; no other task is started until then.
     std::optional<task_name> reservedFor;
     instant drainingSince;
     /// Listed in the stored roster, which is required before a run is started.
@@ -232,6 +227,8 @@
     std::map<std::string, worker_status> workers;
     std::map<std::string, resources> customerHeld; ///< resources of all runs, by customer
     std::map<std::string, queue_statistics> statistics; ///< by queue
+    /// When workers without a run under observation crashed, without old crashes.
+    std::vector<instant> recentCrashes;
     std::map<std::string, host_entry> hosts;
     instant hostsReadAt; ///< when the list of hosts was requested; epoch: never
 };
@@ -297,8 +294,8 @@
 /// Removes a run, if it exists, and releases its resources. Not thread-safe.
 void removeRun(fleet_tables &tables, const run_key &key);
 
-/// Changes the isolation of a run. Not thread-safe.
-void setIsolation(fleet_tables &tables, run_entry &run, run_isolation isolation);
+/// Ends the observation of a run. Precondition: it is under observation. Not thread-safe.
+void endObservation(fleet_tables &tables, run_entry &run);
 
 /// Returns the resources that a run of `step` holds on its worker; a best-effort run holds no
 /// processors. Thread-safe.
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -188,7 +188,7 @@
     checkRuns();
     evacuateDrainingWorkers();
     stopStuckRuns();
-    for (const auto &id : endProbations(m_tables, now)) {
+    for (const auto &id : endObservations(m_tables)) {
         markDirty(id);
     }
     adjustThrottling();
@@ -353,15 +353,13 @@
             if (!isWithinLimit(m_tables, job.customer, heldBy(step))) {
                 break;
             }
-            auto *worker = chooseWorker(m_tables, candidates, waitingStep, name.index, tickets);
+            auto *worker =
+                chooseWorker(m_tables, candidates, waitingStep, name.index, tickets, now);
+            if (worker == nullptr && isSuspected(job, name)) {
+                reserveWorker(m_tables, candidates, waitingStep, name, tickets, now);
+                continue; // others of the step may be started
+            }
             if (worker == nullptr) {
-                const auto isolation = isolationOf(job, name);
-                if (isolation == run_isolation::alone) {
-                    reserveWorker(m_tables, candidates, waitingStep, name, tickets);
-                }
-                if (isolation != run_isolation::none) {
-                    continue; // others of the step may fit
-                }
                 break;
             }
             const auto proof =
@@ -398,7 +396,7 @@
     entry.progressAt = now;
     entry.checkpoint = task.checkpoint;
     entry.ticket = proof;
-    const bool suspected = entry.isolation != run_isolation::none;
+    const bool suspected = entry.observed;
     addRun(m_tables, std::move(entry));
     task.phase = task_phase::placed;
     task.currentRun = run;
@@ -444,7 +442,6 @@
     if (!areCrashesStored(job, first)) {
         return;
     }
-    const auto isolation = isolationOf(job, first);
     std::int64_t starts = 0;
     for (const auto &task : tasks) {
         if (task.phase != task_phase::waiting || task.notBefore > now) {
@@ -468,13 +465,13 @@
     const auto freeResourcesBefore = candidates.maxFreeResources;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         auto *worker =
-            chooseWorker(m_tables, candidates, waitingStep, static_cast<int>(index), tickets);
+            chooseWorker(m_tables, candidates, waitingStep, static_cast<int>(index), tickets, now);
         if (worker == nullptr) {
             for (const auto &key : placed) {
                 removeRun(m_tables, key);
             }
-            if (isolation == run_isolation::alone) {
-                reserveWorker(m_tables, candidates, waitingStep, first, tickets);
+            if (isSuspected(job, first)) {
+                reserveWorker(m_tables, candidates, waitingStep, first, tickets, now);
             }
             // Removing the runs has freed their resources, so that a smaller task may still fit.
             candidates.maxFreeResources = freeResourcesBefore;
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -57,6 +57,10 @@
 /// that the end is seen soon.
 constexpr milliseconds stoppingPollWait {150};
 
+/// Time that a worker waits before it answers a poll while a run is under observation, which ends
+/// with a report.
+constexpr milliseconds observationPollWait {150};
+
 /// Margin for the time from the computation of a lease until the order is sent.
 constexpr milliseconds sendDelayMargin {60};
 
@@ -150,6 +154,9 @@
     if (stopping) {
         return stoppingPollWait;
     }
+    if (worker.observedRuns > 0) {
+        return observationPollWait;
+    }
     if (longRunning && m_maintenanceOpen) {
         return maintenancePollWait;
     }
@@ -490,7 +497,7 @@
     if (lost.empty() || worker.entry.state == worker_state::draining || worker.cordoned) {
         return;
     }
-    const auto outcome = recordCrash(m_tables, lost);
+    const auto outcome = recordCrash(m_tables, worker, lost, m_timers.now());
     auto suspects = nlohmann::json::array();
     for (const auto &key : lost) {
         suspects.push_back(describeRun(key));
@@ -507,7 +514,7 @@
         }
         job.failureReason = "task " + std::to_string(name.step) + "." + std::to_string(name.index)
                             + " crashed " + std::to_string(provingCrashes)
-                            + " workers on which it ran alone";
+                            + " workers under observation";
         endJob(job, job_state::failed);
     }
 }
--- a/src/fleet/crash_isolation.cpp
+++ b/src/fleet/crash_isolation.cpp
@@ -1,18 +1,19 @@
 #include <ibishinge/fleet/crash_isolation.h>
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace ibishinge::fleet {
 
 namespace {
 
-/// Number of crashes after which a task has to run alone.
-constexpr int crashesBeforeAlone = 2;
+/// Time after which a run that has begun is not expected to crash its worker any more.
+constexpr milliseconds settlingTime {500};
 
-/// Time for which a long-running task is isolated after one crash; it doubles with each further
-/// crash, so that a task that crashes its worker later is found too.
-constexpr milliseconds shortestProbation {2000};
-constexpr int maxProbationDoublings = 5;
+/// Each crash after the first multiplies the time of observation, so that a task that crashes its
+/// worker later than `settlingTime` is found too.
+constexpr int observationGrowth = 4;
+constexpr int maxObservationGrowths = 3;
 
 /// A long-running task that has run for this long without a crash is no longer suspected.
 constexpr milliseconds crashMemory {120'000};
@@ -20,9 +21,21 @@
 /// Largest part of a pool's workers that may be reserved at the same time.
 constexpr std::size_t workersPerReservation = 4;
 
-milliseconds probationOf(int crashes)
+/// A crash is part of an outage if at least `workersOfOutage` other workers, on which no run was
+/// under observation, crashed within this time of it.
+constexpr milliseconds outageSpread {250};
+constexpr int workersOfOutage = 2;
+
+/// Longest time from the first failed poll until the crash is proved.
+constexpr milliseconds longestCrashProof {10'000};
+
+milliseconds observationTime(int crashes)
 {
-    return shortestProbation * (1 << std::clamp(crashes - 1, 0, maxProbationDoublings));
+    auto time = settlingTime;
+    for (int i = 1; i < std::min(crashes, maxObservationGrowths + 1); ++i) {
+        time *= observationGrowth;
+    }
+    return time;
 }
 
 const task_entry &taskAt(const job_entry &job, const task_name &name)
@@ -42,18 +55,28 @@
            && crashCounterOf(job->second, a) == crashCounterOf(job->second, b);
 }
 
-/// Returns true if the run stays while a task on probation runs beside it: a long-running task that
-/// is not suspected may never end, so no worker would become free of it.
-bool mayStayBesideAlone(const run_entry &run)
+/// Returns when the run has settled, as far as is known at `now`.
+instant settledAt(const run_entry &run, instant now)
 {
-    return run.longRunning && run.isolation == run_isolation::none;
+    return (run.phase == run_phase::starting ? now : run.confirmedAt) + settlingTime;
 }
 
-bool waitsToRunAlone(fleet_tables &tables, const task_name &name)
+/// Returns true if several workers became unreachable at about the same time as this one, and
+/// suspects do not explain it.
+bool isPartOfOutage(const fleet_tables &tables, const worker_status &worker, instant crashedAt)
 {
-    const auto *task = findTask(tables, name);
-    return task != nullptr && task->phase == task_phase::waiting
-           && isolationOf(tables.jobs.at(name.job), name) == run_isolation::alone;
+    const auto isNear = [crashedAt](instant other) {
+        return other - crashedAt <= outageSpread && crashedAt - other <= outageSpread;
+    };
+    const auto crashed =
+        std::count_if(tables.recentCrashes.begin(), tables.recentCrashes.end(), isNear);
+    const auto unreachable =
+        std::count_if(tables.workers.begin(), tables.workers.end(), [&](const auto &each) {
+            const auto &other = each.second;
+            return &other != &worker && other.failedPolls > 0 && !other.runs.empty()
+                   && other.observedRuns == 0 && isNear(other.unreachableSince);
+        });
+    return crashed + unreachable >= workersOfOutage;
 }
 
 } // namespace
@@ -66,16 +89,9 @@
     return name;
 }
 
-run_isolation isolationOf(const job_entry &job, const task_name &name)
+bool isSuspected(const job_entry &job, const task_name &name)
 {
-    if (!job.hasCrashes) {
-        return run_isolation::none;
-    }
-    const int crashes = taskAt(job, crashCounterOf(job, name)).crashes;
-    if (crashes == 0) {
-        return run_isolation::none;
-    }
-    return crashes < crashesBeforeAlone ? run_isolation::apart : run_isolation::alone;
+    return job.hasCrashes && taskAt(job, crashCounterOf(job, name)).crashes > 0;
 }
 
 bool areCrashesStored(const job_entry &job, const task_name &name)
@@ -117,56 +133,70 @@
     }
 }
 
-crash_outcome recordCrash(fleet_tables &tables, const std::vector<run_key> &lost)
+crash_outcome recordCrash(fleet_tables &tables, const worker_status &worker,
+                          const std::vector<run_key> &lost, instant now)
 {
     crash_outcome outcome;
-    std::set<task_name> counters;
+    std::map<task_name, bool> counters; // with true: a run was under observation
     for (const auto &key : lost) {
         const auto *task = findTask(tables, key.task);
         if (task != nullptr && task->phase != task_phase::done
             && !tables.jobs.at(key.task.job).ending) {
-            counters.insert(crashCounterOf(tables.jobs.at(key.task.job), key.task));
+            counters[crashCounterOf(tables.jobs.at(key.task.job), key.task)] |=
+                tables.runs.at(key).observed;
         }
     }
-    for (const auto &name : counters) {
-        const bool alone = std::all_of(lost.begin(), lost.end(), [&](const run_key &key) {
-            return shareCounter(tables, key.task, name) || mayStayBesideAlone(tables.runs.at(key));
-        });
+    // A restart that no poll has run into is noticed by the report that shows it.
+    const bool noticedBefore = since(worker.unreachableSince, now) < longestCrashProof;
+    const auto crashedAt = noticedBefore ? worker.unreachableSince : now;
+    const bool outage = isPartOfOutage(tables, worker, crashedAt);
+    std::erase_if(tables.recentCrashes,
+                  [now](instant at) { return since(at, now) > longestCrashProof; });
+    if (std::none_of(lost.begin(), lost.end(),
+                     [&](const run_key &key) { return tables.runs.at(key).observed; })) {
+        tables.recentCrashes.push_back(crashedAt);
+    }
+    for (const auto &[name, observed] : counters) {
+        const bool onlySuspect =
+            observed
+            && std::all_of(lost.begin(), lost.end(), [&, &counted = name](const auto &key) {
+                   return shareCounter(tables, key.task, counted) || !tables.runs.at(key).observed;
+               });
         auto &counter = *findTask(tables, name);
         ++counter.crashes;
-        counter.crashesAlone += alone ? 1 : 0;
+        counter.observedCrashes += onlySuspect && !outage ? 1 : 0;
         tables.jobs.at(name.job).hasCrashes = true;
         outcome.suspectedJobs.insert(name.job);
-        if (counter.crashesAlone >= provingCrashes) {
+        if (counter.observedCrashes >= provingCrashes) {
             outcome.proven.push_back(name);
         }
     }
     return outcome;
 }
 
-bool permitsIsolation(const fleet_tables &tables, const worker_status &worker,
-                      const task_name &name, run_isolation isolation)
+bool permitsStart(const fleet_tables &tables, const worker_status &worker, const task_name &name,
+                  bool suspected, instant now)
 {
     if (worker.reservedFor && !shareCounter(tables, *worker.reservedFor, name)) {
         return false;
     }
-    if (isolation == run_isolation::none) {
-        return worker.runsAlone == 0;
+    if (!suspected) {
+        return worker.observedRuns == 0;
     }
     return std::all_of(worker.runs.begin(), worker.runs.end(), [&](const run_key &key) {
         const auto &run = tables.runs.at(key);
         return shareCounter(tables, key.task, name)
-               || (isolation == run_isolation::apart ? run.isolation == run_isolation::none
-                                                     : mayStayBesideAlone(run));
+               || (!run.observed && settledAt(run, now) <= now);
     });
 }
 
 void reserveWorker(const fleet_tables &tables, pool_candidates &candidates,
-                   const waiting_step &where, const task_name &name, const step_tickets *tickets)
+                   const waiting_step &where, const task_name &name, const step_tickets *tickets,
+                   instant now)
 {
     const auto &step = where.job->spec.steps[static_cast<std::size_t>(where.step)];
     worker_status *best = nullptr;
-    std::int64_t leastToEnd = 0;
+    std::pair<bool, instant> bestRank;
     std::size_t reserved = 0;
     for (auto *const worker : candidates.usable) {
         if (worker->reservedFor) {
@@ -176,19 +206,20 @@
             ++reserved;
             continue;
         }
-        resources toEnd;
+        if (worker->observedRuns > 0 || !fits(heldBy(step), worker->entry.capacity)
+            || (!step.requiredLabel.empty() && !hasLabel(worker->entry, step.requiredLabel))
+            || (tickets != nullptr && tickets->ticketByWorker.count(worker->entry.id) == 0)) {
+            continue;
+        }
+        // A worker without room now has to finish runs first.
+        std::pair<bool, instant> rank {!fits(heldBy(step), worker->entry.capacity - worker->held),
+                                       now};
         for (const auto &key : worker->runs) {
-            const auto &run = tables.runs.at(key);
-            toEnd = toEnd + (mayStayBesideAlone(run) ? resources {} : run.held);
+            rank.second = std::max(rank.second, settledAt(tables.runs.at(key), now));
         }
-        const bool suitable =
-            worker->runsAlone == 0
-            && fits(heldBy(step), worker->entry.capacity - worker->held + toEnd)
-            && (step.requiredLabel.empty() || hasLabel(worker->entry, step.requiredLabel))
-            && (tickets == nullptr || tickets->ticketByWorker.count(worker->entry.id) > 0);
-        if (suitable && (best == nullptr || toEnd.cpuMillis < leastToEnd)) {
+        if (best == nullptr || rank < bestRank) {
             best = worker;
-            leastToEnd = toEnd.cpuMillis;
+            bestRank = rank;
         }
     }
     const auto limit = std::max<std::size_t>(1, candidates.usable.size() / workersPerReservation);
@@ -200,17 +231,21 @@
 void removeStaleReservations(fleet_tables &tables)
 {
     for (auto &[id, worker] : tables.workers) {
-        if (worker.reservedFor && !waitsToRunAlone(tables, *worker.reservedFor)) {
+        if (!worker.reservedFor) {
+            continue;
+        }
+        const auto *task = findTask(tables, *worker.reservedFor);
+        if (task == nullptr || task->phase != task_phase::waiting) {
             worker.reservedFor.reset();
         }
     }
 }
 
-std::set<std::string> endProbations(fleet_tables &tables, instant now)
+std::set<std::string> endObservations(fleet_tables &tables)
 {
     std::set<std::string> changed;
     for (auto &[key, run] : tables.runs) {
-        if (!run.longRunning || run.phase != run_phase::running) {
+        if (run.phase != run_phase::running || (!run.observed && !run.longRunning)) {
             continue;
         }
         const auto job = tables.jobs.find(key.task.job);
@@ -218,13 +253,14 @@
             continue;
         }
         auto &counter = *findTask(tables, crashCounterOf(job->second, key.task));
-        const auto ranFor = since(run.confirmedAt, now);
-        if (run.isolation != run_isolation::none && ranFor > probationOf(counter.crashes)) {
-            setIsolation(tables, run, run_isolation::none);
+        // Only a report shows that the worker still runs.
+        const auto ranFor = since(run.confirmedAt, tables.workers.at(run.worker).reportAt);
+        if (run.observed && ranFor > observationTime(counter.crashes)) {
+            endObservation(tables, run);
         }
-        if (counter.crashes > 0 && ranFor > crashMemory) {
+        if (run.longRunning && counter.crashes > 0 && ranFor > crashMemory) {
             counter.crashes = 0;
-            counter.crashesAlone = 0;
+            counter.observedCrashes = 0;
             changed.insert(key.task.job);
         }
     }
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -172,10 +172,11 @@
 }
 
 worker_status *chooseWorker(const fleet_tables &tables, pool_candidates &candidates,
-                            const waiting_step &where, int index, const step_tickets *tickets)
+                            const waiting_step &where, int index, const step_tickets *tickets,
+                            instant now)
 {
     const task_name name {where.job->id, where.occurrence, where.step, index};
-    const auto isolation = isolationOf(*where.job, name);
+    const bool suspected = isSuspected(*where.job, name);
     const auto &task =
         where.job->occurrences.at(where.occurrence)
             .steps[static_cast<std::size_t>(where.step)][static_cast<std::size_t>(index)];
@@ -200,7 +201,7 @@
             || (!step.requiredLabel.empty() && !hasLabel(worker.entry, step.requiredLabel))
             || (tickets != nullptr && tickets->ticketByWorker.count(id) == 0)
             || (step.maxPerWorker > 0 && countRunsOfStep(worker, where) >= step.maxPerWorker)
-            || !permitsIsolation(tables, worker, name, isolation)) {
+            || !permitsStart(tables, worker, name, suspected, now)) {
             continue;
         }
         const auto &capacity = worker.entry.capacity;
--- a/src/fleet/tables.cpp
+++ b/src/fleet/tables.cpp
@@ -211,7 +211,7 @@
     run.serving = step.tailTarget.count() > 0;
     run.tailTarget = step.tailTarget;
     run.bestEffort = step.bestEffort;
-    run.isolation = isolationOf(job, key.task);
+    run.observed = isSuspected(job, key.task);
     return run;
 }
 
@@ -221,7 +221,7 @@
     auto &worker = tables.workers[run.worker];
     worker.runs.insert(key);
     worker.held = worker.held + run.held;
-    worker.runsAlone += run.isolation == run_isolation::alone ? 1 : 0;
+    worker.observedRuns += run.observed ? 1 : 0;
     auto &customer = tables.customerHeld[run.customer];
     customer = customer + run.held;
     return tables.runs.insert_or_assign(key, std::move(run)).first->second;
@@ -236,18 +236,16 @@
     auto &worker = tables.workers[found->second.worker];
     worker.runs.erase(key);
     worker.held = worker.held - found->second.held;
-    worker.runsAlone -= found->second.isolation == run_isolation::alone ? 1 : 0;
+    worker.observedRuns -= found->second.observed ? 1 : 0;
     auto &customer = tables.customerHeld[found->second.customer];
     customer = customer - found->second.held;
     tables.runs.erase(found);
 }
 
-void setIsolation(fleet_tables &tables, run_entry &run, run_isolation isolation)
+void endObservation(fleet_tables &tables, run_entry &run)
 {
-    auto &worker = tables.workers[run.worker];
-    worker.runsAlone += isolation == run_isolation::alone ? 1 : 0;
-    worker.runsAlone -= run.isolation == run_isolation::alone ? 1 : 0;
-    run.isolation = isolation;
+    --tables.workers[run.worker].observedRuns;
+    run.observed = false;
 }
 
 resources heldBy(const step_spec &step) noexcept
--- a/tests/deadly_task_test.cpp
+++ b/tests/deadly_task_test.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(crashesAreRememberedWhileTheStoreIsAway);
     CPPUNIT_TEST(deadlyLongRunningTaskIsGivenUp);
     CPPUNIT_TEST(deadlyGangIsGivenUp);
+    CPPUNIT_TEST(taskThatCrashesItsWorkersLateIsGivenUp);
     CPPUNIT_TEST(severalDeadlyTasksCondemnNoOthers);
     CPPUNIT_TEST(unrelatedCrashesCondemnNoTask);
     CPPUNIT_TEST_SUITE_END();
@@ -200,6 +201,14 @@
         checkHarmlessJobsComplete();
     }
 
+    void taskThatCrashesItsWorkersLateIsGivenUp()
+    {
+        m_fleet->world.crashDelay = 1500ms;
+        submitAll(1, simpleJob(tasksOfJob));
+        checkDeadlyJobsAreGivenUp(1);
+        checkHarmlessJobsComplete();
+    }
+
     void severalDeadlyTasksCondemnNoOthers()
     {
         constexpr int deadlyJobs = 4;
