Give up a suspect at its first crash under observation

Cause: 28 deadly tasks crashed seven workers a second at their worst, so that by chance three crashes fell within 250 ms of each other; they were taken for an outage, which proves nothing. And two crashes under observation after a first beside others are three crashes where two are enough by the rule.

Change: an outage is a quarter of the pool's workers without suspects at one time, and at least two. One crash under observation proves the suspect, which had crashed a worker before. The record has no count of proofs any more.

--- a/include/ibishinge/fleet/crash_isolation.h
+++ b/include/ibishinge/fleet/crash_isolation.h
@@ -13,15 +13,11 @@
 /// A task may crash each worker that starts it. Which of the runs on a crashed worker was the cause
 /// is not known, so all of them are suspected. A suspect is started under observation: on a worker
 /// whose other runs have run for a while, and which starts nothing else until the suspect has too.
-/// A crash meanwhile is then the suspect's, or a coincidence; a task is given up after
-/// `provingCrashes` of them. All members of a gang share one count, kept by the member with index
-/// 0.
+/// A second crash meanwhile proves the suspect to be the cause, and it is given up. All members of
+/// a gang share one count, kept by the member with index 0.
 ///
 /// The functions are not thread-safe.
 
-/// Number of crashes under observation after which a task is given up.
-inline constexpr int provingCrashes = 2;
-
 /// Returns the task that counts the crashes of `name`. Precondition: the step exists.
 [[nodiscard]] task_name crashCounterOf(const job_entry &job, task_name name);
 
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -102,7 +102,6 @@
     instant notBefore;
     std::string avoidWorker; ///< worker on which the last run failed or made no progress
     int crashes = 0; ///< workers that crashed while they had a run of the task
-    int observedCrashes = 0; ///< of these, crashes during the observation of the run
     int storedCrashes = 0; ///< value of `crashes` in the store
     std::optional<suspect_run> suspectRun; ///< current run, if the task is suspected
 };
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -513,8 +513,8 @@
             continue;
         }
         job.failureReason = "task " + std::to_string(name.step) + "." + std::to_string(name.index)
-                            + " crashed " + std::to_string(provingCrashes)
-                            + " workers under observation";
+                            + " crashed a worker under observation, "
+                            + std::to_string(findTask(m_tables, name)->crashes) + " in all";
         endJob(job, job_state::failed);
     }
 }
--- a/src/fleet/crash_isolation.cpp
+++ b/src/fleet/crash_isolation.cpp
@@ -21,10 +21,11 @@
 /// Largest part of a pool's workers that may be reserved at the same time.
 constexpr std::size_t workersPerReservation = 4;
 
-/// A crash is part of an outage if at least `workersOfOutage` other workers, on which no run was
-/// under observation, crashed within this time of it.
+/// A crash is part of an outage if at least this part of the pool's workers, and `workersOfOutage`,
+/// crashed within this time of it without a run under observation.
 constexpr milliseconds outageSpread {250};
-constexpr int workersOfOutage = 2;
+constexpr std::ptrdiff_t poolPartOfOutage = 4;
+constexpr std::ptrdiff_t workersOfOutage = 2;
 
 /// Longest time from the first failed poll until the crash is proved.
 constexpr milliseconds longestCrashProof {10'000};
@@ -76,7 +77,11 @@
             return &other != &worker && other.failedPolls > 0 && !other.runs.empty()
                    && other.observedRuns == 0 && isNear(other.unreachableSince);
         });
-    return crashed + unreachable >= workersOfOutage;
+    const auto inPool =
+        std::count_if(tables.workers.begin(), tables.workers.end(), [&](const auto &each) {
+            return each.second.entry.pool == worker.entry.pool;
+        });
+    return crashed + unreachable >= std::max(workersOfOutage, inPool / poolPartOfOutage);
 }
 
 } // namespace
@@ -164,10 +169,9 @@
                });
         auto &counter = *findTask(tables, name);
         ++counter.crashes;
-        counter.observedCrashes += onlySuspect && !outage ? 1 : 0;
         tables.jobs.at(name.job).hasCrashes = true;
         outcome.suspectedJobs.insert(name.job);
-        if (counter.observedCrashes >= provingCrashes) {
+        if (onlySuspect && !outage) {
             outcome.proven.push_back(name);
         }
     }
@@ -260,7 +264,6 @@
         }
         if (run.longRunning && counter.crashes > 0 && ranFor > crashMemory) {
             counter.crashes = 0;
-            counter.observedCrashes = 0;
             changed.insert(key.task.job);
         }
     }
--- a/tests/deadly_task_test.cpp
+++ b/tests/deadly_task_test.cpp
@@ -222,7 +222,7 @@
     {
         submitAll(0, {});
         for (int round = 0; round < 3; ++round) {
-            m_fleet->loop.run(1500ms);
+            m_fleet->loop.run(2200ms);
             std::vector<std::string> ids;
             for (const auto &[id, worker] : m_fleet->world.workers) {
                 if (worker.alive && worker.entry.pool == "pool-a") {
