Weigh a crash under observation by what else crashed at the time

Change: a crash is full evidence if no other worker may have crashed at the same time (between its last report and the first failed call), half if others may have, and none in an outage: a quarter of the pool without suspects, or half of it at all.

--- a/include/ibishinge/fleet/crash_isolation.h
+++ b/include/ibishinge/fleet/crash_isolation.h
@@ -13,8 +13,9 @@
 /// A task may crash each worker that starts it. Which of the runs on a crashed worker was the cause
 /// is not known, so all of them are suspected. A suspect is started under observation: on a worker
 /// whose other runs have run for a while, and which starts nothing else until the suspect has too.
-/// A second crash meanwhile proves the suspect to be the cause, and it is given up. All members of
-/// a gang share one count, kept by the member with index 0.
+/// A second crash meanwhile is evidence that the suspect is the cause: enough to give it up if no
+/// other worker crashed at about the same time, half of it if others did, and none in an outage.
+/// All members of a gang share one count, kept by the member with index 0.
 ///
 /// The functions are not thread-safe.
 
@@ -41,9 +42,8 @@
     std::vector<task_name> proven; ///< tasks to give up
 };
 
-/// Counts the crash of a worker for the tasks of the runs lost with it. A crash together with those
-/// of several other workers proves nothing, as they have a cause in common. Precondition: `lost`
-/// are all runs that the worker had.
+/// Counts the crash of a worker for the tasks of the runs lost with it. Precondition: `lost` are
+/// all runs that the worker had.
 [[nodiscard]] crash_outcome recordCrash(fleet_tables &tables, const worker_status &worker,
                                         const std::vector<run_key> &lost, instant now);
 
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -102,6 +102,7 @@
     instant notBefore;
     std::string avoidWorker; ///< worker on which the last run failed or made no progress
     int crashes = 0; ///< workers that crashed while they had a run of the task
+    int crashEvidence = 0; ///< that the task caused them, see `crash_isolation.h`
     int storedCrashes = 0; ///< value of `crashes` in the store
     std::optional<suspect_run> suspectRun; ///< current run, if the task is suspected
 };
@@ -213,6 +214,14 @@
     int samples = 0; ///< number of runs observed
 };
 
+/// Crash of a worker that had runs.
+struct worker_crash
+{
+    instant after; ///< the worker's last report
+    instant before; ///< when the crash was noticed
+    bool observed = false; ///< a run was under observation
+};
+
 /// State of the coordinator. Plain data, changed by free functions and by the coordinator. Not
 /// thread-safe.
 struct fleet_tables
@@ -226,8 +235,7 @@
     std::map<std::string, worker_status> workers;
     std::map<std::string, resources> customerHeld; ///< resources of all runs, by customer
     std::map<std::string, queue_statistics> statistics; ///< by queue
-    /// When workers without a run under observation crashed, without old crashes.
-    std::vector<instant> recentCrashes;
+    std::vector<worker_crash> recentCrashes; ///< without old ones
     std::map<std::string, host_entry> hosts;
     instant hostsReadAt; ///< when the list of hosts was requested; epoch: never
 };
--- a/src/fleet/crash_isolation.cpp
+++ b/src/fleet/crash_isolation.cpp
@@ -21,11 +21,17 @@
 /// Largest part of a pool's workers that may be reserved at the same time.
 constexpr std::size_t workersPerReservation = 4;
 
-/// A crash is part of an outage if at least this part of the pool's workers, and `workersOfOutage`,
-/// crashed within this time of it without a run under observation.
-constexpr milliseconds outageSpread {250};
+/// Workers that may have crashed at the same time may have a cause in common. They have if at least
+/// this part of the pool's workers, and `workersOfOutage`, had no run under observation.
 constexpr std::ptrdiff_t poolPartOfOutage = 4;
 constexpr std::ptrdiff_t workersOfOutage = 2;
+/// The same with runs under observation: suspects alone hardly crash so many workers at once.
+constexpr std::ptrdiff_t observedPartOfOutage = 2;
+
+/// Evidence of a crash under observation, and the sum at which a task is given up.
+constexpr int crashEvidenceOfOne = 2;
+constexpr int crashEvidenceAmongOthers = 1;
+constexpr int provingEvidence = 2;
 
 /// Longest time from the first failed poll until the crash is proved.
 constexpr milliseconds longestCrashProof {10'000};
@@ -62,26 +68,34 @@
     return (run.phase == run_phase::starting ? now : run.confirmedAt) + settlingTime;
 }
 
-/// Returns true if several workers became unreachable at about the same time as this one, and
-/// suspects do not explain it.
-bool isPartOfOutage(const fleet_tables &tables, const worker_status &worker, instant crashedAt)
+/// Returns the evidence of the crash of `worker` against a suspect under observation.
+int evidenceOfCrash(const fleet_tables &tables, const worker_status &worker,
+                    const worker_crash &crash)
 {
-    const auto isNear = [crashedAt](instant other) {
-        return other - crashedAt <= outageSpread && crashedAt - other <= outageSpread;
+    std::ptrdiff_t others = 0;
+    std::ptrdiff_t unexplained = 0;
+    const auto consider = [&](const worker_crash &other) {
+        if (other.after <= crash.before && crash.after <= other.before) {
+            ++others;
+            unexplained += other.observed ? 0 : 1;
+        }
     };
-    const auto crashed =
-        std::count_if(tables.recentCrashes.begin(), tables.recentCrashes.end(), isNear);
-    const auto unreachable =
-        std::count_if(tables.workers.begin(), tables.workers.end(), [&](const auto &each) {
-            const auto &other = each.second;
-            return &other != &worker && other.failedPolls > 0 && !other.runs.empty()
-                   && other.observedRuns == 0 && isNear(other.unreachableSince);
-        });
-    const auto inPool =
-        std::count_if(tables.workers.begin(), tables.workers.end(), [&](const auto &each) {
-            return each.second.entry.pool == worker.entry.pool;
-        });
-    return crashed + unreachable >= std::max(workersOfOutage, inPool / poolPartOfOutage);
+    for (const auto &other : tables.recentCrashes) {
+        consider(other);
+    }
+    std::ptrdiff_t inPool = 0;
+    for (const auto &[id, other] : tables.workers) {
+        inPool += other.entry.pool == worker.entry.pool ? 1 : 0;
+        if (&other != &worker && other.failedPolls > 0 && !other.runs.empty()) {
+            consider({other.reportAt, other.unreachableSince, other.observedRuns > 0});
+        }
+    }
+    const bool outage = unexplained >= std::max(workersOfOutage, inPool / poolPartOfOutage)
+                        || others + 1 > inPool / observedPartOfOutage;
+    if (outage) {
+        return 0;
+    }
+    return others > 0 ? crashEvidenceAmongOthers : crashEvidenceOfOne;
 }
 
 } // namespace
@@ -153,14 +167,15 @@
     }
     // A restart that no poll has run into is noticed by the report that shows it.
     const bool noticedBefore = since(worker.unreachableSince, now) < longestCrashProof;
-    const auto crashedAt = noticedBefore ? worker.unreachableSince : now;
-    const bool outage = isPartOfOutage(tables, worker, crashedAt);
-    std::erase_if(tables.recentCrashes,
-                  [now](instant at) { return since(at, now) > longestCrashProof; });
-    if (std::none_of(lost.begin(), lost.end(),
-                     [&](const run_key &key) { return tables.runs.at(key).observed; })) {
-        tables.recentCrashes.push_back(crashedAt);
-    }
+    const bool anyObserved = std::any_of(
+        lost.begin(), lost.end(), [&](const run_key &key) { return tables.runs.at(key).observed; });
+    const auto noticedAt = noticedBefore ? worker.unreachableSince : now;
+    const worker_crash crash {std::min(worker.reportAt, noticedAt), noticedAt, anyObserved};
+    const int evidence = evidenceOfCrash(tables, worker, crash);
+    std::erase_if(tables.recentCrashes, [now](const worker_crash &other) {
+        return since(other.before, now) > longestCrashProof;
+    });
+    tables.recentCrashes.push_back(crash);
     for (const auto &[name, observed] : counters) {
         const bool onlySuspect =
             observed
@@ -171,7 +186,8 @@
         ++counter.crashes;
         tables.jobs.at(name.job).hasCrashes = true;
         outcome.suspectedJobs.insert(name.job);
-        if (onlySuspect && !outage) {
+        counter.crashEvidence += onlySuspect ? evidence : 0;
+        if (counter.crashEvidence >= provingEvidence) {
             outcome.proven.push_back(name);
         }
     }
@@ -264,6 +280,7 @@
         }
         if (run.longRunning && counter.crashes > 0 && ranFor > crashMemory) {
             counter.crashes = 0;
+            counter.crashEvidence = 0;
             changed.insert(key.task.job);
         }
     }
--- a/src/fleet/record_codec.cpp
+++ b/src/fleet/record_codec.cpp
@@ -183,8 +183,8 @@
                 }
                 if (task.crashes > 0 || task.suspectRun) {
                     const auto run = task.suspectRun.value_or(suspect_run {});
-                    crashes.push_back(
-                        {step, index, task.crashes, run.worker, run.incarnation, run.run});
+                    crashes.push_back({step, index, task.crashes, task.crashEvidence, run.worker,
+                                       run.incarnation, run.run});
                 }
             }
         }
@@ -236,10 +236,11 @@
                 if (occurrence != job.occurrences.end()) {
                     auto &task = occurrence->second.steps.at(row.at(0)).at(row.at(1));
                     task.crashes = row.at(2).get<int>();
+                    task.crashEvidence = row.at(3).get<int>();
                     task.storedCrashes = task.crashes;
-                    const suspect_run run {row.at(3).get<std::string>(),
-                                           row.at(4).get<std::int64_t>(),
-                                           row.at(5).get<std::int64_t>()};
+                    const suspect_run run {row.at(4).get<std::string>(),
+                                           row.at(5).get<std::int64_t>(),
+                                           row.at(6).get<std::int64_t>()};
                     if (run.run != 0) {
                         task.suspectRun = run;
                     }
