Reject numbers out of range, addresses that cannot be called and deep nesting

Cause: the JSON library converts numbers without a check, so that an entry with cpu 1e300, born, remaining-ms or port 99999 was taken as sound, with values that differ between machines and overflow in sums and due times. Copying and writing a value use the stack for each level of nesting: next-token and tenants 200,000 deep end the process. Only exceptions of the JSON library were handled. Input taken at its word, in every decoder of what another process or writer put down.

Change: integerFrom and realFrom accept a stated range; documents nested more than 32 deep are rejected before they are parsed, as CBOR already was; an entry needs a printable id and an address with a port from 1 to 65535; any standard exception in a decoder rejects the document. The time-out of a call and the demand of a pool are bounded too.

--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -10,9 +10,37 @@
 
 using nlohmann::json;
 
-/// Messages between processes are nested about six levels deep.
+/// Messages and documents are nested about six levels deep.
 constexpr int deepestNesting = 32;
 
+/// Returns true if arrays and objects in `text` are nested too deep.
+bool isNestedTooDeep(const std::string &text) noexcept
+{
+    int depth = 0;
+    bool inString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (inString) {
+            i += c == '\\' ? 1 : 0;
+            inString = c != '"';
+        } else if (c == '"') {
+            inString = true;
+        } else if (c == '[' || c == '{') {
+            if (++depth > deepestNesting) {
+                return true;
+            }
+        } else if (c == ']' || c == '}') {
+            --depth;
+        }
+    }
+    return false;
+}
+
+[[noreturn]] void throwOutOfRange(const json &value)
+{
+    throw json::other_error::create(599, "number out of range: " + value.dump(), nullptr);
+}
+
 /// Reads a value without keeping it and stops where it is nested too deep.
 class nesting_check final : public nlohmann::json_sax<json>
 {
@@ -79,6 +107,57 @@
 
 } // namespace
 
+json parseJson(const std::string &text)
+{
+    if (isNestedTooDeep(text)) {
+        throw json::other_error::create(599, "the document is nested too deep", nullptr);
+    }
+    return json::parse(text);
+}
+
+std::int64_t integerFrom(const json &value, integer_range range)
+{
+    if (value.is_number_unsigned()) {
+        const auto number = value.get<std::uint64_t>();
+        if (range.highest < 0 || number > static_cast<std::uint64_t>(range.highest)
+            || static_cast<std::int64_t>(number) < range.lowest) {
+            throwOutOfRange(value);
+        }
+        return static_cast<std::int64_t>(number);
+    }
+    if (value.is_number_integer()) {
+        const auto number = value.get<std::int64_t>();
+        if (number < range.lowest || number > range.highest) {
+            throwOutOfRange(value);
+        }
+        return number;
+    }
+    // Doubles hold integers up to 2^53 exactly, and every range ends far below 2^63.
+    const double number =
+        realFrom(value, static_cast<double>(range.lowest), static_cast<double>(range.highest));
+    return static_cast<std::int64_t>(number);
+}
+
+std::int64_t integerFrom(const json &object, const char *key, std::int64_t fallback,
+                         integer_range range)
+{
+    const auto found = object.find(key);
+    return found == object.end() ? fallback : integerFrom(*found, range);
+}
+
+double realFrom(const json &value, double lowest, double highest)
+{
+    if (!value.is_number()) {
+        throw json::type_error::create(
+            302, std::string("type must be number, but is ") + value.type_name(), nullptr);
+    }
+    const auto number = value.get<double>();
+    if (!(number >= lowest && number <= highest)) {
+        throwOutOfRange(value);
+    }
+    return number;
+}
+
 std::string encodeCbor(const json &value)
 {
     std::string bytes;
--- a/src/fleet/caller.cpp
+++ b/src/fleet/caller.cpp
@@ -12,6 +12,8 @@
 
 using nlohmann::json;
 
+constexpr integer_range patienceRange {0, 3'600'000}; ///< milliseconds
+
 constexpr std::array<std::pair<answer_kind, std::string_view>, 11> answerNames {{
     {answer_kind::accepted, "accepted"},
     {answer_kind::job_found, "shown"},
@@ -55,7 +57,7 @@
 result<caller_request> decodeRequest(const std::string &text)
 {
     try {
-        const json in = json::parse(text);
+        const json in = parseJson(text);
         caller_request request;
         const auto operation = in.at("operation").get<int>();
         if (operation < 0 || operation > static_cast<int>(caller_operation::count_waiting)) {
@@ -66,7 +68,7 @@
         request.host = in.at("host").get<std::string>();
         request.path = in.at("path").get<std::string>();
         request.key = in.at("key").get<std::string>();
-        request.callerTimeout = milliseconds(in.at("patience").get<std::int64_t>());
+        request.callerTimeout = milliseconds(integerFrom(in.at("patience"), patienceRange));
         request.senderProcessorShare = in.value("sender_share", 0.0);
         request.sender = in.value("sender", std::string());
         request.senderDataCentre = in.value("sender_data_centre", std::string());
@@ -79,7 +81,7 @@
             request.spec = std::move(*spec);
         }
         return request;
-    } catch (const json::exception &problem) {
+    } catch (const std::exception &problem) {
         return makeError(error_kind::invalid_request, "forwarded request", problem.what());
     }
 }
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -8,6 +8,7 @@
 #include <ibishinge/fleet/record_codec.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace ibishinge::fleet {
@@ -226,8 +227,8 @@
                   {"capacity", load.capacity},
                   {"lasting", load.longRunningHeld},
                   {"batch", load.batchHeld},
-                  {"waiting_core_ms", static_cast<std::int64_t>(load.waitingWork)},
-                  {"later_core_ms", static_cast<std::int64_t>(load.laterWork)},
+                  {"waiting_core_ms", std::round(load.waitingWork)},
+                  {"later_core_ms", std::round(load.laterWork)},
                   {"waiting_tasks", load.waitingTasks},
                   {"jobs", load.liveJobs}});
     }
--- a/src/fleet/pool_sizing.cpp
+++ b/src/fleet/pool_sizing.cpp
@@ -30,6 +30,9 @@
 /// Minimum time that a host stays in a pool after a move, unless a pool in demand needs it.
 constexpr milliseconds minimumStay {3000};
 
+/// Upper bound of the demand of a pool, in hosts; callers' estimates have none.
+constexpr double mostHosts = 1'000'000;
+
 /// Hosts added to the demand of each pool as a reserve.
 constexpr int reserveHosts = 1;
 
@@ -181,7 +184,8 @@
     }
     memory.peaking =
         memory.lastPeakAt != instant {} && since(memory.lastPeakAt, now) < peakHoldTime;
-    pool.wanted = static_cast<int>(std::ceil(demand / hostCores)) + reserveHosts;
+    pool.wanted =
+        static_cast<int>(std::min(std::ceil(demand / hostCores), mostHosts)) + reserveHosts;
 }
 
 /// Returns true when the workers of all hosts that should run one have registered, or the wait has
--- a/src/fleet/record_codec.cpp
+++ b/src/fleet/record_codec.cpp
@@ -1,5 +1,7 @@
 #include <ibishinge/fleet/record_codec.h>
 
+#include <ibishinge/base/json.h>
+
 #include <functional>
 
 namespace ibishinge::fleet {
@@ -8,13 +10,18 @@
 
 using nlohmann::json;
 
+/// Ranges of numbers in records and messages, as in the adapter to the platform.
+constexpr integer_range amountRange {0, 1'000'000'000'000};
+constexpr integer_range timeRange {0, 1'000'000'000'000'000};
+constexpr integer_range countRange {0, 1'000'000'000};
+
 template <class T>
 result<T> parseRecord(const std::string &place, const std::string &text,
                       const std::function<T(const json &)> &read)
 {
     try {
-        return read(json::parse(text));
-    } catch (const json::exception &problem) {
+        return read(parseJson(text));
+    } catch (const std::exception &problem) {
         return makeError(error_kind::invalid_request, place, problem.what());
     }
 }
@@ -53,10 +60,10 @@
 step_spec decodeStep(const json &in)
 {
     step_spec step;
-    step.count = in.at("count").get<int>();
-    step.need = {in.at("cpu").get<std::int64_t>(), in.value("memory", std::int64_t {0}),
-                 in.value("accelerators", std::int64_t {0})};
-    step.estimate = milliseconds(in.value("estimate", std::int64_t {0}));
+    step.count = static_cast<int>(integerFrom(in.at("count"), countRange));
+    step.need = {integerFrom(in.at("cpu"), amountRange), integerFrom(in, "memory", 0, amountRange),
+                 integerFrom(in, "accelerators", 0, amountRange)};
+    step.estimate = milliseconds(integerFrom(in, "estimate", 0, amountRange));
     step.after = in.value("after", std::vector<int> {});
     step.checkpoints = in.value("checkpoints", false);
     step.gang = in.value("gang", false);
@@ -67,7 +74,7 @@
     step.speculationAllowed = in.value("copies", false);
     step.longRunning = in.value("lasting", false);
     step.image = in.value("image", std::string());
-    step.tailTarget = milliseconds(in.value("tail_target", std::int64_t {0}));
+    step.tailTarget = milliseconds(integerFrom(in, "tail_target", 0, amountRange));
     step.bestEffort = in.value("fills", false);
     step.maxUnavailable = in.value("max_unavailable", 0);
     return step;
@@ -80,9 +87,9 @@
     for (const auto &step : in.at("steps")) {
         spec.steps.push_back(decodeStep(step));
     }
-    spec.repetitions = in.value("repetitions", 0);
-    spec.firstDueMs = in.value("first", std::int64_t {0});
-    spec.intervalMs = in.value("interval", std::int64_t {0});
+    spec.repetitions = static_cast<int>(integerFrom(in, "repetitions", 0, countRange));
+    spec.firstDueMs = integerFrom(in, "first", 0, timeRange);
+    spec.intervalMs = integerFrom(in, "interval", 0, amountRange);
     return spec;
 }
 
@@ -132,7 +139,7 @@
 {
     try {
         return specFrom(document);
-    } catch (const json::exception &problem) {
+    } catch (const std::exception &problem) {
         return makeError(error_kind::invalid_request, "job", problem.what());
     }
 }
@@ -198,7 +205,7 @@
 result<void> applyProgress(job_entry &job, const std::string &text)
 {
     try {
-        const json in = json::parse(text);
+        const json in = parseJson(text);
         job.completeOccurrences = in.at("complete").get<std::set<int>>();
         for (const int number : job.completeOccurrences) {
             job.occurrences.erase(number);
--- a/src/fleet/worker_relay.cpp
+++ b/src/fleet/worker_relay.cpp
@@ -391,7 +391,7 @@
         return;
     }
     try {
-        const json message = json::parse(*answer);
+        const json message = parseJson(*answer);
         const auto incarnation = message.at("incarnation").get<std::string>();
         if (!from.incarnation.empty() && from.incarnation != incarnation && !from.open.empty()) {
             from.incarnation = incarnation;
--- a/tests/wire_codec_test.cpp
+++ b/tests/wire_codec_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/wire_codec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
 
 #include <array>
 #include <string>
@@ -20,6 +21,9 @@
     CPPUNIT_TEST(decodesWorkerReports);
     CPPUNIT_TEST(decodesRepliesToRunStarts);
     CPPUNIT_TEST(malformedRegistryEntriesAreRejected);
+    CPPUNIT_TEST(oddRegistryEntriesAreRejected);
+    CPPUNIT_TEST(oddNumbersAreRejected);
+    CPPUNIT_TEST(deeplyNestedDocumentsAreRejected);
     CPPUNIT_TEST(decodesConfiguration);
     CPPUNIT_TEST(decodesJobs);
     CPPUNIT_TEST(callerAnswersAndRequests);
@@ -96,6 +100,101 @@
         }
     }
 
+    /// Guards against entries of another writer that are well-formed but name no worker: numbers
+    /// out of range, whose conversion is undefined, and addresses that cannot be called.
+    void oddRegistryEntriesAreRejected()
+    {
+        const auto entry = [](const std::string &member, const std::string &value) {
+            nlohmann::json out = nlohmann::json::parse(R"({"service":"s","address":"10.0.0.1:1",
+                "zone":"z","state":"ready","labels":["a","r1"],"machine":"m","born":3,
+                "capacity":{"cpu":1,"mem-mb":1,"gpu":0},"remaining-ms":1})");
+            out[nlohmann::json::json_pointer(member)] = nlohmann::json::parse(value);
+            return out.dump();
+        };
+        struct row
+        {
+            const char *member;
+            const char *value;
+        };
+        constexpr std::array<row, 19> rows {{
+            {"/capacity/cpu", "1e300"},
+            {"/capacity/cpu", "-1"},
+            {"/capacity/cpu", "9223372036854775807"},
+            {"/capacity/mem-mb", "18446744073709551615"},
+            {"/capacity/gpu", "true"},
+            {"/born", "99999999999999999999"},
+            {"/born", "-5"},
+            {"/remaining-ms", "9223372036854775807"},
+            {"/remaining-ms", "-1e300"},
+            {"/address", "\"10.0.0.1:99999\""},
+            {"/address", "\"10.0.0.1:0\""},
+            {"/address", "\"10.0.0.1:-1\""},
+            {"/address", "\"10.0.0.1\""},
+            {"/address", "\":80\""},
+            {"/address", "\"\""},
+            {"/address", "\"user@10.0.0.1:80\""},
+            {"/address", "\"10.0.0.1/path:80\""},
+            {"/address", "\"10.0.0.1:80\\r\\nX: y\""},
+            {"/labels", "[[[1]]]"},
+        }};
+        CPPUNIT_ASSERT(decodeWorkerEntry("i", entry("/born", "3")));
+        CPPUNIT_ASSERT(decodeWorkerEntry("i", entry("/capacity/cpu", "32000.0")));
+        for (const auto &each : rows) {
+            CPPUNIT_ASSERT_MESSAGE(std::string(each.member) + " " + each.value,
+                                   !decodeWorkerEntry("i", entry(each.member, each.value)));
+        }
+        for (const auto &id :
+             {std::string(), std::string("a b"), std::string("a\r\nX: y"), std::string(300, 'a')}) {
+            CPPUNIT_ASSERT(!decodeWorkerEntry(id, entry("/born", "3")));
+        }
+    }
+
+    /// The same for what workers, the machine interface, the advice service and callers send.
+    void oddNumbersAreRejected()
+    {
+        CPPUNIT_ASSERT(!decodeReport(200, R"({"clock-ms":1e300,"running":[],"ended":[]})"));
+        CPPUNIT_ASSERT(!decodeReport(
+            200, R"({"clock-ms":1,"running":[["a.0.0.0",1,"",1e300,0]],"ended":[]})"));
+        CPPUNIT_ASSERT(!decodeReport(
+            200, R"({"clock-ms":1,"running":[["a.0.0.0",1e300,"",1,0]],"ended":[]})"));
+        CPPUNIT_ASSERT(!decodeReport(
+            200, R"({"clock-ms":1,"running":[],"ended":[[-1,"a.0.0.0",1,"done",""]]})"));
+        CPPUNIT_ASSERT(!decodeStartReply(200, R"({"clock-ms":18446744073709551615})"));
+        CPPUNIT_ASSERT(!decodeAdvice(R"({"good":[],"validity-ms":9223372036854775807})"));
+        CPPUNIT_ASSERT(!decodeLease(R"({"lease":1,"ttl-ms":1e300})"));
+        CPPUNIT_ASSERT(!decodeWave(R"({"wave":1,"machines":[],"deadline-s":1e300,"cap":1})"));
+        CPPUNIT_ASSERT(!decodeHosts(R"({"machines":[{"machine":"m","pool":"p","state":"up",
+            "capacity":{"cpu":1e300}}]})"));
+        for (const char *step :
+             {R"({"count":1e300})", R"({"count":4294967297})",
+              R"({"count":1,"cpu":9223372036854775807})", R"({"count":1,"cpu":-1})",
+              R"({"count":1,"estimate-ms":1e300})", R"({"count":1,"after":[1e300]})"}) {
+            CPPUNIT_ASSERT_MESSAGE(
+                step, !decodeJob(std::string(R"({"spec":"a","steps":[)") + step + "]}"));
+        }
+        http_request request;
+        request.method = "GET";
+        request.path = "/p/00";
+        request.headers = {{"Host", "a.example"}, {"Request-Deadline", "9223372036854775807"}};
+        CPPUNIT_ASSERT(decodeCall(request)->callerTimeout < std::chrono::hours(24));
+    }
+
+    /// Guards against the end of a process whose stack a nested document uses up.
+    void deeplyNestedDocumentsAreRejected()
+    {
+        constexpr std::size_t depth = 200'000;
+        const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+        CPPUNIT_ASSERT(!decodeWorkerEntry("i", R"({"service":)" + nested + "}"));
+        CPPUNIT_ASSERT(!decodeHosts(R"({"machines":[],"next-token":)" + nested + "}"));
+        CPPUNIT_ASSERT(!decodeConfiguration(R"({"version":1,"routes":[],"services":[],"tenants":)"
+                                            + nested + "}"));
+        CPPUNIT_ASSERT(!decodeJob(R"({"spec":"a","steps":)" + nested + "}"));
+        CPPUNIT_ASSERT(!decodeReport(200, R"({"clock-ms":1,"running":)" + nested + "}"));
+        const auto page = decodePage(R"({"items":[{"key":"servers/[[[[","value":"W1tb","revision":4,
+            "text":"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[["}],"current-rev":4})");
+        CPPUNIT_ASSERT(page); // brackets in strings do not count
+    }
+
     void decodesConfiguration()
     {
         const auto config = decodeConfiguration(R"({"version":7,"routes":[{"name":"r",
