--- a/include/ibishinge/fleet/crash_isolation.h
+++ b/include/ibishinge/fleet/crash_isolation.h
@@ -19,7 +19,7 @@
 ///
 /// The functions are not thread-safe.
 
-/// Returns the task that counts the crashes of `name`. Precondition: the step exists.
+/// Returns the task that counts the crashes of `name`.
 [[nodiscard]] task_name crashCounterOf(const job_entry &job, task_name name);
 
 /// Returns true if a worker has crashed under the task. Precondition: the task exists.
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -248,6 +248,7 @@
                     auto run = makeRun(job, key, worker.entry.id);
                     run.phase = run_phase::running;
                     run.orderedAt = m_startedAt;
+                    run.confirmedAt = m_startedAt;
                     run.progressAt = m_timers.now();
                     addRun(m_tables, std::move(run));
                     task.phase = task_phase::placed;
--- a/src/fleet/crash_isolation.cpp
+++ b/src/fleet/crash_isolation.cpp
@@ -102,7 +102,8 @@
 
 task_name crashCounterOf(const job_entry &job, task_name name)
 {
-    if (job.spec.steps[static_cast<std::size_t>(name.step)].gang) {
+    const auto step = static_cast<std::size_t>(name.step);
+    if (step < job.spec.steps.size() && job.spec.steps[step].gang) {
         name.index = 0;
     }
     return name;
@@ -272,7 +273,11 @@
         if (job == tables.jobs.end() || !job->second.hasCrashes) {
             continue;
         }
-        auto &counter = *findTask(tables, crashCounterOf(job->second, key.task));
+        auto *const found = findTask(tables, crashCounterOf(job->second, key.task));
+        if (found == nullptr) {
+            continue; // the occurrence is complete
+        }
+        auto &counter = *found;
         // Only a report shows that the worker still runs.
         const auto ranFor = since(run.confirmedAt, tables.workers.at(run.worker).reportAt);
         if (run.observed && ranFor > observationTime(counter.crashes)) {
