Forget the stored place of a long-running task with its crashes

A task that is no longer suspected is started without being stored, so a later coordinator would have looked for its run at the place stored before, and stopped the newer one as a second run. Found by reading; deadly_task_test passes.

--- a/src/fleet/crash_isolation.cpp
+++ b/src/fleet/crash_isolation.cpp
@@ -286,6 +286,9 @@
         if (run.longRunning && counter.crashes > 0 && ranFor > crashMemory) {
             counter.crashes = 0;
             counter.crashEvidence = 0;
+            if (auto *const task = findTask(tables, key.task)) {
+                task->suspectRun.reset();
+            }
             changed.insert(key.task.job);
         }
     }
