Let the next flush wait at most 250 ms for the one in progress

A write whose answer the store loses holds one of them up for 0.8 s and more, and with it the ends of all workers.

Change: after 250 ms the next flush starts beside the one in progress.

Result: progress_flush_test, fleet_test, fleet_load_test and deadly_task_test pass.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -168,9 +168,10 @@
     [[nodiscard]] static write_unit progressUnit(const job_entry &job);
     /// Has `flush` called after `delay`, or soon after the flush in progress.
     void requestFlush(milliseconds delay);
-    /// Writes the progress of changed jobs, then marks the ends applied so far as stored. One flush
-    /// is in progress at a time, so that a slow store gets fewer and larger ones.
+    /// Writes the progress of changed jobs, then marks the ends applied so far as stored. The next
+    /// flush waits for it for some time, so that a slow store gets fewer and larger ones.
     void flush();
+    void onFlushOver(std::int64_t number);
     void pruneEnded();
 
     // coordinator_workers.cpp
@@ -273,6 +274,7 @@
     std::set<std::string> m_dirtyJobs; ///< ids of jobs with progress to write
     bool m_flushScheduled = false;
     bool m_flushInProgress = false;
+    std::int64_t m_flushNumber = 0; ///< number of the last flush
     bool m_flushRequested = false; ///< there are changes that the flush in progress does not cover
     nlohmann::json m_endsToLog = nlohmann::json::array(); ///< ends in the report being applied
     bool m_schedulingPassPending = false;
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -25,6 +25,10 @@
 /// Delay before progress is written, so that ends of runs close together share one write.
 constexpr milliseconds flushDelay {12};
 
+/// Time after which the next flush no longer waits for the one in progress: a write without an
+/// answer holds up one writer, and with it the barrier of a flush, for far longer.
+constexpr milliseconds maxFlushWait {250};
+
 /// Retention time of final states; callers may ask for them for two minutes.
 constexpr std::int64_t endedRetentionMs = 240'000;
 constexpr milliseconds pruneInterval {5000};
@@ -335,6 +339,17 @@
     }
 }
 
+void coordinator::onFlushOver(std::int64_t number)
+{
+    if (number != m_flushNumber || !m_flushInProgress) {
+        return;
+    }
+    m_flushInProgress = false;
+    if (std::exchange(m_flushRequested, false)) {
+        requestFlush(flushDelay);
+    }
+}
+
 write_unit coordinator::progressUnit(const job_entry &job)
 {
     write_unit unit;
@@ -347,6 +362,8 @@
 {
     m_flushScheduled = false;
     m_flushInProgress = true;
+    const auto number = ++m_flushNumber;
+    callAfter(maxFlushWait, [this, number] { onFlushOver(number); });
     const processor_time_scope used(m_metrics, work_kind::progress);
     const auto flushedAt = m_timers.now();
     // Ends that the workers may forget once the records written below are in the store.
@@ -356,14 +373,11 @@
             marks->push_back({id, worker.incarnation, worker.processedEnd});
         }
     }
-    const auto onStored = [this, marks, flushedAt](const result<void> &stored) {
+    const auto onStored = [this, marks, flushedAt, number](const result<void> &stored) {
         if (m_closed || !stored) {
             return;
         }
-        m_flushInProgress = false;
-        if (std::exchange(m_flushRequested, false)) {
-            requestFlush(flushDelay);
-        }
+        onFlushOver(number);
         for (const auto &mark : *marks) {
             const auto worker = m_tables.workers.find(mark.worker);
             if (worker != m_tables.workers.end()
