--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -171,7 +171,8 @@
     /// Writes the progress of changed jobs, then marks the ends applied so far as stored. The next
     /// flush waits for it for some time, so that a slow store gets fewer and larger ones.
     void flush();
-    void onFlushOver(std::int64_t number);
+    /// Lets the next flush begin, unless a later one than `number` has begun.
+    void finishFlush(std::int64_t number);
     void pruneEnded();
 
     // coordinator_workers.cpp
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -339,7 +339,7 @@
     }
 }
 
-void coordinator::onFlushOver(std::int64_t number)
+void coordinator::finishFlush(std::int64_t number)
 {
     if (number != m_flushNumber || !m_flushInProgress) {
         return;
@@ -363,7 +363,7 @@
     m_flushScheduled = false;
     m_flushInProgress = true;
     const auto number = ++m_flushNumber;
-    callAfter(maxFlushWait, [this, number] { onFlushOver(number); });
+    callAfter(maxFlushWait, [this, number] { finishFlush(number); });
     const processor_time_scope used(m_metrics, work_kind::progress);
     const auto flushedAt = m_timers.now();
     // Ends that the workers may forget once the records written below are in the store.
@@ -377,7 +377,7 @@
         if (m_closed || !stored) {
             return;
         }
-        onFlushOver(number);
+        finishFlush(number);
         for (const auto &mark : *marks) {
             const auto worker = m_tables.workers.find(mark.worker);
             if (worker != m_tables.workers.end()
--- a/src/fleet/crash_isolation.cpp
+++ b/src/fleet/crash_isolation.cpp
@@ -1,7 +1,6 @@
 #include <ibishinge/fleet/crash_isolation.h>
 
 #include <algorithm>
-#include <cstdlib>
 
 namespace ibishinge::fleet {
 
@@ -18,15 +17,15 @@
 /// A long-running task that has run for this long without a crash is no longer suspected.
 constexpr milliseconds crashMemory {120'000};
 
-/// Largest part of a pool's workers that may be reserved at the same time.
+/// One in this many of a pool's workers may be reserved at the same time.
 constexpr std::size_t workersPerReservation = 4;
 
-/// Workers that may have crashed at the same time may have a cause in common. They have if at least
-/// this part of the pool's workers, and `workersOfOutage`, had no run under observation.
-constexpr std::ptrdiff_t poolPartOfOutage = 4;
-constexpr std::ptrdiff_t workersOfOutage = 2;
-/// The same with runs under observation: suspects alone hardly crash so many workers at once.
-constexpr std::ptrdiff_t observedPartOfOutage = 2;
+/// Workers that may have crashed at the same time had an outage if they are one in
+/// `workersPerCrashOfOutage` of the pool's workers, or if one in `workersPerUnexplainedCrash`, and
+/// at least `unexplainedCrashesOfOutage`, had no run under observation.
+constexpr std::ptrdiff_t workersPerCrashOfOutage = 2;
+constexpr std::ptrdiff_t workersPerUnexplainedCrash = 4;
+constexpr std::ptrdiff_t unexplainedCrashesOfOutage = 2;
 
 /// Evidence of a crash under observation, and the sum at which a task is given up.
 constexpr int crashEvidenceOfOne = 2;
@@ -90,8 +89,9 @@
             consider({other.reportAt, other.unreachableSince, other.observedRuns > 0});
         }
     }
-    const bool outage = unexplained >= std::max(workersOfOutage, inPool / poolPartOfOutage)
-                        || others + 1 > inPool / observedPartOfOutage;
+    const bool outage =
+        others + 1 > inPool / workersPerCrashOfOutage
+        || unexplained >= std::max(unexplainedCrashesOfOutage, inPool / workersPerUnexplainedCrash);
     if (outage) {
         return 0;
     }
