Count no start without an answer as evidence on a worker that was idle

A long-running job shown as failed has all its tasks stopped.

Cause: many workers lost power at once. Those that were idle are not polled, so nobody noticed; suspects were started on them alone, their starts timed out, and each counted as a crash under observation.

Change: a start without an answer is evidence only on a worker that reported at most 0.5 s before it, and then half. A pool of one worker has no outages: found by the new test, which gave up nobody there.

--- a/include/ibishinge/fleet/crash_isolation.h
+++ b/include/ibishinge/fleet/crash_isolation.h
@@ -13,8 +13,8 @@
 /// A task may crash each worker that starts it. Which of the runs on a crashed worker was the cause
 /// is not known, so all of them are suspected. A suspect is started under observation: on a worker
 /// whose other runs have run for a while, and which starts nothing else until the suspect has too.
-/// A second crash meanwhile is evidence that the suspect is the cause: enough to give it up if no
-/// other worker crashed at about the same time, half of it if others did, and none in an outage.
+/// A crash meanwhile is evidence that the suspect is the cause: less if other workers may have
+/// crashed at the same time, none in an outage. Two crashes or more prove it, and it is given up.
 /// All members of a gang share one count, kept by the member with index 0.
 ///
 /// The functions are not thread-safe.
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -215,6 +215,7 @@
     worker.incarnation = report.incarnation;
     worker.verified = true;
     worker.contacted = true;
+    worker.ended = false;
 
     const auto endsBefore = worker.processedEnd;
     for (const auto &end : report.ended) {
@@ -513,7 +514,7 @@
             continue;
         }
         job.failureReason = "task " + std::to_string(name.step) + "." + std::to_string(name.index)
-                            + " crashed a worker under observation, "
+                            + " crashed workers under observation, "
                             + std::to_string(findTask(m_tables, name)->crashes) + " in all";
         endJob(job, job_state::failed);
     }
--- a/src/fleet/crash_isolation.cpp
+++ b/src/fleet/crash_isolation.cpp
@@ -20,18 +20,23 @@
 /// One in this many of a pool's workers may be reserved at the same time.
 constexpr std::size_t workersPerReservation = 4;
 
-/// Workers that may have crashed at the same time had an outage if they are one in
-/// `workersPerCrashOfOutage` of the pool's workers, or if one in `workersPerUnexplainedCrash`, and
-/// at least `unexplainedCrashesOfOutage`, had no run under observation.
+/// Workers that may have crashed at the same time had an outage if they are more than one in
+/// `workersPerCrashOfOutage` of the pool's workers, or if one in `workersPerUnexplainedCrash` had
+/// no run under observation. It takes at least `crashesOfOutage` besides the one considered.
 constexpr std::ptrdiff_t workersPerCrashOfOutage = 2;
 constexpr std::ptrdiff_t workersPerUnexplainedCrash = 4;
-constexpr std::ptrdiff_t unexplainedCrashesOfOutage = 2;
+constexpr std::ptrdiff_t crashesOfOutage = 2;
 
-/// Evidence of a crash under observation, and the sum at which a task is given up.
-constexpr int crashEvidenceOfOne = 2;
-constexpr int crashEvidenceAmongOthers = 1;
+/// Evidence of a crash under observation: of one worker only, or while others may have crashed too
+/// or the start was not answered; and the sum at which a task is given up.
+constexpr int clearEvidence = 2;
+constexpr int unclearEvidence = 1;
 constexpr int provingEvidence = 2;
 
+/// A start without an answer counts only on a worker that reported at most this long before: one
+/// that was idle may have crashed unnoticed.
+constexpr milliseconds maxReportAgeAtStart {500};
+
 /// Longest time from the first failed poll until the crash is proved.
 constexpr milliseconds longestCrashProof {10'000};
 
@@ -90,12 +95,21 @@
         }
     }
     const bool outage =
-        others + 1 > inPool / workersPerCrashOfOutage
-        || unexplained >= std::max(unexplainedCrashesOfOutage, inPool / workersPerUnexplainedCrash);
+        (others >= crashesOfOutage && others + 1 > inPool / workersPerCrashOfOutage)
+        || unexplained >= std::max(crashesOfOutage, inPool / workersPerUnexplainedCrash);
     if (outage) {
         return 0;
     }
-    return others > 0 ? crashEvidenceAmongOthers : crashEvidenceOfOne;
+    return others > 0 ? unclearEvidence : clearEvidence;
+}
+
+/// Returns the most that a crash of the worker can be evidence against the task of a run.
+int evidenceOfStart(const worker_status &worker, const run_entry &run)
+{
+    if (run.phase != run_phase::starting) {
+        return clearEvidence;
+    }
+    return since(worker.reportAt, run.orderedAt) <= maxReportAgeAtStart ? unclearEvidence : 0;
 }
 
 } // namespace
@@ -157,13 +171,20 @@
                           const std::vector<run_key> &lost, instant now)
 {
     crash_outcome outcome;
-    std::map<task_name, bool> counters; // with true: a run was under observation
+    struct lost_task
+    {
+        bool observed = false;
+        int evidence = 0; ///< at most, by what is known of the start
+    };
+    std::map<task_name, lost_task> counters;
     for (const auto &key : lost) {
         const auto *task = findTask(tables, key.task);
         if (task != nullptr && task->phase != task_phase::done
             && !tables.jobs.at(key.task.job).ending) {
-            counters[crashCounterOf(tables.jobs.at(key.task.job), key.task)] |=
-                tables.runs.at(key).observed;
+            const auto &run = tables.runs.at(key);
+            auto &each = counters[crashCounterOf(tables.jobs.at(key.task.job), key.task)];
+            each.observed = each.observed || run.observed;
+            each.evidence = std::max(each.evidence, evidenceOfStart(worker, run));
         }
     }
     // A restart that no poll has run into is noticed by the report that shows it.
@@ -177,9 +198,9 @@
         return since(other.before, now) > longestCrashProof;
     });
     tables.recentCrashes.push_back(crash);
-    for (const auto &[name, observed] : counters) {
+    for (const auto &[name, each] : counters) {
         const bool onlySuspect =
-            observed
+            each.observed
             && std::all_of(lost.begin(), lost.end(), [&, &counted = name](const auto &key) {
                    return shareCounter(tables, key.task, counted) || !tables.runs.at(key).observed;
                });
@@ -187,7 +208,9 @@
         ++counter.crashes;
         tables.jobs.at(name.job).hasCrashes = true;
         outcome.suspectedJobs.insert(name.job);
-        counter.crashEvidence += onlySuspect ? evidence : 0;
+        if (onlySuspect) {
+            counter.crashEvidence += std::min(evidence, each.evidence);
+        }
         if (counter.crashEvidence >= provingEvidence) {
             outcome.proven.push_back(name);
         }
--- a/tests/deadly_task_test.cpp
+++ b/tests/deadly_task_test.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/fleet_world.h"
 
+#include <ibishinge/fleet/crash_isolation.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -53,6 +55,8 @@
     CPPUNIT_TEST(taskThatCrashesItsWorkersLateIsGivenUp);
     CPPUNIT_TEST(severalDeadlyTasksCondemnNoOthers);
     CPPUNIT_TEST(unrelatedCrashesCondemnNoTask);
+    CPPUNIT_TEST(startsOnCrashedWorkersCondemnNoTask);
+    CPPUNIT_TEST(unansweredStartsOnIdleWorkersProveNothing);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<fleet_world> m_fleet;
@@ -235,6 +239,75 @@
         }
         checkHarmlessJobsComplete();
     }
+
+    /// Guards against a long-running task that is taken for the cause because it was started on
+    /// workers that had crashed while they were idle, which nobody had noticed: seen on hunted days
+    /// on which many workers of a pool lost power. All workers but one crash at once.
+    void startsOnCrashedWorkersCondemnNoTask()
+    {
+        m_fleet->world.behaviourOf = [](const task_name &) {
+            return virtual_world::behaviour {0ms, false};
+        };
+        m_fleet->world.crashDownTime = 6s;
+        auto spec = simpleJob(2);
+        spec.steps.front().longRunning = true;
+        submit(0, spec);
+        m_fleet->loop.run(2s);
+        std::vector<std::string> ids;
+        for (const auto &[id, worker] : m_fleet->world.workers) {
+            if (worker.alive && worker.entry.pool == "pool-a") {
+                ids.push_back(id);
+            }
+        }
+        ids.pop_back();
+        for (const auto &id : ids) {
+            m_fleet->world.crashAndReturn(id);
+        }
+        m_fleet->loop.run(15s);
+        auto &through = m_fleet->processes.rbegin()->second;
+        CPPUNIT_ASSERT_EQUAL(job_state::running, m_fleet->stateOf(through, pathOf(0)));
+    }
+
+    /// The same, on the count itself: a start without an answer proves something only on a worker
+    /// that reported shortly before it.
+    void unansweredStartsOnIdleWorkersProveNothing()
+    {
+        struct row
+        {
+            milliseconds reportAge; ///< at the start
+            bool answered;
+            bool proven; ///< by two crashes
+        };
+        const std::vector<row> rows = {
+            {5000ms, false, false}, {100ms, false, true}, {5000ms, true, true}};
+        for (const auto &each : rows) {
+            const instant now = instant {} + 100s;
+            fleet_tables tables;
+            job_entry job;
+            job.id = "job";
+            job.spec = simpleJob(1);
+            job.stored = true;
+            job.hasCrashes = true;
+            openDueOccurrences(job, 0);
+            tables.jobs.emplace(job.id, job);
+            findTask(tables, {"job", 0, 0, 0})->crashes = 1;
+            crash_outcome outcome;
+            for (int number = 1; number <= 2; ++number) {
+                const auto crashedAt = now + number * 20s;
+                const run_key key {{"job", 0, 0, 0}, number};
+                auto run = makeRun(tables.jobs.at("job"), key, "worker-" + std::to_string(number));
+                run.orderedAt = crashedAt - 300ms;
+                run.phase = each.answered ? run_phase::running : run_phase::starting;
+                addRun(tables, run);
+                auto &worker = tables.workers.at(run.worker);
+                worker.reportAt = run.orderedAt - each.reportAge;
+                worker.unreachableSince = crashedAt;
+                outcome = recordCrash(tables, worker, {key}, crashedAt + 500ms);
+                removeRun(tables, key);
+            }
+            CPPUNIT_ASSERT_EQUAL(each.proven, !outcome.proven.empty());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(deadly_task_test);
