Give the test servers of the worker client eight threads

Seen: in the whole check on arm64, worker_client_test under the thread sanitizer ended each time (5 of 5 runs) with 'CHECK failed: tsan_rtl.cpp:323 addr + size <= TraceMemEnd': the sanitizer of GCC 12 has 8 GB for the traces of threads on this machine, about 580 threads, and each of the test's worlds starts a server with 64. No data race was reported, and no code of the product is involved. The tests send one request after the other, so that the number of threads is no part of what they check; all their assertions are unchanged.

--- a/tests/worker_client_test.cpp
+++ b/tests/worker_client_test.cpp
@@ -70,12 +70,21 @@
     }
 };
 
+/// The thread sanitizer has room for about 580 threads of a process on arm64, and each world starts
+/// a server.
+http_server_options fewThreads()
+{
+    http_server_options options;
+    options.threads = 8;
+    return options;
+}
+
 struct http_world final : worker_world
 {
     worker_standin standin {clock, smallWorker(), [] {}};
     std::unique_ptr<http_client> http = http_client::create({});
     result<std::unique_ptr<http_server>> server = http_server::start(
-        {}, [this](const http_request &request) { return standin.handle(request); });
+        fewThreads(), [this](const http_request &request) { return standin.handle(request); });
 
     http_world()
     {
