--- a/tests/deadly_task_test.cpp
+++ b/tests/deadly_task_test.cpp
@@ -240,9 +240,9 @@
         checkHarmlessJobsComplete();
     }
 
-    /// Guards against a long-running task that is taken for the cause because it was started on
-    /// workers that had crashed while they were idle, which nobody had noticed: seen on hunted days
-    /// on which many workers of a pool lost power. All workers but one crash at once.
+    /// Guards against a long-running task that is taken for the cause because it is started on
+    /// workers that crashed while they were idle, which nobody has noticed. All workers but one
+    /// crash at once.
     void startsOnCrashedWorkersCondemnNoTask()
     {
         m_fleet->world.behaviourOf = [](const task_name &) {
