--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -1,8 +1,8 @@
 """Stand-ins of the operators' platform for the cases of the review, and the checks of their rules.
 
 One process plays the store, the interface to machines, the minions and the requesters, each on a
-loopback address of its own. The programs under test run as separate processes. Everything that the
-stand-ins receive and answer goes to the record.
+loopback address of its own. The programs under test run as separate processes. What requesters send
+and are answered, what minions start, stop and end, and orders to machines go to the record.
 """
 
 import asyncio
