Give a task up only after two observed crashes in a row

Cause: one crash of a worker under observation was a proof by itself, and a start that its worker never received counted as the crash before it. Sixteen starts on an idle worker that was already down made 16 suspects; any worker that crashed by chance within half a second took a sound job with it.

Change: evidence needs runs that were on their worker, two starts in a row, and is refuted by a start that survives its observation. Starts that were never sent count nothing. Observations grow with late crashes only. worker_crashed tells for each run whether it was seen and observed.

The fixture of unansweredStartsOnIdleWorkersProveNothing says now that starts were sent and answered; its rows are as strict as before.

--- a/include/ibishinge/fleet/crash_isolation.h
+++ b/include/ibishinge/fleet/crash_isolation.h
@@ -13,8 +13,10 @@
 /// A task may crash each worker that starts it. Which of the runs on a crashed worker was the cause
 /// is not known, so all of them are suspected. A suspect is started under observation: on a worker
 /// whose other runs have run for a while, and which starts nothing else until the suspect has too.
-/// A crash meanwhile is evidence that the suspect is the cause: less if other workers may have
-/// crashed at the same time, none in an outage. Two crashes or more prove it, and it is given up.
+/// A crash meanwhile is evidence that the suspect is the cause, less if other workers may have
+/// crashed at the same time. One such crash may be a coincidence: at least two starts in a row that
+/// end so prove it, and the task is given up. A start that survives its observation refutes what
+/// the starts before it seemed to show.
 /// All members of a gang share one count, kept by the member with index 0.
 ///
 /// The functions are not thread-safe.
@@ -42,8 +44,8 @@
     std::vector<task_name> proven; ///< tasks to give up
 };
 
-/// Counts the crash of a worker for the tasks of the runs lost with it. Precondition: `lost` are
-/// all runs that the worker had.
+/// Counts the crash of a worker for the tasks of the runs lost with it, but not for runs whose
+/// start was never sent. Precondition: `lost` are all runs that the worker had.
 [[nodiscard]] crash_outcome recordCrash(fleet_tables &tables, const worker_status &worker,
                                         const std::vector<run_key> &lost, instant now);
 
@@ -65,4 +67,9 @@
 /// tasks that have run far longer. Returns the ids of the jobs whose counts have changed.
 [[nodiscard]] std::set<std::string> endObservations(fleet_tables &tables);
 
+/// Records that a run of the task is no longer observed and its worker has not crashed. Returns
+/// true if that changed the task's counts. Does nothing while another member of its gang is
+/// observed.
+[[nodiscard]] bool recordSurvival(fleet_tables &tables, const task_name &name);
+
 } // namespace ibishinge::fleet
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -67,6 +67,7 @@
     bool observed = false;
     std::string ticket; ///< ticket of the advice service that is sent with the start
     int orders = 0; ///< number of start requests sent for this run
+    bool seenOnWorker = false; ///< the worker answered the start or listed the run
     bool callPending = false; ///< a start or stop request has not been answered yet
     bool stopAnswered = false; ///< the worker answered the stop request
     instant stopSentAt;
@@ -101,8 +102,11 @@
     /// still exist.
     instant notBefore;
     std::string avoidWorker; ///< worker on which the last run failed or made no progress
-    int crashes = 0; ///< workers that crashed while they had a run of the task
-    int crashEvidence = 0; ///< that the task caused them, see `crash_isolation.h`
+    int crashes = 0; ///< workers that crashed while they may have had a run of the task
+    int lateCrashes = 0; ///< those under runs that had survived their observation
+    /// That the task crashes the workers that start it: sum over its last starts in a row that were
+    /// observed and ended with a crash, see `crash_isolation.h`.
+    int crashEvidence = 0;
     int storedCrashes = 0; ///< value of `crashes` in the store
     std::optional<suspect_run> suspectRun; ///< current run, if the task is suspected
 };
@@ -219,7 +223,6 @@
 {
     instant after; ///< the worker's last report
     instant before; ///< when the crash was noticed
-    bool observed = false; ///< a run was under observation
 };
 
 /// State of the coordinator. Plain data, changed by free functions and by the coordinator. Not
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -300,7 +300,12 @@
                            end.run, nameOf(end.kind), ranFor ? ranFor->count() : -1});
     m_metrics.add("ibishinge_runs_ended_total", {{"end", std::string(nameOf(end.kind))}});
     if (known) {
+        const bool ranToItsEnd = end.kind == end_kind::done || end.kind == end_kind::failed;
+        const bool survived = found->second.observed && ranToItsEnd;
         removeRun(m_tables, key);
+        if (survived && recordSurvival(m_tables, end.task)) {
+            markDirty(end.task.job);
+        }
     }
     auto *task = findTask(m_tables, end.task);
     if (task == nullptr || task->phase == task_phase::done) {
@@ -412,6 +417,7 @@
             run.percent = seen.percent;
             run.progressAt = now;
         }
+        run.seenOnWorker = true;
         run.listedInReport = m_reportNumber;
         run.missingFromReport = false;
         run.usage = seen.usage;
@@ -442,6 +448,7 @@
     run.percent = seen.percent;
     run.checkpoint = seen.checkpoint;
     run.usage = seen.usage;
+    run.seenOnWorker = true;
     run.listedInReport = m_reportNumber;
     addRun(m_tables, std::move(run));
     auto line = describeRun(key);
@@ -501,7 +508,14 @@
     const auto outcome = recordCrash(m_tables, worker, lost, m_timers.now());
     auto suspects = nlohmann::json::array();
     for (const auto &key : lost) {
-        suspects.push_back(describeRun(key));
+        const auto &run = m_tables.runs.at(key);
+        auto line = describeRun(key);
+        line["seen"] = run.seenOnWorker;
+        line["observed"] = run.observed;
+        line["orders"] = run.orders;
+        const auto *const task = findTask(m_tables, key.task);
+        line["evidence"] = task == nullptr ? 0 : task->crashEvidence;
+        suspects.push_back(std::move(line));
     }
     logEvent(log_level::warning, "worker_crashed", {{"worker", id}, {"suspects", suspects}});
     m_metrics.add("ibishinge_workers_crashed_total");
@@ -668,6 +682,7 @@
         worker.reportAt = now;
     }
     if (answer->outcome == run_command_outcome::running) {
+        run.seenOnWorker = true;
         run.confirmedAt = now;
         if (run.phase == run_phase::starting) {
             run.phase = run_phase::running;
--- a/src/fleet/crash_isolation.cpp
+++ b/src/fleet/crash_isolation.cpp
@@ -1,6 +1,7 @@
 #include <ibishinge/fleet/crash_isolation.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace ibishinge::fleet {
 
@@ -9,29 +10,24 @@
 /// Time after which a run that has begun is not expected to crash its worker any more.
 constexpr milliseconds settlingTime {500};
 
-/// Each crash after the first multiplies the time of observation, so that a task that crashes its
-/// worker later than `settlingTime` is found too.
-constexpr int observationGrowth = 4;
-constexpr int maxObservationGrowths = 3;
+/// Each crash of a run that had survived its observation multiplies the time of the next one, so
+/// that a task that crashes its worker later than `settlingTime` is found too.
+constexpr int observationGrowth = 8;
+constexpr int maxObservationGrowths = 2;
 
-/// A long-running task that has run for this long without a crash is no longer suspected.
-constexpr milliseconds crashMemory {120'000};
+/// A long-running task that has run for this long without a crash is no longer suspected: it does
+/// not crash the workers that start it. The longer observations of other tasks would mostly meet
+/// crashes that have other causes, as a task that runs for minutes meets many.
+constexpr milliseconds longRunningCrashMemory {8000};
 
 /// One in this many of a pool's workers may be reserved at the same time.
 constexpr std::size_t workersPerReservation = 4;
 
-/// Workers that may have crashed at the same time had an outage if they are more than one in
-/// `workersPerCrashOfOutage` of the pool's workers, or if one in `workersPerUnexplainedCrash` had
-/// no run under observation. It takes at least `crashesOfOutage` besides the one considered.
-constexpr std::ptrdiff_t workersPerCrashOfOutage = 2;
-constexpr std::ptrdiff_t workersPerUnexplainedCrash = 4;
-constexpr std::ptrdiff_t crashesOfOutage = 2;
-
-/// Evidence of a crash under observation: of one worker only, or while others may have crashed too
-/// or the start was not answered; and the sum at which a task is given up.
+/// Evidence of a crash under observation: of one worker only, or while others may have crashed too;
+/// and the sum at which a task is given up.
 constexpr int clearEvidence = 2;
 constexpr int unclearEvidence = 1;
-constexpr int provingEvidence = 2;
+constexpr int provingEvidence = 4;
 
 /// A start without an answer counts only on a worker that reported at most this long before: one
 /// that was idle may have crashed unnoticed.
@@ -40,13 +36,14 @@
 /// Longest time from the first failed poll until the crash is proved.
 constexpr milliseconds longestCrashProof {10'000};
 
-milliseconds observationTime(int crashes)
+/// Returns how long a run of the task is observed.
+milliseconds observationTime(const task_entry &counter, bool longRunning)
 {
     auto time = settlingTime;
-    for (int i = 1; i < std::min(crashes, maxObservationGrowths + 1); ++i) {
+    for (int i = 0; i < std::min(counter.lateCrashes, maxObservationGrowths); ++i) {
         time *= observationGrowth;
     }
-    return time;
+    return longRunning ? std::min(time, longRunningCrashMemory) : time;
 }
 
 const task_entry &taskAt(const job_entry &job, const task_name &name)
@@ -76,40 +73,26 @@
 int evidenceOfCrash(const fleet_tables &tables, const worker_status &worker,
                     const worker_crash &crash)
 {
-    std::ptrdiff_t others = 0;
-    std::ptrdiff_t unexplained = 0;
-    const auto consider = [&](const worker_crash &other) {
-        if (other.after <= crash.before && crash.after <= other.before) {
-            ++others;
-            unexplained += other.observed ? 0 : 1;
-        }
+    const auto overlaps = [&crash](instant after, instant before) {
+        return after <= crash.before && crash.after <= before;
     };
-    for (const auto &other : tables.recentCrashes) {
-        consider(other);
-    }
-    std::ptrdiff_t inPool = 0;
-    for (const auto &[id, other] : tables.workers) {
-        inPool += other.entry.pool == worker.entry.pool ? 1 : 0;
-        if (&other != &worker && other.failedPolls > 0 && !other.runs.empty()) {
-            consider({other.reportAt, other.unreachableSince, other.observedRuns > 0});
-        }
-    }
-    const bool outage =
-        (others >= crashesOfOutage && others + 1 > inPool / workersPerCrashOfOutage)
-        || unexplained >= std::max(crashesOfOutage, inPool / workersPerUnexplainedCrash);
-    if (outage) {
-        return 0;
-    }
-    return others > 0 ? unclearEvidence : clearEvidence;
+    const bool othersCrashed =
+        std::any_of(tables.recentCrashes.begin(), tables.recentCrashes.end(),
+                    [&](const worker_crash &other) { return overlaps(other.after, other.before); });
+    const bool othersMayHave =
+        std::any_of(tables.workers.begin(), tables.workers.end(), [&](const auto &each) {
+            const auto &other = each.second;
+            return &other != &worker && other.failedPolls > 0 && !other.runs.empty()
+                   && overlaps(other.reportAt, other.unreachableSince);
+        });
+    return othersCrashed || othersMayHave ? unclearEvidence : clearEvidence;
 }
 
-/// Returns the most that a crash of the worker can be evidence against the task of a run.
-int evidenceOfStart(const worker_status &worker, const run_entry &run)
+/// Returns true if the worker had the run when it crashed, as far as is known: it answered the
+/// start or listed the run, or it was up just before the start was sent.
+bool hadRun(const worker_status &worker, const run_entry &run)
 {
-    if (run.phase != run_phase::starting) {
-        return clearEvidence;
-    }
-    return since(worker.reportAt, run.orderedAt) <= maxReportAgeAtStart ? unclearEvidence : 0;
+    return run.seenOnWorker || since(worker.reportAt, run.orderedAt) <= maxReportAgeAtStart;
 }
 
 } // namespace
@@ -174,25 +157,25 @@
     struct lost_task
     {
         bool observed = false;
-        int evidence = 0; ///< at most, by what is known of the start
+        bool hadRun = false; ///< the worker had a run of the task
     };
     std::map<task_name, lost_task> counters;
     for (const auto &key : lost) {
+        const auto &run = tables.runs.at(key);
         const auto *task = findTask(tables, key.task);
-        if (task != nullptr && task->phase != task_phase::done
-            && !tables.jobs.at(key.task.job).ending) {
-            const auto &run = tables.runs.at(key);
-            auto &each = counters[crashCounterOf(tables.jobs.at(key.task.job), key.task)];
-            each.observed = each.observed || run.observed;
-            each.evidence = std::max(each.evidence, evidenceOfStart(worker, run));
+        const bool neverSent = run.orders == 0 && !run.seenOnWorker;
+        if (neverSent || task == nullptr || task->phase == task_phase::done
+            || tables.jobs.at(key.task.job).ending) {
+            continue;
         }
+        auto &each = counters[crashCounterOf(tables.jobs.at(key.task.job), key.task)];
+        each.observed = each.observed || run.observed;
+        each.hadRun = each.hadRun || hadRun(worker, run);
     }
     // A restart that no poll has run into is noticed by the report that shows it.
     const bool noticedBefore = since(worker.unreachableSince, now) < longestCrashProof;
-    const bool anyObserved = std::any_of(
-        lost.begin(), lost.end(), [&](const run_key &key) { return tables.runs.at(key).observed; });
     const auto noticedAt = noticedBefore ? worker.unreachableSince : now;
-    const worker_crash crash {std::min(worker.reportAt, noticedAt), noticedAt, anyObserved};
+    const worker_crash crash {std::min(worker.reportAt, noticedAt), noticedAt};
     const int evidence = evidenceOfCrash(tables, worker, crash);
     std::erase_if(tables.recentCrashes, [now](const worker_crash &other) {
         return since(other.before, now) > longestCrashProof;
@@ -205,11 +188,12 @@
                    return shareCounter(tables, key.task, counted) || !tables.runs.at(key).observed;
                });
         auto &counter = *findTask(tables, name);
+        counter.lateCrashes += counter.crashes > 0 && !each.observed ? 1 : 0;
         ++counter.crashes;
         tables.jobs.at(name.job).hasCrashes = true;
         outcome.suspectedJobs.insert(name.job);
-        if (onlySuspect) {
-            counter.crashEvidence += std::min(evidence, each.evidence);
+        if (onlySuspect && each.hadRun) {
+            counter.crashEvidence += evidence;
         }
         if (counter.crashEvidence >= provingEvidence) {
             outcome.proven.push_back(name);
@@ -303,11 +287,15 @@
         auto &counter = *found;
         // Only a report shows that the worker still runs.
         const auto ranFor = since(run.confirmedAt, tables.workers.at(run.worker).reportAt);
-        if (run.observed && ranFor > observationTime(counter.crashes)) {
+        if (run.observed && ranFor > observationTime(counter, run.longRunning)) {
             endObservation(tables, run);
+            if (recordSurvival(tables, key.task)) {
+                changed.insert(key.task.job);
+            }
         }
-        if (run.longRunning && counter.crashes > 0 && ranFor > crashMemory) {
+        if (run.longRunning && counter.crashes > 0 && ranFor > longRunningCrashMemory) {
             counter.crashes = 0;
+            counter.lateCrashes = 0;
             counter.crashEvidence = 0;
             if (auto *const task = findTask(tables, key.task)) {
                 task->suspectRun.reset();
@@ -318,4 +306,20 @@
     return changed;
 }
 
+bool recordSurvival(fleet_tables &tables, const task_name &name)
+{
+    const auto job = tables.jobs.find(name.job);
+    if (job == tables.jobs.end()) {
+        return false;
+    }
+    for (auto run = tables.runs.lower_bound({{name.job, 0, 0, 0}, 0});
+         run != tables.runs.end() && run->first.task.job == name.job; ++run) {
+        if (run->second.observed && shareCounter(tables, run->first.task, name)) {
+            return false; // the worker of another member of the gang may still crash
+        }
+    }
+    auto *const counter = findTask(tables, crashCounterOf(job->second, name));
+    return counter != nullptr && std::exchange(counter->crashEvidence, 0) > 0;
+}
+
 } // namespace ibishinge::fleet
--- a/src/fleet/record_codec.cpp
+++ b/src/fleet/record_codec.cpp
@@ -15,6 +15,9 @@
 constexpr integer_range timeRange {0, 1'000'000'000'000'000};
 constexpr integer_range countRange {0, 1'000'000'000};
 
+/// Column of the late crashes in a row of crashes; rows without any are shorter.
+constexpr std::size_t lateCrashesColumn = 7;
+
 template <class T>
 result<T> parseRecord(const std::string &place, const std::string &text,
                       const std::function<T(const json &)> &read)
@@ -192,6 +195,9 @@
                     const auto run = task.suspectRun.value_or(suspect_run {});
                     crashes.push_back({step, index, task.crashes, task.crashEvidence, run.worker,
                                        run.incarnation, run.run});
+                    if (task.lateCrashes > 0) {
+                        crashes.back().push_back(task.lateCrashes);
+                    }
                 }
             }
         }
@@ -245,6 +251,8 @@
                     task.crashes = row.at(2).get<int>();
                     task.crashEvidence = row.at(3).get<int>();
                     task.storedCrashes = task.crashes;
+                    task.lateCrashes =
+                        row.size() > lateCrashesColumn ? row.at(lateCrashesColumn).get<int>() : 0;
                     const suspect_run run {row.at(4).get<std::string>(),
                                            row.at(5).get<std::int64_t>(),
                                            row.at(6).get<std::int64_t>()};
--- a/tests/deadly_task_test.cpp
+++ b/tests/deadly_task_test.cpp
@@ -297,7 +297,9 @@
                 const run_key key {{"job", 0, 0, 0}, number};
                 auto run = makeRun(tables.jobs.at("job"), key, "worker-" + std::to_string(number));
                 run.orderedAt = crashedAt - 300ms;
+                run.orders = 1;
                 run.phase = each.answered ? run_phase::running : run_phase::starting;
+                run.seenOnWorker = each.answered;
                 addRun(tables, run);
                 auto &worker = tables.workers.at(run.worker);
                 worker.reportAt = run.orderedAt - each.reportAge;
