Poll an idle worker before a start, and bound leases by its clock

Cause: the end of a lease is a time on the worker's clock, extrapolated from its last report. An idle worker is not polled; if it had restarted unnoticed, the end lay far ahead on its new clock and the lease lasted up to the longest one, while the coordinator started the task elsewhere after 4.2 s.

Change: starts on workers that are not polled and have not reported for 500 ms follow a poll without a lease. Each answer's clock bounds the leases, a new process is taken to hold the longest one if an order may have reached it, and so is a start without an answer after an old report.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -30,6 +30,7 @@
 struct coordinator_settings
 {
     milliseconds taskLease {4000}; ///< of a run; longer than an outage of the leader's record
+    milliseconds maxTaskLease {10000}; ///< to which a worker shortens a longer lease
     milliseconds stopTime {200}; ///< in which a worker ends a run after a stop order
     milliseconds maintenanceTime {2000}; ///< for which a host is down for maintenance
     int maxConcurrentWrites = 2; ///< transactions in flight while the store is not slow
@@ -198,6 +199,14 @@
     void stopGangMembers(const task_name &member);
     void stopRunsOf(const std::string &job, std::string_view reason);
     void orderStop(const run_key &key, std::string_view reason);
+    /// Sends a start, after a poll if the worker may have ended or restarted since its last report:
+    /// a lease is reckoned on the worker's clock, which a new worker process begins anew.
+    void startWhenContacted(const run_key &key);
+    /// Sends the starts that wait for an answer of the worker.
+    void sendAwaitingStarts(const worker_status &worker);
+    /// Removes runs whose starts wait for an answer of the worker, so that they are placed
+    /// elsewhere.
+    void abandonAwaitingStarts(worker_status &worker);
     void sendStart(const run_key &key);
     void onStarted(const run_key &key, const result<run_command_reply> &answer);
     /// Removes a run that did not start, so that its task is placed again; with `avoid` preferably
@@ -205,6 +214,9 @@
     void abandonStart(const run_key &key, bool avoid);
     void onStopped(const run_key &key, const result<run_command_reply> &answer);
     [[nodiscard]] std::int64_t leaseUntil(worker_status &worker);
+    /// Extends the time by which the worker's leases end to what its clock implies, which is the
+    /// longest lease if the worker has restarted since the lease was reckoned.
+    void boundLeases(worker_status &worker, std::int64_t workerClockMs);
 
     // coordinator.cpp
     void requestSchedulingPass();
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -68,6 +68,9 @@
     std::string ticket; ///< ticket of the advice service that is sent with the start
     int orders = 0; ///< number of start requests sent for this run
     bool seenOnWorker = false; ///< the worker answered the start or listed the run
+    /// Its lease may last until then, beyond those of the worker's other runs: the start was not
+    /// answered, and the worker may have restarted before it. Epoch: it does not.
+    instant leaseEndsBy;
     bool callPending = false; ///< a start or stop request has not been answered yet
     bool stopAnswered = false; ///< the worker answered the stop request
     instant stopSentAt;
@@ -76,6 +79,12 @@
     bool missingFromReport = false;
 };
 
+/// Returns true if the start of the run waits to be sent. Thread-safe.
+[[nodiscard]] constexpr bool isUnsent(const run_entry &run) noexcept
+{
+    return run.phase == run_phase::starting && run.orders == 0;
+}
+
 /// Phase of a task.
 enum class task_phase : std::uint8_t { waiting, placed, done };
 
@@ -167,6 +176,9 @@
     std::string failureReason;
 };
 
+/// A worker that reported longer ago and is not being polled may have ended or restarted unnoticed.
+inline constexpr milliseconds maxReportAgeAtStart {500};
+
 /// State of one worker as known to the coordinator.
 struct worker_status
 {
@@ -180,6 +192,10 @@
     instant reportAt; ///< when the last report was received
     /// Leases of this coordinator's runs expire by this time unless they are renewed.
     instant leasesEndBy;
+    /// Latest end of a lease sent to the present worker process, on its clock, in milliseconds.
+    std::int64_t leaseSent = 0;
+    instant leaseSentAt; ///< when a lease was last sent to the worker
+    bool awaitsContact = false; ///< starts wait for the answer to a poll
     std::int64_t processedEnd = 0; ///< number of the last end that was applied to the tables
     std::int64_t storedEnd = 0; ///< number of the last end whose effects are in the store
     /// When the oldest end whose effects are not in the store was applied. Valid if there is one.
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -407,7 +407,7 @@
         task.suspectRun = {worker.entry.id, worker.incarnation, run};
         startWhenStored({name, run});
     } else {
-        sendStart({name, run});
+        startWhenContacted({name, run});
     }
     return true;
 }
@@ -558,6 +558,16 @@
         if (worker.leasesEndBy > now) {
             continue;
         }
+        const bool hasEnded = worker.ended || hasSuccessor(worker);
+        const auto isHeld = [&, reachable = worker.registered && worker.verified](const auto &key) {
+            const auto &run = m_tables.runs.at(key);
+            return (isUnsent(run) && reachable) || (run.leaseEndsBy > now && !hasEnded);
+        };
+        if (std::any_of(worker.runs.begin(), worker.runs.end(), isHeld)) {
+            std::copy_if(worker.runs.begin(), worker.runs.end(), std::back_inserter(expired),
+                         [&](const auto &key) { return !isHeld(key); });
+            continue;
+        }
         if (!worker.runs.empty() && (worker.ended || hasSuccessor(worker))) {
             crashed.push_back(id);
         }
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -64,6 +64,13 @@
 /// Margin for the time from the computation of a lease until the order is sent.
 constexpr milliseconds sendDelayMargin {60};
 
+/// Longest time from sending an order with a lease until a worker receives it.
+constexpr milliseconds maxOrderDelay {500};
+
+/// A worker's clock that is further back than this has begun anew. Answers on several connections
+/// overtake each other, which makes it seem to step back by less.
+constexpr std::int64_t clockStepBackMs = 500;
+
 nlohmann::json describeRun(const run_key &key)
 {
     return {{"job", key.task.job},
@@ -87,7 +94,18 @@
     const auto bound = now + scaled(m_settings.taskLease, slowClockFactor)
                        + scaled(age, slowClockFactor - 1) + sendDelayMargin;
     worker.leasesEndBy = std::max(worker.leasesEndBy, bound);
-    return worker.clockAtReport + (age + m_settings.taskLease).count();
+    const auto until = worker.clockAtReport + (age + m_settings.taskLease).count();
+    worker.leaseSent = std::max(worker.leaseSent, until);
+    worker.leaseSentAt = now;
+    return until;
+}
+
+void coordinator::boundLeases(worker_status &worker, std::int64_t workerClockMs)
+{
+    const auto left = std::clamp(milliseconds(worker.leaseSent - workerClockMs), milliseconds(0),
+                                 m_settings.maxTaskLease);
+    worker.leasesEndBy = std::max(worker.leasesEndBy,
+                                  m_timers.now() + scaled(left, slowClockFactor) + sendDelayMargin);
 }
 
 void coordinator::pollIfDue(worker_status &worker)
@@ -113,7 +131,7 @@
     order.acknowledgedEnd = worker.verified ? worker.storedEnd : 0;
     order.knownEnd = worker.processedEnd;
     order.knownIncarnation = worker.incarnation;
-    if (hasRuns && worker.verified) {
+    if (hasRuns && worker.verified && !worker.awaitsContact) {
         order.leaseUntil = leaseUntil(worker);
         if (!hasUnstoredEnds) {
             order.wait = pollWait(worker);
@@ -178,6 +196,7 @@
     const auto pause =
         std::min(pollRetryDelayBase * (1 << std::min(worker.failedPolls, 5)), maxPollRetryDelay);
     worker.nextPollAt = m_timers.now() + pause;
+    abandonAwaitingStarts(worker);
 }
 
 void coordinator::onReport(const std::string &id, const worker_report &report, instant sentAt)
@@ -197,6 +216,7 @@
     if (report.otherIncarnation) {
         worker.verified = false;
         worker.nextPollAt = now + maxPollRetryDelay;
+        abandonAwaitingStarts(worker);
         return;
     }
     if (worker.failedPolls > 0) {
@@ -212,6 +232,7 @@
     if (incarnationKnown && report.incarnation != worker.incarnation) {
         onNewIncarnation(worker, report, sentAt);
     }
+    boundLeases(worker, report.workerClockMs);
     worker.incarnation = report.incarnation;
     worker.verified = true;
     worker.contacted = true;
@@ -249,7 +270,13 @@
     if (firstContact) {
         releaseInheritedTasks();
     }
-    pollIfDue(worker);
+    if (std::exchange(worker.awaitsContact, false)) {
+        // The worker is polled again when it has answered a start: a report that was requested at
+        // the same time as the start would not tell whether the run is gone.
+        sendAwaitingStarts(worker);
+    } else {
+        pollIfDue(worker);
+    }
     requestSchedulingPass();
 }
 
@@ -268,10 +295,20 @@
             std::any_of(report.running.begin(), report.running.end(), [&](const auto &seen) {
                 return seen.task == key.task && seen.run == key.run;
             });
-        if (!run.callPending && run.orderedAt < sentAt && !listed) {
+        if (!run.callPending && !isUnsent(run) && run.orderedAt < sentAt && !listed) {
             gone.push_back(key);
         }
     }
+    const auto startedAfter =
+        m_timers.now() - scaled(milliseconds(report.workerClockMs), slowClockFactor);
+    if (worker.leaseSentAt + maxOrderDelay > startedAfter) {
+        // A lease that was reckoned on the former clock may have reached the new process, for which
+        // its end lies far ahead.
+        worker.leasesEndBy =
+            std::max(worker.leasesEndBy, m_timers.now() + maxOrderDelay
+                                             + scaled(m_settings.maxTaskLease, slowClockFactor));
+    }
+    worker.leaseSent = 0;
     worker.processedEnd = 0;
     worker.storedEnd = 0;
     worker.acknowledgedEnd = 0;
@@ -580,6 +617,11 @@
         return;
     }
     auto &run = found->second;
+    if (isUnsent(run)) {
+        removeRun(m_tables, key);
+        releaseTask(key);
+        return;
+    }
     if (run.phase != run_phase::stopping) {
         auto line = describeRun(key);
         line["worker"] = run.worker;
@@ -624,6 +666,54 @@
     pollIfDue(worker);
 }
 
+void coordinator::startWhenContacted(const run_key &key)
+{
+    auto &worker = m_tables.workers.at(m_tables.runs.at(key).worker);
+    if (!worker.verified) {
+        abandonStart(key, true);
+        return;
+    }
+    const auto now = m_timers.now();
+    const bool mayHaveEnded =
+        !worker.pollInProgress && since(worker.reportAt, now) > maxReportAgeAtStart;
+    if (!worker.awaitsContact && !mayHaveEnded) {
+        sendStart(key);
+        return;
+    }
+    worker.awaitsContact = true;
+    worker.nextPollAt = now;
+    pollIfDue(worker);
+}
+
+void coordinator::sendAwaitingStarts(const worker_status &worker)
+{
+    if (!mayIssueOrders()) {
+        return; // `checkRuns` sends them
+    }
+    std::vector<run_key> awaiting;
+    for (const auto &key : worker.runs) {
+        const auto &run = m_tables.runs.at(key);
+        if (isUnsent(run) && !run.callPending) {
+            awaiting.push_back(key);
+        }
+    }
+    for (const auto &key : awaiting) {
+        sendStart(key);
+    }
+}
+
+void coordinator::abandonAwaitingStarts(worker_status &worker)
+{
+    worker.awaitsContact = false;
+    const auto runs = worker.runs; // abandoning a member of a gang removes other runs too
+    for (const auto &key : runs) {
+        const auto run = m_tables.runs.find(key);
+        if (run != m_tables.runs.end() && isUnsent(run->second) && !run->second.callPending) {
+            abandonStart(key, true);
+        }
+    }
+}
+
 void coordinator::sendStart(const run_key &key)
 {
     auto &run = m_tables.runs.at(key);
@@ -637,6 +727,9 @@
     order.fencingToken = m_leadership.fencingToken;
     order.checkpoint = run.checkpoint;
     order.ticket = run.ticket;
+    if (run.orders == 0) {
+        run.orderedAt = m_timers.now();
+    }
     ++run.orders;
     run.callPending = true;
     if (run.orders > 1) {
@@ -670,6 +763,10 @@
         line["worker"] = run.worker;
         line["error"] = describe(answer.error());
         logEvent(log_level::warning, "start_unanswered", line);
+        if (since(worker.reportAt, run.orderedAt) > maxReportAgeAtStart) {
+            run.leaseEndsBy =
+                now + scaled(m_settings.maxTaskLease, slowClockFactor) + sendDelayMargin;
+        }
         if (answer.error().kind == error_kind::unavailable && run.orders == 1
             && run.phase == run_phase::starting) {
             abandonStart(key, true);
@@ -678,6 +775,12 @@
         return;
     }
     if (answer->workerClockMs > 0) {
+        boundLeases(worker, answer->workerClockMs);
+        if (answer->workerClockMs + clockStepBackMs < worker.clockAtReport) {
+            // The worker has restarted; the next report tells of which runs that is the end.
+            worker.verified = false;
+            worker.nextPollAt = now;
+        }
         worker.clockAtReport = answer->workerClockMs;
         worker.reportAt = now;
     }
@@ -757,6 +860,7 @@
 
 void coordinator::checkRuns()
 {
+    std::vector<run_key> toStart;
     std::vector<run_key> toResend;
     std::vector<run_key> toStop;
     const auto now = m_timers.now();
@@ -771,6 +875,8 @@
                 findTask(m_tables, key.task) != nullptr && !m_tables.jobs.at(key.task.job).ending;
             if (!live) {
                 toStop.push_back(key);
+            } else if (run.orders == 0) {
+                toStart.push_back(key);
             } else if (m_tables.workers.at(run.worker).verified) {
                 toResend.push_back(key);
             }
@@ -779,8 +885,15 @@
             toStop.push_back(key);
         }
     }
+    for (const auto &key : toStart) {
+        if (m_tables.runs.count(key) > 0) { // not removed with another member of its gang
+            startWhenContacted(key);
+        }
+    }
     for (const auto &key : toResend) {
-        sendStart(key);
+        if (m_tables.runs.count(key) > 0) {
+            sendStart(key);
+        }
     }
     for (const auto &key : toStop) {
         orderStop(key, "unanswered");
--- a/src/fleet/crash_isolation.cpp
+++ b/src/fleet/crash_isolation.cpp
@@ -29,10 +29,6 @@
 constexpr int unclearEvidence = 1;
 constexpr int provingEvidence = 4;
 
-/// A start without an answer counts only on a worker that reported at most this long before: one
-/// that was idle may have crashed unnoticed.
-constexpr milliseconds maxReportAgeAtStart {500};
-
 /// Longest time from the first failed poll until the crash is proved.
 constexpr milliseconds longestCrashProof {10'000};
 
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -87,14 +87,7 @@
         const auto host = workers.at(id).entry.host;
         if (restartsInPlace) {
             loop.after(crashDownTime, [this, id] {
-                auto &worker = workers.at(id);
-                worker.alive = true;
-                worker.entry.incarnation = ++lives;
-                worker.startedAt = loop.now();
-                worker.leaseEnd = {};
-                worker.fence = 0;
-                worker.endCount = 0;
-                worker.closedRuns.clear();
+                restartUnnoticed(id);
                 putItem("workers/" + id, id, 0);
             });
             return;
@@ -112,6 +105,28 @@
         });
     }
 
+    /// Replaces the process of a worker by a new one that nobody hears of before it answers: its
+    /// entry in the registry stays.
+    void restartUnnoticed(const std::string &id)
+    {
+        crash(id);
+        auto &worker = workers.at(id);
+        worker.alive = true;
+        worker.entry.incarnation = ++lives;
+        worker.startedAt = loop.now();
+        worker.leaseEnd = {};
+        worker.fence = 0;
+        worker.endCount = 0;
+        worker.closedRuns.clear();
+    }
+
+    /// Renews the lease of a worker until a time on its clock; one that is too long is shortened.
+    void extendLease(virtual_worker &worker, std::int64_t until) const
+    {
+        worker.leaseEnd = std::max(worker.leaseEnd, std::min(worker.startedAt + milliseconds(until),
+                                                             loop.now() + maxTaskLease));
+    }
+
     void putItem(const std::string &key, const std::string &value, std::int64_t lease)
     {
         auto &item = items[key];
@@ -224,8 +239,7 @@
         }
         ++starts;
         startsWithTicket += order.ticket.empty() ? 0 : 1;
-        worker.leaseEnd =
-            std::max(worker.leaseEnd, worker.startedAt + milliseconds(order.leaseUntil));
+        extendLease(worker, order.leaseUntil);
         const auto planned = behaviourOf(order.task);
         virtual_worker::live_run run;
         run.run = order.run;
@@ -328,6 +342,7 @@
     int maxAttempts = 2;
     milliseconds crashDelay {50};
     milliseconds crashDownTime {1500};
+    milliseconds maxTaskLease {10000};
     bool restartsInPlace = false; ///< a crashed worker keeps its entry in the registry
     std::map<task_name, int> startsOfDeadlyTasks;
     std::map<task_name, int> crashesByTask;
@@ -538,7 +553,7 @@
             }
             at.fence = order.fencingToken;
             if (order.leaseUntil > 0) {
-                at.leaseEnd = std::max(at.leaseEnd, at.startedAt + milliseconds(order.leaseUntil));
+                m_world.extendLease(at, order.leaseUntil);
             }
             std::erase_if(at.ended,
                           [&](const run_end &end) { return end.number <= order.acknowledgedEnd; });
