Remember stops that become due while no orders may be sent

Cause: orderStop returned without a trace while the coordinator was suspended or its lease not proven. Its callers act once, on an event: the end of a cancelled job was stored in such a moment, and its runs went on for ever.

Change: the stop is kept as the phase of the run and sent by checkRuns. run_stopping tells whether the coordinator was suspended.

suspended_coordinator_test: both tests failed before, the second shows the same cause for members of a gang.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -198,6 +198,8 @@
     [[nodiscard]] bool hasSuccessor(const worker_status &worker) const;
     void stopGangMembers(const task_name &member);
     void stopRunsOf(const std::string &job, std::string_view reason);
+    /// Stops a run. While no orders may be sent, the stop is remembered and sent later: what makes
+    /// it necessary, such as a stored cancellation, does not happen again.
     void orderStop(const run_key &key, std::string_view reason);
     /// Sends a start, after a poll if the worker may have ended or restarted since its last report:
     /// a lease is reckoned on the worker's clock, which a new worker process begins anew.
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -613,7 +613,7 @@
 void coordinator::orderStop(const run_key &key, std::string_view reason)
 {
     const auto found = m_tables.runs.find(key);
-    if (found == m_tables.runs.end() || !mayIssueOrders()) {
+    if (found == m_tables.runs.end()) {
         return;
     }
     auto &run = found->second;
@@ -626,10 +626,14 @@
         auto line = describeRun(key);
         line["worker"] = run.worker;
         line["reason"] = reason;
+        line["suspended"] = !mayIssueOrders();
         logEvent(log_level::info, "run_stopping", line);
         run.phase = run_phase::stopping;
         run.stopAnswered = false;
     }
+    if (!mayIssueOrders()) {
+        return; // `checkRuns` sends the stop, if this process goes on as coordinator
+    }
     run.callPending = true;
     run.stopSentAt = m_timers.now();
     m_workerCalls.stopRun(
