Poll a worker before a suspected task is started on it

Cause: a start that was not answered counted as evidence only if its worker happened to have reported within 500 ms. Idle workers are not polled, so that a task that crashes each of them before it answers was started for ever.

Change: a suspect is started right after a report of its worker, which makes each of its starts evidence. A run known only from the store counts half.

deadly_task_test::taskThatCrashesIdleWorkersBeforeTheyAnswerIsGivenUp failed before; two more tests hold the behaviour with answers and over take-overs.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -202,7 +202,8 @@
     /// it necessary, such as a stored cancellation, does not happen again.
     void orderStop(const run_key &key, std::string_view reason);
     /// Sends a start, after a poll if the worker may have ended or restarted since its last report:
-    /// a lease is reckoned on the worker's clock, which a new worker process begins anew.
+    /// a lease is reckoned on the worker's clock, which a new worker process begins anew, and a
+    /// crash is held against a suspect only if it followed its start.
     void startWhenContacted(const run_key &key);
     /// Sends the starts that wait for an answer of the worker.
     void sendAwaitingStarts(const worker_status &worker);
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -68,6 +68,9 @@
     std::string ticket; ///< ticket of the advice service that is sent with the start
     int orders = 0; ///< number of start requests sent for this run
     bool seenOnWorker = false; ///< the worker answered the start or listed the run
+    /// Known only from the record of its suspected task: an earlier coordinator may have started
+    /// it.
+    bool fromRecord = false;
     /// Its lease may last until then, beyond those of the worker's other runs: the start was not
     /// answered, and the worker may have restarted before it. Epoch: it does not.
     instant leaseEndsBy;
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -424,7 +424,7 @@
         }
         run->second.callPending = false;
         if (mayIssueOrders()) {
-            sendStart(key); // otherwise `checkRuns` sends it
+            startWhenContacted(key); // otherwise `checkRuns` sends it
         }
     };
     m_writer->add(key.task.job, std::move(unit));
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -247,7 +247,8 @@
                     worker.incarnation = task.suspectRun->incarnation;
                     auto run = makeRun(job, key, worker.entry.id);
                     run.phase = run_phase::running;
-                    run.orders = 1; // the earlier coordinator may have sent it
+                    run.orders = 1;
+                    run.fromRecord = true;
                     run.orderedAt = m_startedAt;
                     run.confirmedAt = m_startedAt;
                     run.progressAt = m_timers.now();
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -57,8 +57,8 @@
 /// that the end is seen soon.
 constexpr milliseconds stoppingPollWait {150};
 
-/// Time that a worker waits before it answers a poll while a run is under observation, which ends
-/// with a report.
+/// Time that a worker waits before it answers a poll while a run is under observation, which begins
+/// and ends with a report.
 constexpr milliseconds observationPollWait {150};
 
 /// Margin for the time from the computation of a lease until the order is sent.
@@ -172,7 +172,7 @@
     if (stopping) {
         return stoppingPollWait;
     }
-    if (worker.observedRuns > 0) {
+    if (worker.observedRuns > 0 || worker.reservedFor) {
         return observationPollWait;
     }
     if (longRunning && m_maintenanceOpen) {
@@ -672,14 +672,17 @@
 
 void coordinator::startWhenContacted(const run_key &key)
 {
-    auto &worker = m_tables.workers.at(m_tables.runs.at(key).worker);
+    const auto &run = m_tables.runs.at(key);
+    auto &worker = m_tables.workers.at(run.worker);
     if (!worker.verified) {
         abandonStart(key, true);
         return;
     }
     const auto now = m_timers.now();
-    const bool mayHaveEnded =
-        !worker.pollInProgress && since(worker.reportAt, now) > maxReportAgeAtStart;
+    // A waiting poll breaks off when its worker ends, but too late for a suspect: only a worker
+    // that was up at the start can have been crashed by it.
+    const bool mayHaveEnded = (run.observed || !worker.pollInProgress)
+                              && since(worker.reportAt, now) > maxReportAgeAtStart;
     if (!worker.awaitsContact && !mayHaveEnded) {
         sendStart(key);
         return;
--- a/src/fleet/crash_isolation.cpp
+++ b/src/fleet/crash_isolation.cpp
@@ -15,10 +15,10 @@
 constexpr int observationGrowth = 8;
 constexpr int maxObservationGrowths = 2;
 
-/// A long-running task that has run for this long without a crash is no longer suspected: it does
-/// not crash the workers that start it. The longer observations of other tasks would mostly meet
-/// crashes that have other causes, as a task that runs for minutes meets many.
-constexpr milliseconds longRunningCrashMemory {8000};
+/// A long-running task that has run for this long without a crash is no longer suspected, as it
+/// does not crash the workers that start it. Its worker may crash at any time for another reason,
+/// and a longer observation would mostly catch that.
+constexpr milliseconds longRunningCrashMemory {2000};
 
 /// One in this many of a pool's workers may be reserved at the same time.
 constexpr std::size_t workersPerReservation = 4;
@@ -84,11 +84,13 @@
     return othersCrashed || othersMayHave ? unclearEvidence : clearEvidence;
 }
 
-/// Returns true if the worker had the run when it crashed, as far as is known: it answered the
-/// start or listed the run, or it was up just before the start was sent.
-bool hadRun(const worker_status &worker, const run_entry &run)
+/// Returns the most that a crash of the worker can be evidence against the task of a run.
+int evidenceOfStart(const worker_status &worker, const run_entry &run)
 {
-    return run.seenOnWorker || since(worker.reportAt, run.orderedAt) <= maxReportAgeAtStart;
+    if (run.seenOnWorker || since(worker.reportAt, run.orderedAt) <= maxReportAgeAtStart) {
+        return clearEvidence;
+    }
+    return run.fromRecord ? unclearEvidence : 0;
 }
 
 } // namespace
@@ -153,7 +155,7 @@
     struct lost_task
     {
         bool observed = false;
-        bool hadRun = false; ///< the worker had a run of the task
+        int evidence = 0; ///< at most, by what is known of the start
     };
     std::map<task_name, lost_task> counters;
     for (const auto &key : lost) {
@@ -166,7 +168,7 @@
         }
         auto &each = counters[crashCounterOf(tables.jobs.at(key.task.job), key.task)];
         each.observed = each.observed || run.observed;
-        each.hadRun = each.hadRun || hadRun(worker, run);
+        each.evidence = std::max(each.evidence, evidenceOfStart(worker, run));
     }
     // A restart that no poll has run into is noticed by the report that shows it.
     const bool noticedBefore = since(worker.unreachableSince, now) < longestCrashProof;
@@ -188,8 +190,8 @@
         ++counter.crashes;
         tables.jobs.at(name.job).hasCrashes = true;
         outcome.suspectedJobs.insert(name.job);
-        if (onlySuspect && each.hadRun) {
-            counter.crashEvidence += evidence;
+        if (onlySuspect) {
+            counter.crashEvidence += std::min(evidence, each.evidence);
         }
         if (counter.crashEvidence >= provingEvidence) {
             outcome.proven.push_back(name);
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -258,7 +258,11 @@
             });
         }
         worker.running[order.task] = run;
-        if (planned.crashesWorker) {
+        if (planned.crashesWorker && crashDelay.count() == 0) {
+            ++startsOfDeadlyTasks[order.task];
+            ++crashesByTask[order.task];
+            crashAndReturn(worker.entry.id);
+        } else if (planned.crashesWorker) {
             ++startsOfDeadlyTasks[order.task];
             loop.after(crashDelay,
                        [this, id = worker.entry.id, order, incarnation = worker.entry.incarnation] {
@@ -340,7 +344,7 @@
     configuration config;
     std::vector<maintenance_wave> waves;
     int maxAttempts = 2;
-    milliseconds crashDelay {50};
+    milliseconds crashDelay {50}; ///< 0: the start that crashes a worker is not answered
     milliseconds crashDownTime {1500};
     milliseconds maxTaskLease {10000};
     bool restartsInPlace = false; ///< a crashed worker keeps its entry in the registry
@@ -698,7 +702,12 @@
                 fail<T>(done, error_kind::outcome_unknown);
                 return;
             }
-            deliver([done, value = act(worker)] { done(value); });
+            auto value = act(worker);
+            if (!worker.alive) {
+                fail<T>(done, error_kind::outcome_unknown);
+                return;
+            }
+            deliver([done, value = std::move(value)] { done(value); });
         });
     }
 
--- a/tests/deadly_task_test.cpp
+++ b/tests/deadly_task_test.cpp
@@ -48,6 +48,9 @@
     CPPUNIT_TEST_SUITE(deadly_task_test);
     CPPUNIT_TEST(deadlyTaskIsGivenUp);
     CPPUNIT_TEST(deadlyTaskIsGivenUpIfWorkersKeepTheirIds);
+    CPPUNIT_TEST(deadlyTaskOnIdleWorkersIsGivenUp);
+    CPPUNIT_TEST(taskThatCrashesIdleWorkersBeforeTheyAnswerIsGivenUp);
+    CPPUNIT_TEST(crashesBeforeTheAnswerAreRememberedAfterTakeovers);
     CPPUNIT_TEST(crashesAreRememberedAfterTakeovers);
     CPPUNIT_TEST(crashesAreRememberedWhileTheStoreIsAway);
     CPPUNIT_TEST(deadlyLongRunningTaskIsGivenUp);
@@ -144,6 +147,48 @@
         checkHarmlessJobsComplete();
     }
 
+    /// Nothing else is to be done, so that no worker is polled when the task is started there.
+    void deadlyTaskOnIdleWorkersIsGivenUp()
+    {
+        m_fleet->loop.run(5s);
+        submit(firstDeadlyJob, simpleJob(tasksOfJob));
+        checkDeadlyJobsAreGivenUp(1);
+    }
+
+    /// The same, and no start is answered. Workers return with a new id, or with the same.
+    void taskThatCrashesIdleWorkersBeforeTheyAnswerIsGivenUp()
+    {
+        m_fleet->world.crashDelay = 0ms;
+        for (const bool inPlace : {false, true}) {
+            m_fleet->world.restartsInPlace = inPlace;
+            m_fleet->loop.run(5s);
+            const int number = firstDeadlyJob + (inPlace ? 1 : 0);
+            submit(number, simpleJob(tasksOfJob));
+            auto &through = m_fleet->processes.rbegin()->second;
+            CPPUNIT_ASSERT(m_fleet->waitForState(through, pathOf(number), job_state::failed, 40s));
+        }
+        checkDeadlyJobsAreGivenUp(2);
+    }
+
+    /// The same, and the coordinator is killed after each of the first crashes, some of which only
+    /// the next one finds.
+    void crashesBeforeTheAnswerAreRememberedAfterTakeovers()
+    {
+        m_fleet->world.crashDelay = 0ms;
+        m_fleet->loop.run(5s);
+        submit(firstDeadlyJob, simpleJob(tasksOfJob));
+        const task_name deadly {idOf(firstDeadlyJob), 0, 0, 1};
+        for (int seen = 1; seen <= 3; ++seen) {
+            CPPUNIT_ASSERT(m_fleet->loop.runUntil(
+                [&] { return m_fleet->world.crashesByTask[deadly] >= seen; }, 20s));
+            m_fleet->loop.run(seen == 1 ? 2500ms : 100ms);
+            if (auto *const leader = m_fleet->leader()) {
+                m_fleet->kill(leader->name, true);
+            }
+        }
+        checkDeadlyJobsAreGivenUp(1);
+    }
+
     /// The coordinator is killed whenever a crash has been stored for a second.
     void crashesAreRememberedAfterTakeovers()
     {
