Send requests that may have an effect once at most

Cause: libcurl sends a request again if a reused connection is closed without a response.

Change: the event loop aborts a second sending of anything but GET; the outcome is unknown then.

io_loop_test::requestOnAClosedConnectionIsNotSentAgain failed before (two copies of a POST).

--- a/include/ibishinge/outside/io_loop.h
+++ b/include/ibishinge/outside/io_loop.h
@@ -26,6 +26,9 @@
 
 /// Event loop with timers and an HTTP client for many requests at once, on libcurl.
 ///
+/// Requests other than GET are sent once at most: if a connection ends without a response, the
+/// error is `outcome_unknown`.
+///
 /// All functions but `post` and `stop` are called on the loop's thread. An exception that leaves a
 /// function called by the loop is logged and ends that function only. Responses arrive on that
 /// thread. A connection on which a request timed out is not used again, and for some seconds
--- a/src/outside/io_loop.cpp
+++ b/src/outside/io_loop.cpp
@@ -48,6 +48,29 @@
     return size * count;
 }
 
+struct exchange
+{
+    CURL *handle = nullptr;
+    curl_slist *headers = nullptr;
+    std::string address;
+    std::string requestBody;
+    std::string responseBody;
+    bool resendable = false; ///< sent twice, it has no other effect than once
+    bool sent = false; ///< sending has begun
+    response_handler done;
+};
+
+/// Called by libcurl before it sends a request, also when it sends one again because a reused
+/// connection was closed without a response. The first copy may have been carried out, so that the
+/// response to the second does not tell what became of the request.
+int beforeSending(void *call, char * /*remoteAddress*/, char * /*localAddress*/, int /*remotePort*/,
+                  int /*localPort*/)
+{
+    auto &each = *static_cast<exchange *>(call);
+    const bool again = std::exchange(each.sent, true);
+    return again && !each.resendable ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 /// Runs a function of the loop's users. One that fails must not end the process with all others.
 template <class Function>
 void runGuarded(Function &&function) noexcept
@@ -59,16 +82,6 @@
     }
 }
 
-struct exchange
-{
-    CURL *handle = nullptr;
-    curl_slist *headers = nullptr;
-    std::string address;
-    std::string requestBody;
-    std::string responseBody;
-    response_handler done;
-};
-
 } // namespace
 
 /// libcurl is driven by events of single sockets: its simpler interface visits each open request in
@@ -215,6 +228,7 @@
     call->handle = handle;
     call->address = request.address;
     call->requestBody = std::move(request.body);
+    call->resendable = request.method == "GET";
     call->done = std::move(done);
 
     const std::string url = "http://" + request.address + request.target;
@@ -227,7 +241,8 @@
     curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, idleConnectionSeconds);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, appendBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &call->responseBody);
-    curl_easy_setopt(handle, CURLOPT_PRIVATE, call.get());
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, beforeSending);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, call.get());
     const auto fresh = m_impl->freshUntil.find(request.address);
     if (fresh != m_impl->freshUntil.end() && now() < fresh->second) {
         curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
--- a/tests/io_loop_test.cpp
+++ b/tests/io_loop_test.cpp
@@ -5,10 +5,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <cerrno>
 #include <optional>
 #include <thread>
 
+#include <poll.h>
+
 using namespace ibishinge;
 using namespace std::chrono_literals;
 
@@ -28,6 +31,7 @@
     CPPUNIT_TEST(manyRequestsAtOnce);
     CPPUNIT_TEST(silentServerTimesOutWithAnUnknownOutcome);
     CPPUNIT_TEST(refusedConnectionCertainlyHadNoEffect);
+    CPPUNIT_TEST(requestOnAClosedConnectionIsNotSentAgain);
     CPPUNIT_TEST(timersRunInOrder);
     CPPUNIT_TEST(postedFunctionsRunOnTheLoop);
     CPPUNIT_TEST(bodyAndHeadersArrive);
@@ -109,6 +113,52 @@
         CPPUNIT_ASSERT_EQUAL(ECONNREFUSED, failure->systemError);
     }
 
+    /// Guards against a request that is carried out and whose outcome is then taken from a second
+    /// copy: the server carries out a request on a kept connection, closes the connection without a
+    /// response, and rejects whatever comes on another one.
+    void requestOnAClosedConnectionIsNotSentAgain()
+    {
+        struct row
+        {
+            std::string method;
+            int copies;
+            bool answered;
+        };
+        for (const auto &each : {row {"POST", 1, false}, {"DELETE", 1, false}, {"GET", 2, true}}) {
+            const bound_socket listener;
+            CPPUNIT_ASSERT_EQUAL(0, listen(listener.descriptor(), 16));
+            std::atomic<int> copies = 0;
+            std::thread server([&] {
+                const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                {
+                    raw_socket first(accept(listener.descriptor(), nullptr, nullptr));
+                    static_cast<void>(first.read(5s));
+                    first.write(ok);
+                    copies += first.read(5s).value_or("").empty() ? 0 : 1;
+                }
+                pollfd waiting {listener.descriptor(), POLLIN, 0};
+                if (poll(&waiting, 1, 500) == 1) {
+                    raw_socket second(accept(listener.descriptor(), nullptr, nullptr));
+                    copies += second.read(5s).value_or("").empty() ? 0 : 1;
+                    second.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+                }
+            });
+            const outgoing_request request {each.method, addressOf(listener), "/", {}, "", 3000ms};
+            std::optional<result<http_response>> outcome;
+            m_loop->send(request, [&](const result<http_response> &) {
+                m_loop->send(request,
+                             [&](const result<http_response> &response) { outcome = response; });
+            });
+            const bool ended = runUntil([&] { return outcome.has_value(); }, 5s);
+            server.join();
+            setUp(); // a loop runs once
+            CPPUNIT_ASSERT_MESSAGE(each.method, ended);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.method, each.copies, copies.load());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.method, each.answered, outcome->has_value());
+            CPPUNIT_ASSERT(each.answered || outcome->error().kind == error_kind::outcome_unknown);
+        }
+    }
+
     void timersRunInOrder()
     {
         std::string order;
--- /dev/null
+++ b/tests/process/fleet_soak.py
@@ -0,0 +1,344 @@
+"""A seeded fault soak of `ibishinge-fleet`: real processes on loopback, beside stand-ins of the platform.
+
+    fleet_soak.py --binaries FOLDER [--seeds 1,2,3 | --count 50] [--seconds 40] [--faults NAME,...] [--logs FOLDER]
+
+Callers hand jobs in through all processes and try again as the platform's callers do; meanwhile faults come in
+series and overlap. What callers are answered and what workers start and end is checked against the promises. The
+exit status is 1 if one was broken. `--logs` keeps the record and the logs of the processes of each seed.
+"""
+
+import argparse
+import asyncio
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+sys.path.insert(0, str(ROOT / "review/standins"))
+
+import lab as stand  # noqa: E402
+
+PROCESSES = 3
+WORKERS = 8
+JOBS_PER_S = 8
+TRIES = 4
+CALLER_DEADLINE_MS = 3000
+REJECTED = {429, 503}  # answers that promise that the job never runs
+SETTLE_S = 14  # from the last fault until all accepted jobs have to be complete
+PROBES = 40  # jobs handed in after the last fault
+PROBES_SERVED = 0.9
+
+
+class FaultyStore(stand.Store):
+    """A store whose answers to transactions can be lost."""
+
+    def __init__(self, record):
+        super().__init__(record)
+        self.lost_share = 0.0  # of transactions that are carried out without an answer
+        self.busy_after_loss_s = 0.0  # time for which the store answers 503 after such a loss
+        self.late_s = 0.0  # such transactions are carried out so much later
+        self.lost_key = b""  # only transactions that name such a key are lost
+        self.rng = random.Random(1)
+
+    async def handle(self, method, path, query, headers, body):
+        lost = (path == "/-/kv-txn" and not self.down and self.lost_key in body
+                and self.rng.random() < self.lost_share)
+        if not lost:
+            return await super().handle(method, path, query, headers, body)
+        if self.late_s:
+            asyncio.get_running_loop().call_later(
+                self.late_s, lambda: stand.hold(asyncio.ensure_future(
+                    super(FaultyStore, self).handle(method, path, query, headers, body))))
+        else:
+            await super().handle(method, path, query, headers, body)
+        self.record.write("answer_lost", late_s=self.late_s)
+        if self.busy_after_loss_s:
+            self.lost_share = 0.0
+            self.down = "busy"
+            self.record.write("store_busy", seconds=self.busy_after_loss_s)
+            asyncio.get_running_loop().call_later(self.busy_after_loss_s, self.recover)
+            self.busy_after_loss_s = 0.0
+        return None
+
+    def recover(self):
+        self.down = None
+        self.record.write("store_back")
+
+
+class Caller:
+    """Hands one job in, with retries, and remembers each answer."""
+
+    def __init__(self, soak, job):
+        self.soak, self.job = soak, job
+        self.statuses = []
+
+    @property
+    def accepted(self):
+        return any(200 <= status < 300 for status in self.statuses)
+
+    @property
+    def rejected(self):
+        return bool(self.statuses) and all(status in REJECTED for status in self.statuses)
+
+    async def run(self):
+        lab, rng = self.soak.lab, self.soak.rng
+        document = lab.jobs[self.job]
+        for _ in range(TRIES):
+            process = rng.choice(lab.processes)
+            status, _ = await lab.call("POST", process, "/q/" + self.job, document,
+                                       CALLER_DEADLINE_MS)
+            self.statuses.append(status)
+            if self.accepted:
+                return
+            await asyncio.sleep(rng.uniform(0.2, 1.0))
+
+
+class Soak:
+    """One run: load, faults and checks, all drawn from the seed."""
+
+    def __init__(self, lab, seed, seconds, faults):
+        self.lab, self.seconds = lab, seconds
+        self.rng = random.Random(seed)
+        self.faults = [getattr(self, name) for name in faults]
+        self.callers = {}
+        self.running = {}  # by task: {(worker, run)}
+        self.done = set()  # tasks whose end `done` was acknowledged
+        self.done_ends = {}  # by worker and its start, as ends are numbered anew: [(number, task)]
+
+    # What workers see.
+    def on_started(self, worker, task, run):
+        job = task.split(".")[0]
+        if job not in self.callers:
+            self.lab.violate(f"UNASKED: {task} was started, and nobody handed its job in")
+        for other in self.lab.minions:
+            if other is not worker and other.up and task in other.running:
+                self.lab.violate(f"TWICE: run {run} of {task} starts on {worker.id} while it runs "
+                                 f"on {other.id}")
+        if task in self.done:
+            self.lab.violate(f"TWICE: run {run} of {task} starts after its end was acknowledged")
+        self.running.setdefault(job, []).append(task)
+
+    def on_gone(self, worker, task, run, how):
+        if how == "done":
+            self.done_ends.setdefault((worker, worker.born), []).append((worker.count, task))
+
+    def on_taken_note(self, worker, last_seen):
+        ends = self.done_ends.get((worker, worker.born), [])
+        self.done.update(task for number, task in ends if number <= last_seen)
+        ends[:] = [row for row in ends if row[0] > last_seen]
+
+    # Faults. Each returns when it is over.
+    async def store_busy(self):
+        self.lab.store.down = "busy"
+        await asyncio.sleep(self.rng.uniform(0.3, 5.0))
+        self.lab.store.down = None
+
+    async def store_silent(self):
+        self.lab.store.down = "silent"
+        await asyncio.sleep(self.rng.uniform(0.3, 3.5))
+        self.lab.store.down = None
+
+    async def store_answers_lost(self):
+        self.lab.store.lost_share = self.rng.uniform(0.2, 0.8)
+        await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+        self.lab.store.lost_share = 0.0
+
+    async def store_answers_late(self):
+        self.lab.store.late_s = self.rng.uniform(0.3, 3.0)
+        await self.store_answers_lost()
+        self.lab.store.late_s = 0.0
+
+    async def store_answer_lost_then_busy(self):
+        """The outage begins with a job that is stored without an answer."""
+        self.lab.store.busy_after_loss_s = self.rng.uniform(1.0, 5.0)
+        self.lab.store.lost_key = b"fleet/job/"
+        self.lab.store.lost_share = 1.0
+        await asyncio.sleep(5.5)
+        self.lab.store.lost_share = 0.0
+        self.lab.store.lost_key = b""
+
+    async def leader_cut_from_store(self):
+        leader = self.lab.leader()
+        if leader:
+            leader.links["store"].cut()
+            await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+            leader.links["store"].heal()
+
+    async def leader_killed(self):
+        await self.restart(self.lab.leader(), signal.SIGKILL)
+
+    async def all_processes_killed(self):
+        await asyncio.gather(*[self.restart(process, signal.SIGKILL)
+                               for process in self.lab.processes])
+
+    async def power_lost(self):
+        """All processes and workers end at the same moment."""
+        workers = [each for each in self.lab.minions if each.up and not each.silent]
+        for worker in workers:
+            worker.crash("power lost", dark=True)
+        await self.all_processes_killed()
+        for worker in workers:
+            await worker.begin(self.rng.uniform(0.0, 1.5))
+
+    async def process_stopped(self):
+        await self.restart(self.rng.choice(self.lab.processes), signal.SIGTERM)
+
+    async def restart(self, process, number):
+        if process is None or process.child.returncode is not None:
+            return
+        child = process.child
+        process.signal(number)
+        await child.wait()
+        await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+        if process.child is child:  # no other fault has started it again
+            await process.begin()
+
+    async def leader_frozen(self):
+        leader = self.lab.leader()
+        if leader and leader.child.returncode is None:
+            child = leader.child
+            leader.signal(signal.SIGSTOP)
+            await asyncio.sleep(self.rng.uniform(0.5, 5.0))
+            if child.returncode is None:
+                child.send_signal(signal.SIGCONT)
+
+    async def worker_crashes(self):
+        worker = self.rng.choice(self.lab.minions)
+        if worker.up and not worker.silent:
+            worker.crash("soak", dark=self.rng.random() < 0.5)
+            await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+            await worker.begin(self.rng.uniform(0.0, 1.5))
+
+    async def worker_cut_off(self):
+        worker = self.rng.choice(self.lab.minions)
+        if worker.up and not worker.silent:
+            worker.silent = True
+            await asyncio.sleep(self.rng.uniform(0.5, 5.5))
+            worker.silent = False
+
+    def hand_in(self):
+        job = self.lab.new_id()
+        steps = [{"count": self.rng.randint(1, 3), "cpu": 2000, "mem-mb": 500, "estimate-ms": 500}]
+        if self.rng.random() < 0.4:
+            steps.append(dict(steps[0], after=[0]))
+        self.lab.jobs[job] = {"spec": "work", "steps": steps}
+        caller = Caller(self, job)
+        self.callers[job] = caller
+        return asyncio.create_task(caller.run())
+
+    async def load(self, until):
+        pending = []
+        while time.monotonic() < until:
+            pending.append(self.hand_in())
+            await asyncio.sleep(self.rng.expovariate(JOBS_PER_S))
+        await asyncio.gather(*pending)
+
+    async def disturb(self, until):
+        pending = []
+        while time.monotonic() < until:
+            fault = self.rng.choice(self.faults)
+            self.lab.record.write("fault", name=fault.__name__)
+            pending.append(asyncio.create_task(fault()))
+            await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+        await asyncio.gather(*pending)
+        self.lab.record.write("faults_over")
+
+    async def run(self):
+        lab = self.lab
+        lab.on_started, lab.on_gone, lab.on_taken_note = (self.on_started, self.on_gone,
+                                                          self.on_taken_note)
+        lab.add_minions(WORKERS, lambda task, spec: self.rng.uniform(0.2, 1.0))
+        await lab.begin(PROCESSES, links=True)
+        await asyncio.sleep(2)
+        until = time.monotonic() + self.seconds
+        await asyncio.gather(self.load(until), self.disturb(until))
+        await asyncio.sleep(SETTLE_S)
+        await self.check()
+
+    async def check(self):
+        lab = self.lab
+        for job, caller in self.callers.items():
+            lab.record.write("attempts", job=job, statuses=caller.statuses)
+            if caller.rejected and job in self.running:
+                lab.violate(f"REFUSED: job {job} ran, and all attempts to hand it in were "
+                            f"rejected: {caller.statuses}")
+            if caller.accepted:
+                await self.check_complete(job)
+        probes = [self.hand_in() for _ in range(PROBES)]
+        before = list(self.callers)[-PROBES:]
+        await asyncio.gather(*probes)
+        served = sum(self.callers[job].accepted for job in before)
+        if served < PROBES_SERVED * PROBES:
+            lab.violate(f"RECOVER: {served} of {PROBES} jobs were accepted {SETTLE_S} s after the "
+                        "last fault")
+        lab.record.write("result", jobs=len(self.callers),
+                         accepted=sum(c.accepted for c in self.callers.values()),
+                         rejected=sum(c.rejected for c in self.callers.values()))
+
+    async def check_complete(self, job):
+        for _ in range(6):
+            status, body = await self.lab.call("GET", self.rng.choice(self.lab.processes),
+                                               "/q/" + job)
+            if b"completed" in body:
+                return
+            if status == 410:
+                break
+            await asyncio.sleep(0.5)
+        self.lab.violate(f"LOST: accepted job {job} is answered {status} {body.decode()}")
+
+
+FAULTS = ["store_busy", "store_silent", "store_answers_lost", "store_answers_late",
+          "store_answer_lost_then_busy", "leader_cut_from_store", "leader_killed",
+          "process_stopped", "leader_frozen", "worker_crashes", "worker_cut_off",
+          "all_processes_killed", "power_lost"]
+
+
+async def play(seed, seconds, faults, logs):
+    """Returns the promises that were broken."""
+    folder = Path(logs or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
+    folder.mkdir(parents=True, exist_ok=True)
+    lab = stand.Lab(folder / "record.txt")
+    os.rmdir(lab.folder)
+    lab.folder = str(folder)
+    lab.rng = random.Random(seed)
+    lab.store = FaultyStore(lab.record)
+    lab.store.rng = random.Random(seed + 1)
+    soak = Soak(lab, seed, seconds, faults)
+    try:
+        await soak.run()
+    finally:
+        for process in lab.processes:
+            if process.child and process.child.returncode is None:
+                process.child.send_signal(signal.SIGCONT)
+        await lab.end()
+    return lab.broken
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--binaries", default=ROOT / "build/release", type=Path)
+    parser.add_argument("--seeds", default="")
+    parser.add_argument("--count", type=int, default=1, help="seeds 1 to COUNT, without --seeds")
+    parser.add_argument("--seconds", type=float, default=40)
+    parser.add_argument("--faults", default=",".join(FAULTS))
+    parser.add_argument("--logs")
+    arguments = parser.parse_args()
+    stand.PROGRAM = str(arguments.binaries.resolve() / "ibishinge-fleet")
+    seeds = ([int(each) for each in arguments.seeds.split(",")] if arguments.seeds
+             else range(1, arguments.count + 1))
+    status = 0
+    for seed in seeds:
+        broken = asyncio.run(play(seed, arguments.seconds, arguments.faults.split(","),
+                                  arguments.logs))
+        print(f"seed {seed}: {'; '.join(broken) if broken else 'all promises kept'}", flush=True)
+        status = 1 if broken else status
+    return status
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/process/fleet_soak_test.py
@@ -0,0 +1,39 @@
+"""Short seeded soaks of `ibishinge-fleet` under faults. `fleet_soak.py` plays longer ones by hand."""
+
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+import support
+
+SOAK = Path(__file__).resolve().parent / "fleet_soak.py"
+LIMIT_S = 240  # only a bound against a soak that never ends
+
+
+class FleetSoakTest(unittest.TestCase):
+    """Guards against broken promises to callers when faults of several kinds overlap."""
+
+    def soak(self, seeds, seconds, faults=None):
+        """Plays the seeds side by side."""
+        plays = []
+        for seed in seeds:
+            words = [sys.executable, str(SOAK), "--binaries", str(support.BINARIES), "--seeds",
+                     str(seed), "--seconds", str(seconds)]
+            words += ["--faults", ",".join(faults)] if faults else []
+            plays.append(subprocess.Popen(words, stdout=subprocess.PIPE, text=True))
+        for play in plays:
+            output, _ = play.communicate(timeout=LIMIT_S)
+            self.assertEqual(play.returncode, 0, output)
+
+    def test_job_stored_without_an_answer_is_not_rejected(self):
+        """Guards against a rejection of a job whose record was stored just before an outage: the
+        request was sent again on another connection, and the outcome of the copy was believed."""
+        self.soak([1, 2, 4], 20, ["store_answer_lost_then_busy", "leader_killed"])
+
+    def test_promises_hold_under_all_faults(self):
+        self.soak([11, 12], 25)
+
+
+if __name__ == "__main__":
+    support.main()
