Answer a submission of unknown outcome as such after a take-over

Cause: a coordinator that found itself replaced when it repeated a write without an answer told the callers that the store was away, as if the first attempt had certainly failed. The next coordinator ran the job.

rejected_submission_test::lostAnswerBeforeATakeOver failed before; lostAnswerBeforeAnOutage passed before and holds the writer's behaviour.

--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -52,6 +52,21 @@
     return answer;
 }
 
+/// Returns the answer to a submission whose job was not stored, as far as the writer knows.
+caller_answer answerToUnstoredSubmission(error_kind kind)
+{
+    switch (kind) {
+    case error_kind::conflict:
+        // The store holds a final state of this job, so it must not be answered as rejected.
+        return answerOf(answer_kind::outcome_unknown, "the job has ended");
+    case error_kind::outcome_unknown:
+        // An attempt without an answer may have stored the job, and a later coordinator runs it.
+        return answerOf(answer_kind::outcome_unknown, "the coordinator was replaced");
+    default:
+        return answerOf(answer_kind::not_ready, "the store is away", retryAfterUnavailable);
+    }
+}
+
 } // namespace
 
 void coordinator::handle(const caller_request &request, answer_handler done)
@@ -194,12 +209,7 @@
         }
         if (!stored) {
             m_tables.jobs.erase(found);
-            // On a conflict the store holds a final state of this job: the job has run, so it must
-            // not be answered as rejected.
-            const bool ended = stored.error().kind == error_kind::conflict;
-            answerWaiters(id, ended ? answerOf(answer_kind::outcome_unknown, "the job has ended")
-                                    : answerOf(answer_kind::not_ready, "the store is away",
-                                               retryAfterUnavailable));
+            answerWaiters(id, answerToUnstoredSubmission(stored.error().kind));
             return;
         }
         found->second.stored = true;
