Answer cancellations that wait at a coordinator that stops

Cause: close() answered the submissions that wait for the store, but not the cancellations. Their callers got no answer before the process ended.

Change: they are answered as not ready, so that the entry process asks the next coordinator.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -66,7 +66,8 @@
     /// every other function but `extendLeadership`.
     void start();
 
-    /// Ends all activity. Submissions that are being stored are answered with `outcome_unknown`.
+    /// Ends all activity. Submissions that are being stored are answered with `outcome_unknown`,
+    /// cancellations with `not_ready`.
     void close();
 
     /// Permits orders until `until`: the leader's record is proven to be held until then.
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -100,6 +100,12 @@
             done({answer_kind::outcome_unknown, {}, 0, "the coordinator was replaced", {}, 0});
         }
     }
+    // A cancellation can be repeated, so the entry process asks the next coordinator.
+    for (auto &[id, handlers] : std::exchange(m_cancelWaiters, {})) {
+        for (const auto &done : handlers) {
+            done({answer_kind::not_ready, {}, 0, "the coordinator was replaced", {}, 0});
+        }
+    }
 }
 
 void coordinator::extendLeadership(instant until)
--- a/tests/suspended_coordinator_test.cpp
+++ b/tests/suspended_coordinator_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <optional>
 #include <string>
 
 using namespace ibishinge;
@@ -22,6 +23,7 @@
     CPPUNIT_TEST_SUITE(suspended_coordinator_test);
     CPPUNIT_TEST(runsOfCancelledJobsAreStoppedAfterAnOutage);
     CPPUNIT_TEST(gangMembersAreStoppedAfterAnOutage);
+    CPPUNIT_TEST(cancellationIsAnsweredByTheNextCoordinator);
     CPPUNIT_TEST_SUITE_END();
 
     static void cutStore(fleet_world &fleet, bool cut)
@@ -140,6 +142,34 @@
                 fleet.loop.runUntil([&] { return fleet.world.starts == 2 * members; }, 8s));
         }
     }
+
+    /// Guards against a cancellation without an answer: it waits for the store at a coordinator
+    /// that stops, and its caller is connected to the same process.
+    void cancellationIsAnsweredByTheNextCoordinator()
+    {
+        fleet_world fleet;
+        begin(fleet);
+        auto &leader = *fleet.leader();
+        auto spec = simpleJob(1);
+        spec.steps.front().longRunning = true;
+        fleet.ask(leader, caller_operation::submit, jobPath, spec);
+        fleet.loop.run(500ms);
+
+        leader.platform->refuseCommits = true;
+        std::optional<caller_answer> answer;
+        caller_request request;
+        request.operation = caller_operation::cancel;
+        request.host = "jobs.example";
+        request.path = jobPath;
+        request.key = "key-north";
+        request.callerTimeout = 3000ms;
+        leader.node->handle(request, [&](const caller_answer &value) { answer = value; });
+        fleet.loop.run(100ms);
+        leader.node->resign();
+        CPPUNIT_ASSERT(fleet.loop.runUntil([&] { return answer.has_value(); }, 3s));
+        CPPUNIT_ASSERT(answer->kind == answer_kind::cancelled);
+        CPPUNIT_ASSERT(fleet.loop.runUntil([&] { return countRuns(fleet) == 0; }, 3s));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(suspended_coordinator_test);
