Block signals before the log's thread starts

Cause: the thread that writes the log was started before the stop signals were blocked and inherited an open mask. A signal that came while the main thread did not wait for one ended the process at once, with the requests that it had read: a second SIGTERM, SIGINT or a SIGHUP while it drains.

The soak checks that a process that has not been killed answers each request, and takes the number of processes.

--- a/src/daemons/control_main.cpp
+++ b/src/daemons/control_main.cpp
@@ -42,6 +42,7 @@
 
 int main(int argc, char **argv)
 {
+    blockShutdownSignals();
     const settings values = readSettingsOrExit(
         argc, argv, "Owns pools: placement of jobs and leases of tasks.", declaredSettings());
     const auto secret = readSecretFile(values.text("peer-secret-file"));
@@ -51,7 +52,6 @@
         return 2;
     }
     startLogging("ibishinge-control", log_level::info);
-    blockShutdownSignals();
 
     const system_clock_source clock;
     const auto client = http_client::create({});
--- a/src/daemons/entry_main.cpp
+++ b/src/daemons/entry_main.cpp
@@ -78,12 +78,12 @@
 
 int main(int argc, char **argv)
 {
+    blockShutdownSignals();
     const settings values = readSettingsOrExit(
         argc, argv, "Serves callers' requests: keys, admission, queueing and routing to targets.",
         declaredSettings());
     auto options = toOptions(values);
     startLogging("ibishinge-entry", log_level::info);
-    blockShutdownSignals();
     auto process = entry_process::start(std::move(options));
     if (!process) {
         logEvent(log_level::error, "start_failed", {{"reason", describe(process.error())}});
--- a/tests/process/fleet_soak.py
+++ b/tests/process/fleet_soak.py
@@ -1,6 +1,7 @@
 """A seeded fault soak of `ibishinge-fleet`: real processes on loopback, beside stand-ins of the platform.
 
-    fleet_soak.py --binaries FOLDER [--seeds 1,2,3 | --count 50] [--seconds 40] [--faults NAME,...] [--logs FOLDER]
+    fleet_soak.py --binaries FOLDER [--seeds 1,2,3 | --count 50] [--processes 3] [--seconds 40] [--faults NAME,...]
+                  [--logs FOLDER]
 
 Callers hand jobs in through all processes and try again as the platform's callers do; meanwhile faults come in
 series and overlap. What callers are answered and what workers start and end is checked against the promises. The
@@ -22,13 +23,13 @@
 
 import lab as stand  # noqa: E402
 
-PROCESSES = 3
-WORKERS = 8
-JOBS_PER_S = 8
+WORKERS_PER_PROCESS = 3
+JOBS_PER_S = 2.7  # for each process
 TRIES = 4
 CALLER_DEADLINE_MS = 3000
 REJECTED = {429, 503}  # answers that promise that the job never runs
 SETTLE_S = 14  # from the last fault until all accepted jobs have to be complete
+DRAIN_S = 3.0  # a process that is stopped answers requests that come within this time
 PROBES = 40  # jobs handed in after the last fault
 PROBES_SERVED = 0.9
 
@@ -89,9 +90,12 @@
         document = lab.jobs[self.job]
         for _ in range(TRIES):
             process = rng.choice(lab.processes)
+            sent_at = time.monotonic()
             status, _ = await lab.call("POST", process, "/q/" + self.job, document,
                                        CALLER_DEADLINE_MS)
             self.statuses.append(status)
+            if status == 0 and not self.soak.may_break_off(process, sent_at):
+                lab.violate(f"LOST: {process.name} ended the request {self.job} without an answer")
             if self.accepted:
                 return
             await asyncio.sleep(rng.uniform(0.2, 1.0))
@@ -100,15 +104,23 @@
 class Soak:
     """One run: load, faults and checks, all drawn from the seed."""
 
-    def __init__(self, lab, seed, seconds, faults):
-        self.lab, self.seconds = lab, seconds
+    def __init__(self, lab, seed, processes, seconds, faults):
+        self.lab, self.processes, self.seconds = lab, processes, seconds
         self.rng = random.Random(seed)
         self.faults = [getattr(self, name) for name in faults]
         self.callers = {}
-        self.running = {}  # by task: {(worker, run)}
+        self.started = set()  # jobs of which a task was started
+        self.signals = {}  # by process: [(time, signal)]
         self.done = set()  # tasks whose end `done` was acknowledged
         self.done_ends = {}  # by worker and its start, as ends are numbered anew: [(number, task)]
 
+    def may_break_off(self, process, sent_at):
+        """Returns true if the process was killed since the request was sent, or was about to end
+        after a stop signal."""
+        return any(number == signal.SIGKILL and at >= sent_at - 0.5
+                   or number == signal.SIGTERM and at < sent_at - DRAIN_S
+                   for at, number in self.signals.get(process, []))
+
     # What workers see.
     def on_started(self, worker, task, run):
         job = task.split(".")[0]
@@ -120,7 +132,7 @@
                                  f"on {other.id}")
         if task in self.done:
             self.lab.violate(f"TWICE: run {run} of {task} starts after its end was acknowledged")
-        self.running.setdefault(job, []).append(task)
+        self.started.add(job)
 
     def on_gone(self, worker, task, run, how):
         if how == "done":
@@ -191,6 +203,7 @@
         if process is None or process.child.returncode is not None:
             return
         child = process.child
+        self.signals.setdefault(process, []).append((time.monotonic(), number))
         process.signal(number)
         await child.wait()
         await asyncio.sleep(self.rng.uniform(0.2, 2.0))
@@ -234,7 +247,7 @@
         pending = []
         while time.monotonic() < until:
             pending.append(self.hand_in())
-            await asyncio.sleep(self.rng.expovariate(JOBS_PER_S))
+            await asyncio.sleep(self.rng.expovariate(JOBS_PER_S * self.processes))
         await asyncio.gather(*pending)
 
     async def disturb(self, until):
@@ -251,8 +264,8 @@
         lab = self.lab
         lab.on_started, lab.on_gone, lab.on_taken_note = (self.on_started, self.on_gone,
                                                           self.on_taken_note)
-        lab.add_minions(WORKERS, lambda task, spec: self.rng.uniform(0.2, 1.0))
-        await lab.begin(PROCESSES, links=True)
+        lab.add_minions(WORKERS_PER_PROCESS * self.processes, lambda task, spec: self.rng.uniform(0.2, 1.0))
+        await lab.begin(self.processes, links=True)
         await asyncio.sleep(2)
         until = time.monotonic() + self.seconds
         await asyncio.gather(self.load(until), self.disturb(until))
@@ -263,7 +276,7 @@
         lab = self.lab
         for job, caller in self.callers.items():
             lab.record.write("attempts", job=job, statuses=caller.statuses)
-            if caller.rejected and job in self.running:
+            if caller.rejected and job in self.started:
                 lab.violate(f"REFUSED: job {job} ran, and all attempts to hand it in were "
                             f"rejected: {caller.statuses}")
             if caller.accepted:
@@ -297,7 +310,7 @@
           "all_processes_killed", "power_lost"]
 
 
-async def play(seed, seconds, faults, logs):
+async def play(seed, processes, seconds, faults, logs):
     """Returns the promises that were broken."""
     folder = Path(logs or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
     folder.mkdir(parents=True, exist_ok=True)
@@ -307,7 +320,7 @@
     lab.rng = random.Random(seed)
     lab.store = FaultyStore(lab.record)
     lab.store.rng = random.Random(seed + 1)
-    soak = Soak(lab, seed, seconds, faults)
+    soak = Soak(lab, seed, processes, seconds, faults)
     try:
         await soak.run()
     finally:
@@ -324,6 +337,7 @@
     parser.add_argument("--binaries", default=ROOT / "build/release", type=Path)
     parser.add_argument("--seeds", default="")
     parser.add_argument("--count", type=int, default=1, help="seeds 1 to COUNT, without --seeds")
+    parser.add_argument("--processes", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=40)
     parser.add_argument("--faults", default=",".join(FAULTS))
     parser.add_argument("--logs")
@@ -333,8 +347,8 @@
              else range(1, arguments.count + 1))
     status = 0
     for seed in seeds:
-        broken = asyncio.run(play(seed, arguments.seconds, arguments.faults.split(","),
-                                  arguments.logs))
+        broken = asyncio.run(play(seed, arguments.processes, arguments.seconds,
+                                  arguments.faults.split(","), arguments.logs))
         print(f"seed {seed}: {'; '.join(broken) if broken else 'all promises kept'}", flush=True)
         status = 1 if broken else status
     return status
