Soak: cancellations, long-running jobs and one process for each seed

The soak cancels jobs whose tasks last and checks that they end, and that those of the others run after the faults. A seed that was played beside others could hang at its end on connections that were left; each ends its own process now. A lint finding in crash_evidence_test is mended.

--- a/tests/crash_evidence_test.cpp
+++ b/tests/crash_evidence_test.cpp
@@ -147,7 +147,7 @@
         for (int i = 0; i < jobs; ++i) {
             fleet.ask(process, caller_operation::submit, pathOf(i), simpleJob(1));
         }
-        const auto hasRun = [&world](const standin::virtual_worker &worker) {
+        const auto hasRun = [](const standin::virtual_worker &worker) {
             return worker.alive && worker.entry.pool == "pool-a" && !worker.running.empty();
         };
         const auto findBusy = [&] {
--- a/tests/process/fleet_soak.py
+++ b/tests/process/fleet_soak.py
@@ -13,6 +13,7 @@
 import os
 import random
 import signal
+import subprocess
 import sys
 import tempfile
 import time
@@ -25,6 +26,7 @@
 
 WORKERS_PER_PROCESS = 3
 JOBS_PER_S = 2.7  # for each process
+LASTING_SHARE = 0.06  # of the jobs
 TRIES = 4
 CALLER_DEADLINE_MS = 3000
 REJECTED = {429, 503}  # answers that promise that the job never runs
@@ -101,6 +103,26 @@
             await asyncio.sleep(rng.uniform(0.2, 1.0))
 
 
+class LastingCaller(Caller):
+    """Hands in a job whose tasks run until it is cancelled, and cancels some of these jobs."""
+
+    def __init__(self, soak, job, cancels_after_s):
+        super().__init__(soak, job)
+        self.cancels_after_s = cancels_after_s  # None: it keeps the job
+        self.cancelled = False  # acknowledged
+
+    async def run(self):
+        await super().run()
+        if not self.accepted or self.cancels_after_s is None:
+            return
+        await asyncio.sleep(self.cancels_after_s)
+        while not self.cancelled:
+            process = self.soak.rng.choice(self.soak.lab.processes)
+            status, _ = await self.soak.lab.call("DELETE", process, "/q/" + self.job)
+            self.cancelled = 200 <= status < 300 or status == 410
+            await asyncio.sleep(0.3)
+
+
 class Soak:
     """One run: load, faults and checks, all drawn from the seed."""
 
@@ -110,6 +132,7 @@
         self.faults = [getattr(self, name) for name in faults]
         self.callers = {}
         self.started = set()  # jobs of which a task was started
+        self.restarting = set()  # processes that a fault is about to start again
         self.signals = {}  # by process: [(time, signal)]
         self.done = set()  # tasks whose end `done` was acknowledged
         self.done_ends = {}  # by worker and its start, as ends are numbered anew: [(number, task)]
@@ -202,13 +225,15 @@
     async def restart(self, process, number):
         if process is None or process.child.returncode is not None:
             return
-        child = process.child
         self.signals.setdefault(process, []).append((time.monotonic(), number))
         process.signal(number)
-        await child.wait()
+        if process in self.restarting:
+            return  # another fault starts it again
+        self.restarting.add(process)
+        await process.child.wait()
         await asyncio.sleep(self.rng.uniform(0.2, 2.0))
-        if process.child is child:  # no other fault has started it again
-            await process.begin()
+        self.restarting.discard(process)
+        await process.begin()
 
     async def leader_frozen(self):
         leader = self.lab.leader()
@@ -233,6 +258,14 @@
             await asyncio.sleep(self.rng.uniform(0.5, 5.5))
             worker.silent = False
 
+    def hand_in_lasting(self):
+        job = self.lab.new_id()
+        self.lab.jobs[job] = {"spec": "lasting", "steps": [
+            {"count": 2, "cpu": 1000, "mem-mb": 200, "estimate-ms": 500, "persistent": True}]}
+        cancels_after_s = self.rng.uniform(1, 12) if self.rng.random() < 0.7 else None
+        self.callers[job] = LastingCaller(self, job, cancels_after_s)
+        return asyncio.create_task(self.callers[job].run())
+
     def hand_in(self):
         job = self.lab.new_id()
         steps = [{"count": self.rng.randint(1, 3), "cpu": 2000, "mem-mb": 500, "estimate-ms": 500}]
@@ -246,7 +279,8 @@
     async def load(self, until):
         pending = []
         while time.monotonic() < until:
-            pending.append(self.hand_in())
+            lasting = self.rng.random() < LASTING_SHARE
+            pending.append(self.hand_in_lasting() if lasting else self.hand_in())
             await asyncio.sleep(self.rng.expovariate(JOBS_PER_S * self.processes))
         await asyncio.gather(*pending)
 
@@ -264,7 +298,7 @@
         lab = self.lab
         lab.on_started, lab.on_gone, lab.on_taken_note = (self.on_started, self.on_gone,
                                                           self.on_taken_note)
-        lab.add_minions(WORKERS_PER_PROCESS * self.processes, lambda task, spec: self.rng.uniform(0.2, 1.0))
+        lab.add_minions(WORKERS_PER_PROCESS * self.processes, self.run_time)
         await lab.begin(self.processes, links=True)
         await asyncio.sleep(2)
         until = time.monotonic() + self.seconds
@@ -272,6 +306,18 @@
         await asyncio.sleep(SETTLE_S)
         await self.check()
 
+    def run_time(self, _task, spec):
+        return None if spec == "lasting" else self.rng.uniform(0.2, 1.0)
+
+    def check_lasting(self, caller):
+        runs = [task for worker in self.lab.minions if worker.up for task in worker.running
+                if task.startswith(caller.job)]
+        if caller.cancelled and runs:
+            self.lab.violate(f"UNASKED: {runs} run on, although the cancellation was acknowledged")
+        wanted = self.lab.jobs[caller.job]["steps"][0]["count"]
+        if caller.cancels_after_s is None and len(runs) != wanted:
+            self.lab.violate(f"LOST: of the tasks of {caller.job} only {runs} run")
+
     async def check(self):
         lab = self.lab
         for job, caller in self.callers.items():
@@ -279,7 +325,9 @@
             if caller.rejected and job in self.started:
                 lab.violate(f"REFUSED: job {job} ran, and all attempts to hand it in were "
                             f"rejected: {caller.statuses}")
-            if caller.accepted:
+            if caller.accepted and isinstance(caller, LastingCaller):
+                self.check_lasting(caller)
+            elif caller.accepted:
                 await self.check_complete(job)
         probes = [self.hand_in() for _ in range(PROBES)]
         before = list(self.callers)[-PROBES:]
@@ -311,7 +359,7 @@
 
 
 async def play(seed, processes, seconds, faults, logs):
-    """Returns the promises that were broken."""
+    """Plays a seed and ends this process with the exit status: tasks of connections may be left."""
     folder = Path(logs or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
     folder.mkdir(parents=True, exist_ok=True)
     lab = stand.Lab(folder / "record.txt")
@@ -328,7 +376,9 @@
             if process.child and process.child.returncode is None:
                 process.child.send_signal(signal.SIGCONT)
         await lab.end()
-    return lab.broken
+    broken = "; ".join(lab.broken)
+    print(f"seed {seed}: {broken or 'all promises kept'}", flush=True)
+    os._exit(1 if broken else 0)
 
 
 def main():
@@ -345,13 +395,12 @@
     stand.PROGRAM = str(arguments.binaries.resolve() / "ibishinge-fleet")
     seeds = ([int(each) for each in arguments.seeds.split(",")] if arguments.seeds
              else range(1, arguments.count + 1))
-    status = 0
-    for seed in seeds:
-        broken = asyncio.run(play(seed, arguments.processes, arguments.seconds,
-                                  arguments.faults.split(","), arguments.logs))
-        print(f"seed {seed}: {'; '.join(broken) if broken else 'all promises kept'}", flush=True)
-        status = 1 if broken else status
-    return status
+    if len(seeds) == 1:
+        asyncio.run(play(seeds[0], arguments.processes, arguments.seconds,
+                         arguments.faults.split(","), arguments.logs))
+    statuses = [subprocess.run([sys.executable, *sys.argv, "--seeds", str(seed)],
+                               check=False).returncode for seed in seeds]
+    return max(statuses)
 
 
 if __name__ == "__main__":
