--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -564,7 +564,8 @@
         if (worker.leasesEndBy > now) {
             continue;
         }
-        const bool hasEnded = worker.ended || hasSuccessor(worker);
+        // Most workers without a lease are idle; the search for a successor visits all others.
+        const bool hasEnded = !worker.runs.empty() && (worker.ended || hasSuccessor(worker));
         const auto isHeld = [&, reachable = worker.registered && worker.verified](const auto &key) {
             const auto &run = m_tables.runs.at(key);
             return (isUnsent(run) && reachable) || (run.leaseEndsBy > now && !hasEnded);
@@ -574,7 +575,7 @@
                          [&](const auto &key) { return !isHeld(key); });
             continue;
         }
-        if (!worker.runs.empty() && (worker.ended || hasSuccessor(worker))) {
+        if (hasEnded) {
             crashed.push_back(id);
         }
         for (const auto &key : worker.runs) {
