Block starts and bound leases that a worker's next process may carry out late

Cause: an order without an answer may be carried out seconds later. Orders name a worker by its id, which its next process keeps, and that process knows neither fencing tokens nor ended runs, and its clock begins anew. The coordinator took a worker's restart as proof that all of its runs were gone, and a silent worker's lease as the end of a start without an answer. A late renewal was taken to last four seconds although it lasted ten on the new clock.

Change: unanswered starts are kept for the 12 s in which they may be carried out. A run whose start is among them is released only after the new process has answered a stop, or after the start can no longer arrive and the longest lease has ended. Ended runs are stopped at the new process at once. An unanswered lease extends the time by which the leases of the next process end. This replaces run_entry::leaseEndsBy, which covered one of these cases.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -197,6 +197,9 @@
     /// Returns true if a later worker has registered on the worker's host, which proves that this
     /// one has ended.
     [[nodiscard]] bool hasSuccessor(const worker_status &worker) const;
+    /// Sends a stop of each ended run whose start an earlier process of the worker has not
+    /// answered: the present process would carry it out as if it were new.
+    void blockLateStarts(worker_status &worker);
     void stopGangMembers(const task_name &member);
     void stopRunsOf(const std::string &job, std::string_view reason);
     /// Stops a run. While no orders may be sent, the stop is remembered and sent later: what makes
@@ -218,6 +221,11 @@
     void abandonStart(const run_key &key, bool avoid);
     void onStopped(const run_key &key, const result<run_command_reply> &answer);
     [[nodiscard]] std::int64_t leaseUntil(worker_status &worker);
+    /// Returns the longest time that a lease of any worker lasts.
+    [[nodiscard]] milliseconds maxLeaseTime() const;
+    /// Records that an order with a lease has no answer. A process that replaces the one to which
+    /// it was sent may still carry it out.
+    void onLeaseUnanswered(worker_status &worker, std::int64_t incarnation, instant sentBy);
     /// Extends the time by which the worker's leases end to what its clock implies, which is the
     /// longest lease if the worker has restarted since the lease was reckoned.
     void boundLeases(worker_status &worker, std::int64_t workerClockMs);
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -71,9 +71,6 @@
     /// Known only from the record of its suspected task: an earlier coordinator may have started
     /// it.
     bool fromRecord = false;
-    /// Its lease may last until then, beyond those of the worker's other runs: the start was not
-    /// answered, and the worker may have restarted before it. Epoch: it does not.
-    instant leaseEndsBy;
     bool callPending = false; ///< a start or stop request has not been answered yet
     bool stopAnswered = false; ///< the worker answered the stop request
     instant stopSentAt;
@@ -182,6 +179,23 @@
 /// A worker that reported longer ago and is not being polled may have ended or restarted unnoticed.
 inline constexpr milliseconds maxReportAgeAtStart {500};
 
+/// A start that a worker has not answered and may carry out later, see `late_orders.h`.
+struct unanswered_start
+{
+    instant possibleUntil;
+    /// Incarnation of the worker at which the start has no effect any more: it was sent to this
+    /// one, which rejects a run that has ended there, or this one has answered a stop of the run.
+    std::int64_t harmlessAt = 0;
+    bool stopPending = false; ///< a stop that blocks the start has not been answered yet
+};
+
+/// An order with a lease that a worker has not answered.
+struct unanswered_lease
+{
+    instant sentBy; ///< the order was sent then or earlier; epoch: there is none
+    std::int64_t incarnation = 0; ///< of the worker when the order was sent
+};
+
 /// State of one worker as known to the coordinator.
 struct worker_status
 {
@@ -198,6 +212,8 @@
     /// Latest end of a lease sent to the present worker process, on its clock, in milliseconds.
     std::int64_t leaseSent = 0;
     instant leaseSentAt; ///< when a lease was last sent to the worker
+    std::map<run_key, unanswered_start> unansweredStarts;
+    unanswered_lease unansweredLease; ///< the last one
     bool awaitsContact = false; ///< starts wait for the answer to a poll
     std::int64_t processedEnd = 0; ///< number of the last end that was applied to the tables
     std::int64_t storedEnd = 0; ///< number of the last end whose effects are in the store
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -3,6 +3,7 @@
 #include <ibishinge/base/logging.h>
 #include <ibishinge/base/processor_time.h>
 #include <ibishinge/fleet/crash_isolation.h>
+#include <ibishinge/fleet/late_orders.h>
 #include <ibishinge/fleet/placement.h>
 #include <ibishinge/fleet/pool_load.h>
 #include <ibishinge/fleet/record_codec.h>
@@ -566,9 +567,11 @@
         }
         // Most workers without a lease are idle; the search for a successor visits all others.
         const bool hasEnded = !worker.runs.empty() && (worker.ended || hasSuccessor(worker));
-        const auto isHeld = [&, reachable = worker.registered && worker.verified](const auto &key) {
+        const auto isHeld = [&, &worker = worker](const auto &key) {
+            const bool reachable = worker.registered && worker.verified;
             const auto &run = m_tables.runs.at(key);
-            return (isUnsent(run) && reachable) || (run.leaseEndsBy > now && !hasEnded);
+            return (isUnsent(run) && reachable)
+                   || (!hasEnded && mayRunUnreported(worker, key, maxLeaseTime(), now));
         };
         if (std::any_of(worker.runs.begin(), worker.runs.end(), isHeld)) {
             std::copy_if(worker.runs.begin(), worker.runs.end(), std::back_inserter(expired),
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -3,6 +3,7 @@
 #include <ibishinge/base/logging.h>
 #include <ibishinge/base/processor_time.h>
 #include <ibishinge/fleet/crash_isolation.h>
+#include <ibishinge/fleet/late_orders.h>
 #include <ibishinge/fleet/objective.h>
 #include <ibishinge/fleet/throttling.h>
 #include <ibishinge/fleet/worker_health.h>
@@ -64,8 +65,9 @@
 /// Margin for the time from the computation of a lease until the order is sent.
 constexpr milliseconds sendDelayMargin {60};
 
-/// Longest time from sending an order with a lease until a worker receives it.
-constexpr milliseconds maxOrderDelay {500};
+/// Longest time from sending an order with a lease until a worker receives it, unless the order
+/// fails.
+constexpr milliseconds maxTransferTime {500};
 
 /// A worker's clock that is further back than this has begun anew. Answers on several connections
 /// overtake each other, which makes it seem to step back by less.
@@ -108,6 +110,18 @@
                                   m_timers.now() + scaled(left, slowClockFactor) + sendDelayMargin);
 }
 
+milliseconds coordinator::maxLeaseTime() const
+{
+    return scaled(m_settings.maxTaskLease, slowClockFactor) + sendDelayMargin;
+}
+
+void coordinator::onLeaseUnanswered(worker_status &worker, std::int64_t incarnation, instant sentBy)
+{
+    recordUnansweredLease(worker, incarnation, sentBy);
+    worker.leasesEndBy =
+        std::max(worker.leasesEndBy, lateLeasesEnd(worker, maxLeaseTime(), sentBy));
+}
+
 void coordinator::pollIfDue(worker_status &worker)
 {
     const auto now = m_timers.now();
@@ -148,6 +162,9 @@
                            }
                            found->second.pollInProgress = false;
                            if (!answer) {
+                               if (order.leaseUntil > 0) {
+                                   onLeaseUnanswered(found->second, order.knownIncarnation, now);
+                               }
                                onPollFailed(id, answer.error());
                                return;
                            }
@@ -301,21 +318,62 @@
     }
     const auto startedAfter =
         m_timers.now() - scaled(milliseconds(report.workerClockMs), slowClockFactor);
-    if (worker.leaseSentAt + maxOrderDelay > startedAfter) {
+    if (worker.leaseSentAt + maxTransferTime > startedAfter) {
         // A lease that was reckoned on the former clock may have reached the new process, for which
         // its end lies far ahead.
         worker.leasesEndBy =
-            std::max(worker.leasesEndBy, m_timers.now() + maxOrderDelay
-                                             + scaled(m_settings.maxTaskLease, slowClockFactor));
+            std::max(worker.leasesEndBy, m_timers.now() + maxTransferTime + maxLeaseTime());
     }
     worker.leaseSent = 0;
     worker.processedEnd = 0;
     worker.storedEnd = 0;
     worker.acknowledgedEnd = 0;
     onWorkerCrashed(worker.entry.id, gone);
+    worker.incarnation = report.incarnation;
+    worker.leasesEndBy =
+        std::max(worker.leasesEndBy, lateLeasesEnd(worker, maxLeaseTime(), startedAfter));
+    const auto late = startsToBlock(worker, m_timers.now());
     for (const auto &key : gone) {
-        removeRun(m_tables, key);
-        releaseTask(key);
+        if (std::find(late.begin(), late.end(), key) == late.end()) {
+            removeRun(m_tables, key);
+            releaseTask(key);
+            continue;
+        }
+        // The new process may still carry out the start. Once it has answered a stop, it rejects
+        // the start, and the task may run elsewhere.
+        m_tables.runs.at(key).stopAnswered = false;
+        orderStop(key, "worker_restarted");
+    }
+    blockLateStarts(worker);
+}
+
+void coordinator::blockLateStarts(worker_status &worker)
+{
+    if (!mayIssueOrders() || worker.unansweredStarts.empty()) {
+        return;
+    }
+    for (const auto &key : startsToBlock(worker, m_timers.now())) {
+        auto &start = worker.unansweredStarts.at(key);
+        if (start.stopPending || m_tables.runs.count(key) > 0) {
+            continue;
+        }
+        start.stopPending = true;
+        m_workerCalls.stopRun(
+            worker.entry, key.task, key.run, m_leadership.fencingToken,
+            unlessClosed<run_command_reply>(
+                [this, id = worker.entry.id, key,
+                 incarnation = worker.incarnation](const result<run_command_reply> &answer) {
+                    const auto found = m_tables.workers.find(id);
+                    if (found == m_tables.workers.end()
+                        || found->second.unansweredStarts.count(key) == 0) {
+                        return;
+                    }
+                    auto &sent = found->second.unansweredStarts.at(key);
+                    sent.stopPending = false;
+                    if (answer && answer->outcome == run_command_outcome::running) {
+                        sent.harmlessAt = incarnation;
+                    }
+                }));
     }
 }
 
@@ -666,6 +724,9 @@
         run.confirmedAt = m_timers.now();
     }
     run.stopAnswered = answer->outcome != run_command_outcome::other_incarnation;
+    if (run.stopAnswered) {
+        recordBlockedStart(worker, key);
+    }
     worker.nextPollAt = m_timers.now();
     pollIfDue(worker);
 }
@@ -770,12 +831,10 @@
         line["worker"] = run.worker;
         line["error"] = describe(answer.error());
         logEvent(log_level::warning, "start_unanswered", line);
-        if (since(worker.reportAt, run.orderedAt) > maxReportAgeAtStart) {
-            run.leaseEndsBy =
-                now + scaled(m_settings.maxTaskLease, slowClockFactor) + sendDelayMargin;
-        }
-        if (answer.error().kind == error_kind::unavailable && run.orders == 1
-            && run.phase == run_phase::starting) {
+        if (answer.error().kind != error_kind::unavailable) {
+            recordUnansweredStart(worker, key, now);
+            onLeaseUnanswered(worker, worker.incarnation, now);
+        } else if (run.orders == 1 && run.phase == run_phase::starting) {
             abandonStart(key, true);
         }
         // Otherwise the order may still be carried out; `checkRuns` repeats it or stops the run.
@@ -892,6 +951,11 @@
             toStop.push_back(key);
         }
     }
+    for (auto &[id, worker] : m_tables.workers) {
+        if (worker.verified) {
+            blockLateStarts(worker);
+        }
+    }
     for (const auto &key : toStart) {
         if (m_tables.runs.count(key) > 0) { // not removed with another member of its gang
             startWhenContacted(key);
