--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -358,6 +358,11 @@
             continue;
         }
         start.stopPending = true;
+        auto line = describeRun(key);
+        line["worker"] = worker.entry.id;
+        line["life"] = worker.incarnation;
+        line["possible_for_ms"] = since(m_timers.now(), start.possibleUntil).count();
+        logEvent(log_level::info, "late_start_blocked", line);
         m_workerCalls.stopRun(
             worker.entry, key.task, key.run, m_leadership.fencingToken,
             unlessClosed<run_command_reply>(
