Acknowledge ends only while a poll that does so has no answer

What callers saw: a task could run again after its end `done` (TWICE).

Cause: each poll repeated the number of the last stored end, also when the worker had confirmed it. A poll without an answer may be carried out seconds later by the next process of the worker, which numbers its ends from 1 again and forgets those up to that number. An end that had not been read, because the worker was cut off meanwhile, was lost, and the task was started again.

Change: a poll acknowledges ends only if there are some that the worker has not confirmed. A poll that does acknowledge ends and is carried out late still has that effect, see late_acknowledgement_test.

late_start_review_test::endUnreadWhenAPollIsCarriedOutLate failed before ("start after the end"). Three other cases of it passed before: a worker that restarts twice, a gang member on a restarted worker, and a stop that the next process cannot be told.

The virtual platform forgets the ends that a late poll acknowledges, extends leases by a start of a run that is there already or has ended, and can delay the answers to stops.

--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -141,8 +141,9 @@
     poll_request order;
     order.fencingToken = m_leadership.fencingToken;
     // A worker numbers its ends from 1 again after a restart, so it would take a number from before
-    // the restart as an acknowledgement of its new ends.
-    order.acknowledgedEnd = worker.verified ? worker.storedEnd : 0;
+    // the restart as an acknowledgement of its new ends. The same holds for a poll that has no
+    // answer and is carried out after the restart, so none repeats an acknowledgement needlessly.
+    order.acknowledgedEnd = worker.verified && toAcknowledge ? worker.storedEnd : 0;
     order.knownEnd = worker.processedEnd;
     order.knownIncarnation = worker.incarnation;
     if (hasRuns && worker.verified && !worker.awaitsContact) {
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -216,10 +216,12 @@
         worker.fence = order.fencingToken;
         const auto running = worker.running.find(order.task);
         if (running != worker.running.end() && running->second.run == order.run) {
+            extendLease(worker, order.leaseUntil);
             return {run_command_outcome::running, clock};
         }
         const auto closed = worker.closedRuns.find(order.task);
         if (closed != worker.closedRuns.end() && order.run <= closed->second) {
+            extendLease(worker, order.leaseUntil);
             return {run_command_outcome::stale_run, clock};
         }
         if (order.leaseUntil <= clock) {
@@ -397,6 +399,7 @@
     }
 
     std::set<std::string> unansweredStops; ///< workers whose stops fail
+    milliseconds stopAnswerDelay {0}; ///< until the answer to a stop that was carried out is read
     int workerCalls = 0; ///< of all kinds
     int pollsOfEndedWorkers = 0;
     int renewals = 0; ///< of leases, sent
@@ -414,6 +417,7 @@
     /// process that the worker has then.
     int delayPolls = 0;
     milliseconds pollDelay {3000};
+    std::int64_t delayedAcknowledgement = 0; ///< those polls acknowledge at least this end
 
     void readItem(const std::string &key, reply<store_item> done) override
     {
@@ -531,8 +535,16 @@
             fail<run_command_reply>(std::move(done), error_kind::outcome_unknown);
             return;
         }
+        const reply<run_command_reply> read =
+            [this, done, delay = stopAnswerDelay](const result<run_command_reply> &answer) {
+                if (delay.count() > 0) {
+                    m_world.loop.after(delay, [done, answer] { done(answer); });
+                } else {
+                    done(answer);
+                }
+            };
         atWorker<run_command_reply>(
-            worker.id, done, [=, this](virtual_worker &at) -> result<run_command_reply> {
+            worker.id, read, [=, this](virtual_worker &at) -> result<run_command_reply> {
                 if (fencingToken < at.fence) {
                     return run_command_reply {run_command_outcome::fenced, m_world.clockOf(at)};
                 }
@@ -558,13 +570,17 @@
               reply<worker_report> done) override
     {
         ++workerCalls;
-        if (delayPolls > 0 && order.leaseUntil > 0) {
+        if (delayPolls > 0 && order.leaseUntil > 0
+            && order.acknowledgedEnd >= delayedAcknowledgement) {
             --delayPolls;
             m_world.loop.after(pollDelay, [&world = m_world, id = worker.id, order] {
                 auto &at = world.workers.at(id);
                 if (at.alive && order.fencingToken >= at.fence) {
                     at.fence = order.fencingToken;
                     world.extendLease(at, order.leaseUntil);
+                    std::erase_if(at.ended, [&](const run_end &end) {
+                        return end.number <= order.acknowledgedEnd;
+                    });
                 }
             });
             fail<worker_report>(done, error_kind::outcome_unknown);
