Attribute orders to the worker process to which they were sent

Cause: the incarnation of an unanswered start, and of an answered stop, was the one that was known when the answer was read or given up. If the next process of the worker had been found meanwhile, an answer of the former process counted as that of the next one, which was not told to reject the late start; and the lease of such a start was taken to be reckoned on the clock of the next process, where it lasts longer. A start that was given up after its run had been stopped and removed was not remembered at all.

Change: both calls keep the incarnation at the time of sending. Unanswered starts are recorded whether or not their run is still known. A stop that was sent before the restart was found is repeated.

Three cases of late_start_review_test failed before: cancelledBeforeTheStartFailed, restartFoundBeforeTheStartFailed and stopAnsweredByTheFormerProcess.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -219,7 +219,9 @@
     /// Removes a run that did not start, so that its task is placed again; with `avoid` preferably
     /// on another worker.
     void abandonStart(const run_key &key, bool avoid);
-    void onStopped(const run_key &key, const result<run_command_reply> &answer);
+    /// `incarnation` is that of the worker when the stop was sent.
+    void onStopped(const run_key &key, std::int64_t incarnation,
+                   const result<run_command_reply> &answer);
     [[nodiscard]] std::int64_t leaseUntil(worker_status &worker);
     /// Returns the longest time that a lease of any worker lasts.
     [[nodiscard]] milliseconds maxLeaseTime() const;
--- a/include/ibishinge/fleet/late_orders.h
+++ b/include/ibishinge/fleet/late_orders.h
@@ -10,9 +10,10 @@
 /// platform delays such orders by 2 to 12 s.
 inline constexpr milliseconds maxOrderDelay {12000};
 
-/// Records that a start, which was sent to the present process of `worker` at `sentBy` or earlier,
-/// has no answer. Not thread-safe.
-void recordUnansweredStart(worker_status &worker, const run_key &key, instant sentBy);
+/// Records that a start, which was sent to the process `incarnation` of `worker` at `sentBy` or
+/// earlier, has no answer. Not thread-safe.
+void recordUnansweredStart(worker_status &worker, const run_key &key, std::int64_t incarnation,
+                           instant sentBy);
 
 /// Records that an order with a lease, which was sent to the process `incarnation` of `worker` at
 /// `sentBy` or earlier, has no answer. Not thread-safe.
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -698,10 +698,12 @@
     m_workerCalls.stopRun(
         m_tables.workers.at(run.worker).entry, key.task, key.run, m_leadership.fencingToken,
         unlessClosed<run_command_reply>(
-            [this, key](const result<run_command_reply> &answer) { onStopped(key, answer); }));
+            [this, key, incarnation = m_tables.workers.at(run.worker).incarnation](
+                const result<run_command_reply> &answer) { onStopped(key, incarnation, answer); }));
 }
 
-void coordinator::onStopped(const run_key &key, const result<run_command_reply> &answer)
+void coordinator::onStopped(const run_key &key, std::int64_t incarnation,
+                            const result<run_command_reply> &answer)
 {
     const auto found = m_tables.runs.find(key);
     if (found == m_tables.runs.end()) {
@@ -724,7 +726,9 @@
         // Only a report that was requested after this time shows whether the run is gone.
         run.confirmedAt = m_timers.now();
     }
-    run.stopAnswered = answer->outcome != run_command_outcome::other_incarnation;
+    // An earlier process of the worker may have answered, which does not block a late start.
+    run.stopAnswered = answer->outcome != run_command_outcome::other_incarnation
+                       && incarnation == worker.incarnation;
     if (run.stopAnswered) {
         recordBlockedStart(worker, key);
     }
@@ -807,10 +811,19 @@
         line["attempt"] = run.orders;
         logEvent(log_level::info, "start_repeated", line);
     }
-    m_workerCalls.startRun(
-        worker.entry, order,
-        unlessClosed<run_command_reply>(
-            [this, key](const result<run_command_reply> &answer) { onStarted(key, answer); }));
+    m_workerCalls.startRun(worker.entry, order,
+                           unlessClosed<run_command_reply>(
+                               [this, key, id = worker.entry.id, incarnation = worker.incarnation](
+                                   const result<run_command_reply> &answer) {
+                                   const auto to = m_tables.workers.find(id);
+                                   if (!answer && answer.error().kind != error_kind::unavailable
+                                       && to != m_tables.workers.end()) {
+                                       recordUnansweredStart(to->second, key, incarnation,
+                                                             m_timers.now());
+                                       onLeaseUnanswered(to->second, incarnation, m_timers.now());
+                                   }
+                                   onStarted(key, answer);
+                               }));
 }
 
 void coordinator::onStarted(const run_key &key, const result<run_command_reply> &answer)
@@ -832,10 +845,8 @@
         line["worker"] = run.worker;
         line["error"] = describe(answer.error());
         logEvent(log_level::warning, "start_unanswered", line);
-        if (answer.error().kind != error_kind::unavailable) {
-            recordUnansweredStart(worker, key, now);
-            onLeaseUnanswered(worker, worker.incarnation, now);
-        } else if (run.orders == 1 && run.phase == run_phase::starting) {
+        if (answer.error().kind == error_kind::unavailable && run.orders == 1
+            && run.phase == run_phase::starting) {
             abandonStart(key, true);
         }
         // Otherwise the order may still be carried out; `checkRuns` repeats it or stops the run.
--- a/src/fleet/late_orders.cpp
+++ b/src/fleet/late_orders.cpp
@@ -4,11 +4,12 @@
 
 namespace ibishinge::fleet {
 
-void recordUnansweredStart(worker_status &worker, const run_key &key, instant sentBy)
+void recordUnansweredStart(worker_status &worker, const run_key &key, std::int64_t incarnation,
+                           instant sentBy)
 {
     auto &start = worker.unansweredStarts[key];
     start.possibleUntil = std::max(start.possibleUntil, sentBy + maxOrderDelay);
-    start.harmlessAt = worker.incarnation;
+    start.harmlessAt = incarnation;
 }
 
 void recordUnansweredLease(worker_status &worker, std::int64_t incarnation, instant sentBy)
--- a/tests/late_start_review_test.cpp
+++ b/tests/late_start_review_test.cpp
@@ -40,6 +40,9 @@
 {
     CPPUNIT_TEST_SUITE(late_start_review_test);
     CPPUNIT_TEST(endUnreadWhenAPollIsCarriedOutLate);
+    CPPUNIT_TEST(cancelledBeforeTheStartFailed);
+    CPPUNIT_TEST(restartFoundBeforeTheStartFailed);
+    CPPUNIT_TEST(stopAnsweredByTheFormerProcess);
     CPPUNIT_TEST(workerThatRestartsTwice);
     CPPUNIT_TEST(gangMemberOnARestartedWorker);
     CPPUNIT_TEST(stopUnansweredAtARestartedWorker);
@@ -195,6 +198,53 @@
             m_fleet->waitForState(*m_process, pathOf(secondJob), job_state::completed, 5s));
     }
 
+    /// The run is stopped and removed before its start is given up.
+    void cancelledBeforeTheStartFailed()
+    {
+        m_process->platform->silence = 1500ms;
+        submitWithLateStart(firstJob, 5s);
+        const auto answer = m_fleet->ask(*m_process, caller_operation::cancel, pathOf(firstJob));
+        CPPUNIT_ASSERT(answer.kind == answer_kind::cancelled);
+        m_fleet->loop.run(2s);
+        restartFirstWorker();
+        m_fleet->loop.run(4s);
+        CPPUNIT_ASSERT(workerOf(firstJob) == nullptr);
+    }
+
+    /// A start is sent before its worker restarts and given up after the restart was noticed. It
+    /// extends the leases of the next process, which then is cut off.
+    void restartFoundBeforeTheStartFailed()
+    {
+        setStateOfOthers(worker_state::draining);
+        submit(firstJob, longRunningJob());
+        waitForRun(firstJob);
+        m_fleet->loop.run(2s);
+        m_process->platform->silence = 1500ms;
+        submitWithLateStart(secondJob, 5s);
+        m_fleet->world.restartUnnoticed("pool-a-0");
+        m_fleet->loop.run(4900ms);
+        CPPUNIT_ASSERT(workerOf(firstJob) == &worker(0));
+        setStateOfOthers(worker_state::ready);
+        m_fleet->loop.run(200ms);
+        worker(0).reachable = false;
+        checkNeverTwice(firstJob);
+    }
+
+    /// The answer to a stop is read after the next process has reported.
+    void stopAnsweredByTheFormerProcess()
+    {
+        submitWithLateStart(firstJob, 8s);
+        waitForRun(firstJob);
+        m_fleet->loop.run(1500ms);
+        m_process->platform->stopAnswerDelay = 600ms;
+        setState(0, worker_state::draining);
+        waitFor([this] { return worker(0).running.empty(); }, 2s);
+        m_fleet->world.restartUnnoticed("pool-a-0");
+        m_fleet->loop.run(50ms);
+        m_process->platform->stopAnswerDelay = 0ms;
+        checkNeverTwice(firstJob);
+    }
+
     void workerThatRestartsTwice()
     {
         submitWithLateStart(firstJob, 9s);
