Keep workers that may receive late orders under their id

What callers saw: two runs of a task at once (TWICE).

Cause: a worker that is no longer registered was forgotten when its leases had ended, and with it its unanswered orders.

Change: such a worker is forgotten only when none of its unanswered orders can arrive any more.

workerThatReturnsAfterItWasForgotten and leaseOfAWorkerThatReturnsAfterItWasForgotten of late_start_review_test failed before.

--- a/include/ibishinge/fleet/late_orders.h
+++ b/include/ibishinge/fleet/late_orders.h
@@ -40,4 +40,8 @@
 [[nodiscard]] instant lateLeasesEnd(const worker_status &worker, milliseconds maxLease,
                                     instant startedAt);
 
+/// Returns true if a process of the worker may still carry out an order that an earlier one has not
+/// answered. Thread-safe for a constant worker.
+[[nodiscard]] bool mayReceiveLateOrders(const worker_status &worker, instant now);
+
 } // namespace ibishinge::fleet
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -584,7 +584,8 @@
         for (const auto &key : worker.runs) {
             expired.push_back(key);
         }
-        if (!worker.registered && m_loaded) {
+        // A worker that returns under its id may carry out orders to its earlier process.
+        if (!worker.registered && m_loaded && !mayReceiveLateOrders(worker, now)) {
             gone.push_back(id);
         }
     }
--- a/src/fleet/late_orders.cpp
+++ b/src/fleet/late_orders.cpp
@@ -59,4 +59,12 @@
     return order.sentBy + maxOrderDelay + maxLease;
 }
 
+bool mayReceiveLateOrders(const worker_status &worker, instant now)
+{
+    const auto &lease = worker.unansweredLease;
+    return (lease.sentBy != instant {} && now < lease.sentBy + maxOrderDelay)
+           || std::any_of(worker.unansweredStarts.begin(), worker.unansweredStarts.end(),
+                          [now](const auto &each) { return now < each.second.possibleUntil; });
+}
+
 } // namespace ibishinge::fleet
--- a/tests/late_start_review_test.cpp
+++ b/tests/late_start_review_test.cpp
@@ -42,6 +42,8 @@
     CPPUNIT_TEST(endUnreadWhenAPollIsCarriedOutLate);
     CPPUNIT_TEST(cancelledBeforeTheStartFailed);
     CPPUNIT_TEST(restartFoundBeforeTheStartFailed);
+    CPPUNIT_TEST(workerThatReturnsAfterItWasForgotten);
+    CPPUNIT_TEST(leaseOfAWorkerThatReturnsAfterItWasForgotten);
     CPPUNIT_TEST(stopAnsweredByTheFormerProcess);
     CPPUNIT_TEST(workerThatRestartsTwice);
     CPPUNIT_TEST(gangMemberOnARestartedWorker);
@@ -230,6 +232,40 @@
         checkNeverTwice(firstJob);
     }
 
+    void workerThatReturnsAfterItWasForgotten()
+    {
+        submitWithLateStart(firstJob, 11s);
+        moveElsewhere(firstJob);
+        m_fleet->world.crash("pool-a-0");
+        m_fleet->loop.run(2s);
+        m_fleet->world.deleteItem("workers/pool-a-0");
+        m_fleet->loop.run(6s);
+        restartFirstWorker();
+        checkNeverTwice(firstJob);
+    }
+
+    /// A poll without an answer renews the leases of the process that returns.
+    void leaseOfAWorkerThatReturnsAfterItWasForgotten()
+    {
+        submit(secondJob, longRunningJob());
+        waitForRun(secondJob);
+        CPPUNIT_ASSERT(workerOf(secondJob) == &worker(0));
+        loseAPoll(11s);
+        m_fleet->world.crash("pool-a-0");
+        m_fleet->loop.run(2s);
+        m_fleet->world.deleteItem("workers/pool-a-0");
+        m_fleet->loop.run(6s);
+        setStateOfOthers(worker_state::draining);
+        m_fleet->loop.run(200ms);
+        restartFirstWorker();
+        m_fleet->loop.run(2500ms);
+        CPPUNIT_ASSERT(workerOf(secondJob) == &worker(0));
+        setStateOfOthers(worker_state::ready);
+        m_fleet->loop.run(400ms);
+        worker(0).reachable = false;
+        checkNeverTwice(secondJob);
+    }
+
     /// The answer to a stop is read after the next process has reported.
     void stopAnsweredByTheFormerProcess()
     {
