Stop a best-effort run again that works although it was stopped

What callers saw: nothing yet; found by review.

Cause: an order that sets the speed of a best-effort run and has no answer may be carried out seconds later, after newer ones. If it undid the last slow-down to 0, no further order followed, as the decision was unchanged.

Change: while a serving task is over the threshold, a run that was stopped and still uses the processor is stopped again.

late_throttle_test::stoppedRunThatWorksIsStoppedAgain failed before.

--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -56,7 +56,7 @@
     std::string checkpoint;
     int percent = 0; ///< reported progress
     instant progressAt; ///< when `percent` last changed
-    double usage = 0; ///< tail latency in milliseconds of a serving run
+    double usage = 0; ///< tail latency in milliseconds of a serving run, else processor usage
     int speedPercent = 100; ///< percentage of full speed at which a best-effort run may work
     bool longRunning = false;
     bool serving = false; ///< `tailTarget` is set
--- a/src/fleet/throttling.cpp
+++ b/src/fleet/throttling.cpp
@@ -38,7 +38,11 @@
         } else if (worst < speedUpBelow || speedPercent == unknownSpeed) {
             speedPercent = std::min(100, std::max(speedPercent, 0) + speedStep);
         }
-        if (speedPercent != run.speedPercent) {
+        // An earlier order that had no answer may be carried out after the one that stopped the
+        // run.
+        const bool worksAlthoughStopped =
+            speedPercent == 0 && worst > slowDownAbove && run.usage > 0;
+        if (speedPercent != run.speedPercent || worksAlthoughStopped) {
             changes.push_back({key, speedPercent, worst});
         }
     }
