--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -141,8 +141,9 @@
     poll_request order;
     order.fencingToken = m_leadership.fencingToken;
     // A worker numbers its ends from 1 again after a restart, so it would take a number from before
-    // the restart as an acknowledgement of its new ends.
-    order.acknowledgedEnd = worker.verified ? worker.storedEnd : 0;
+    // the restart as an acknowledgement of its new ends. The same holds for a poll that has no
+    // answer and is carried out after the restart, so none repeats an acknowledgement needlessly.
+    order.acknowledgedEnd = worker.verified && toAcknowledge ? worker.storedEnd : 0;
     order.knownEnd = worker.processedEnd;
     order.knownIncarnation = worker.incarnation;
     if (hasRuns && worker.verified && !worker.awaitsContact) {
@@ -702,10 +703,12 @@
     m_workerCalls.stopRun(
         m_tables.workers.at(run.worker).entry, key.task, key.run, m_leadership.fencingToken,
         unlessClosed<run_command_reply>(
-            [this, key](const result<run_command_reply> &answer) { onStopped(key, answer); }));
+            [this, key, incarnation = m_tables.workers.at(run.worker).incarnation](
+                const result<run_command_reply> &answer) { onStopped(key, incarnation, answer); }));
 }
 
-void coordinator::onStopped(const run_key &key, const result<run_command_reply> &answer)
+void coordinator::onStopped(const run_key &key, std::int64_t incarnation,
+                            const result<run_command_reply> &answer)
 {
     const auto found = m_tables.runs.find(key);
     if (found == m_tables.runs.end()) {
@@ -728,7 +731,9 @@
         // Only a report that was requested after this time shows whether the run is gone.
         run.confirmedAt = m_timers.now();
     }
-    run.stopAnswered = answer->outcome != run_command_outcome::other_incarnation;
+    // An earlier process of the worker may have answered, which does not block a late start.
+    run.stopAnswered = answer->outcome != run_command_outcome::other_incarnation
+                       && incarnation == worker.incarnation;
     if (run.stopAnswered) {
         recordBlockedStart(worker, key);
     }
@@ -811,10 +816,19 @@
         line["attempt"] = run.orders;
         logEvent(log_level::info, "start_repeated", line);
     }
-    m_workerCalls.startRun(
-        worker.entry, order,
-        unlessClosed<run_command_reply>(
-            [this, key](const result<run_command_reply> &answer) { onStarted(key, answer); }));
+    m_workerCalls.startRun(worker.entry, order,
+                           unlessClosed<run_command_reply>(
+                               [this, key, id = worker.entry.id, incarnation = worker.incarnation](
+                                   const result<run_command_reply> &answer) {
+                                   const auto to = m_tables.workers.find(id);
+                                   if (!answer && answer.error().kind != error_kind::unavailable
+                                       && to != m_tables.workers.end()) {
+                                       recordUnansweredStart(to->second, key, incarnation,
+                                                             m_timers.now());
+                                       onLeaseUnanswered(to->second, incarnation, m_timers.now());
+                                   }
+                                   onStarted(key, answer);
+                               }));
 }
 
 void coordinator::onStarted(const run_key &key, const result<run_command_reply> &answer)
@@ -836,10 +850,8 @@
         line["worker"] = run.worker;
         line["error"] = describe(answer.error());
         logEvent(log_level::warning, "start_unanswered", line);
-        if (answer.error().kind != error_kind::unavailable) {
-            recordUnansweredStart(worker, key, now);
-            onLeaseUnanswered(worker, worker.incarnation, now);
-        } else if (run.orders == 1 && run.phase == run_phase::starting) {
+        if (answer.error().kind == error_kind::unavailable && run.orders == 1
+            && run.phase == run_phase::starting) {
             abandonStart(key, true);
         }
         // Otherwise the order may still be carried out; `checkRuns` repeats it or stops the run.
--- a/src/fleet/late_orders.cpp
+++ b/src/fleet/late_orders.cpp
@@ -4,11 +4,12 @@
 
 namespace ibishinge::fleet {
 
-void recordUnansweredStart(worker_status &worker, const run_key &key, instant sentBy)
+void recordUnansweredStart(worker_status &worker, const run_key &key, std::int64_t incarnation,
+                           instant sentBy)
 {
     auto &start = worker.unansweredStarts[key];
     start.possibleUntil = std::max(start.possibleUntil, sentBy + maxOrderDelay);
-    start.harmlessAt = worker.incarnation;
+    start.harmlessAt = incarnation;
 }
 
 void recordUnansweredLease(worker_status &worker, std::int64_t incarnation, instant sentBy)
@@ -58,4 +59,12 @@
     return order.sentBy + maxOrderDelay + maxLease;
 }
 
+bool mayReceiveLateOrders(const worker_status &worker, instant now)
+{
+    const auto &lease = worker.unansweredLease;
+    return (lease.sentBy != instant {} && now < lease.sentBy + maxOrderDelay)
+           || std::any_of(worker.unansweredStarts.begin(), worker.unansweredStarts.end(),
+                          [now](const auto &each) { return now < each.second.possibleUntil; });
+}
+
 } // namespace ibishinge::fleet
