Do not start a task beside another run of it

What callers saw: a task could run twice at the same time (TWICE).

Cause: a coordinator that takes over may learn of an earlier coordinator's run after it has placed the task: a worker that restarted after its first answer knows no fencing token and carries out a late start. If the new start still waited for a poll or for the store, the listed run was stopped and the new one sent before the other had ended. A task whose second run was being stopped was placed again as soon as its current run had ended.

Change: a start that has not been sent gives way to a listed run, with the others of its gang. No task is placed while the tables hold any run of it.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -187,6 +187,9 @@
     void finishTasks(job_entry &job, const task_name &name);
     void applyFailure(worker_status &worker, job_entry &job, task_entry &task, const run_end &end);
     void applyRunning(worker_status &worker, const running_task &seen);
+    /// Removes the current run of a task, with those of its gang, if its start has not been sent.
+    /// Precondition: the task exists.
+    void abandonUnsentStart(const task_name &name);
     /// Removes runs that the report being applied should list but does not: stopped ones at once,
     /// running ones if the report before did not list them either.
     void removeUnlistedRuns(worker_status &worker, instant sentAt);
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -339,6 +339,10 @@
 /// Removes a run, if it exists, and releases its resources. Not thread-safe.
 void removeRun(fleet_tables &tables, const run_key &key);
 
+/// Returns true if there is a run of the task that has not ended, as far as is known. Thread-safe
+/// for constant tables.
+[[nodiscard]] bool hasRun(const fleet_tables &tables, const task_name &name);
+
 /// Ends the observation of a run. Precondition: it is under observation. Not thread-safe.
 void endObservation(fleet_tables &tables, run_entry &run);
 
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -355,7 +355,7 @@
             const task_name name {job.id, waitingStep.occurrence, waitingStep.step,
                                   static_cast<int>(index)};
             if (task.phase != task_phase::waiting || task.notBefore > now
-                || !areCrashesStored(job, name)) {
+                || !areCrashesStored(job, name) || hasRun(m_tables, name)) {
                 continue;
             }
             if (!isWithinLimit(m_tables, job.customer, heldBy(step))) {
@@ -451,10 +451,12 @@
         return;
     }
     std::int64_t starts = 0;
+    auto member = first;
     for (const auto &task : tasks) {
-        if (task.phase != task_phase::waiting || task.notBefore > now) {
+        if (task.phase != task_phase::waiting || task.notBefore > now || hasRun(m_tables, member)) {
             return;
         }
+        ++member.index;
         starts = std::max(starts, task.startsInTerm);
     }
     resources all;
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -548,6 +548,9 @@
     addRun(m_tables, std::move(run));
     auto line = describeRun(key);
     line["worker"] = worker.entry.id;
+    if (live) {
+        abandonUnsentStart(seen.task);
+    }
     if (live && task->phase == task_phase::waiting) {
         task->phase = task_phase::placed;
         task->currentRun = seen.run;
@@ -558,6 +561,22 @@
     orderStop(key, live ? "second_run" : "no_live_task");
 }
 
+void coordinator::abandonUnsentStart(const task_name &name)
+{
+    const auto *task = findTask(m_tables, name);
+    const run_key key {name, task->currentRun};
+    const auto run = m_tables.runs.find(key);
+    if (task->phase != task_phase::placed || run == m_tables.runs.end() || !isUnsent(run->second)) {
+        return;
+    }
+    const auto &job = m_tables.jobs.at(name.job);
+    if (job.spec.steps[static_cast<std::size_t>(name.step)].gang) {
+        stopGangMembers(name);
+    } else {
+        orderStop(key, "second_run");
+    }
+}
+
 void coordinator::removeUnlistedRuns(worker_status &worker, instant sentAt)
 {
     std::vector<run_key> gone;
--- a/src/fleet/tables.cpp
+++ b/src/fleet/tables.cpp
@@ -242,6 +242,12 @@
     tables.runs.erase(found);
 }
 
+bool hasRun(const fleet_tables &tables, const task_name &name)
+{
+    const auto run = tables.runs.lower_bound({name, 0});
+    return run != tables.runs.end() && run->first.task == name;
+}
+
 void endObservation(fleet_tables &tables, run_entry &run)
 {
     --tables.workers[run.worker].observedRuns;
