Poll a worker anew before a start if a poll is waiting there

What callers saw: a task could run twice at the same time (TWICE) after a change of the coordinator.

Cause: a poll that waits at a worker does not always break off when the worker restarts, for example behind a cut. A start that was sent meanwhile carried a lease reckoned on the clock of the former process, and the new process took it for the longest one, 10 s. The coordinator learned that from the answer. A successor could not know it, and waited 4.2 s for a worker that it did not reach.

Change: a report older than 500 ms is no proof that a worker is still the same, whether a poll is waiting there or not. The waiting poll is replaced by one that is answered at once, and the start is sent after its answer. The answer to the replaced poll is ignored: its ends are listed again. So the lease of a start is reckoned on a recent clock, and a successor need not wait longer for any worker.

The alternatives leave a gap: what the former coordinator writes when it learns of a long lease is missing if it ends before; the worker's entry in the registry may still be that of its former process.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -312,6 +312,7 @@
     instant m_lastProcessStallAt; ///< end of the last stall; epoch: none
     milliseconds m_longestTickDelay {0}; ///< since the last summary
     int m_unansweredStarts = 0; ///< since the last summary
+    std::int64_t m_pollNumber = 0; ///< number of the last poll of any worker
     std::int64_t m_reportNumber = 0; ///< number of the report being applied
     int m_reports = 0; ///< reports of workers since the last summary
     /// Ends since the last summary that were applied before, listed again for want of an
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -176,7 +176,7 @@
     std::string failureReason;
 };
 
-/// A worker that reported longer ago and is not being polled may have ended or restarted unnoticed.
+/// A worker that reported longer ago may have ended or restarted unnoticed.
 inline constexpr milliseconds maxReportAgeAtStart {500};
 
 /// A start that a worker has not answered and may carry out later, see `late_orders.h`.
@@ -222,7 +222,7 @@
     /// Number of the last end that was acknowledged to the worker.
     std::int64_t acknowledgedEnd = 0;
     bool hasMixedWorkloads = false; ///< serving and best-effort runs share the worker
-    bool pollInProgress = false;
+    std::int64_t openPoll = 0; ///< number of the poll whose answer is awaited; 0: none
     instant pollSentAt;
     instant nextPollAt;
     int failedPolls = 0; ///< consecutive failures
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -130,7 +130,7 @@
     const bool toAcknowledge = worker.storedEnd > worker.acknowledgedEnd;
     const bool reachable = worker.registered || worker.leasesEndBy > now;
     const bool needed = hasRuns || toAcknowledge || !worker.verified;
-    if (worker.pollInProgress || !m_recordsRead || !mayIssueOrders() || !reachable || !needed
+    if (worker.openPoll != 0 || !m_recordsRead || !mayIssueOrders() || !reachable || !needed
         || worker.nextPollAt > now) {
         return;
     }
@@ -151,20 +151,24 @@
             order.wait = pollWait(worker);
         }
     }
-    worker.pollInProgress = true;
+    worker.openPoll = ++m_pollNumber;
     worker.pollSentAt = now;
     m_workerCalls.poll(worker.entry, order,
-                       unlessClosed<worker_report>([this, id = worker.entry.id, now,
-                                                    order](const result<worker_report> &answer) {
+                       unlessClosed<worker_report>([this, id = worker.entry.id, now, order,
+                                                    number = worker.openPoll](
+                                                       const result<worker_report> &answer) {
                            const auto found = m_tables.workers.find(id);
                            if (found == m_tables.workers.end()) {
                                return;
                            }
-                           found->second.pollInProgress = false;
+                           if (!answer && order.leaseUntil > 0) {
+                               onLeaseUnanswered(found->second, order.knownIncarnation, now);
+                           }
+                           if (found->second.openPoll != number) {
+                               return; // another poll has replaced this one
+                           }
+                           found->second.openPoll = 0;
                            if (!answer) {
-                               if (order.leaseUntil > 0) {
-                                   onLeaseUnanswered(found->second, order.knownIncarnation, now);
-                               }
                                onPollFailed(id, answer.error());
                                return;
                            }
@@ -759,15 +763,14 @@
         return;
     }
     const auto now = m_timers.now();
-    // A waiting poll breaks off when its worker ends, but too late for a suspect: only a worker
-    // that was up at the start can have been crashed by it.
-    const bool mayHaveEnded = (run.observed || !worker.pollInProgress)
-                              && since(worker.reportAt, now) > maxReportAgeAtStart;
-    if (!worker.awaitsContact && !mayHaveEnded) {
+    if (!worker.awaitsContact && since(worker.reportAt, now) <= maxReportAgeAtStart) {
         sendStart(key);
         return;
     }
-    worker.awaitsContact = true;
+    if (!std::exchange(worker.awaitsContact, true)) {
+        // A poll that is waiting at the worker may not break off when the worker restarts.
+        worker.openPoll = 0;
+    }
     worker.nextPollAt = now;
     pollIfDue(worker);
 }
