--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -187,6 +187,9 @@
     void finishTasks(job_entry &job, const task_name &name);
     void applyFailure(worker_status &worker, job_entry &job, task_entry &task, const run_end &end);
     void applyRunning(worker_status &worker, const running_task &seen);
+    /// Removes the current run of a task, with those of its gang, if its start has not been sent.
+    /// Precondition: the task exists.
+    void abandonUnsentStart(const task_name &name);
     /// Removes runs that the report being applied should list but does not: stopped ones at once,
     /// running ones if the report before did not list them either.
     void removeUnlistedRuns(worker_status &worker, instant sentAt);
@@ -311,6 +314,7 @@
     instant m_lastProcessStallAt; ///< end of the last stall; epoch: none
     milliseconds m_longestTickDelay {0}; ///< since the last summary
     int m_unansweredStarts = 0; ///< since the last summary
+    std::int64_t m_pollNumber = 0; ///< number of the last poll of any worker
     std::int64_t m_reportNumber = 0; ///< number of the report being applied
     int m_reports = 0; ///< reports of workers since the last summary
     /// Ends since the last summary that were applied before, listed again for want of an
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -130,7 +130,7 @@
     const bool toAcknowledge = worker.storedEnd > worker.acknowledgedEnd;
     const bool reachable = worker.registered || worker.leasesEndBy > now;
     const bool needed = hasRuns || toAcknowledge || !worker.verified;
-    if (worker.pollInProgress || !m_recordsRead || !mayIssueOrders() || !reachable || !needed
+    if (worker.openPoll != 0 || !m_recordsRead || !mayIssueOrders() || !reachable || !needed
         || worker.nextPollAt > now) {
         return;
     }
@@ -152,20 +152,24 @@
             order.wait = pollWait(worker);
         }
     }
-    worker.pollInProgress = true;
+    worker.openPoll = ++m_pollNumber;
     worker.pollSentAt = now;
     m_workerCalls.poll(worker.entry, order,
-                       unlessClosed<worker_report>([this, id = worker.entry.id, now,
-                                                    order](const result<worker_report> &answer) {
+                       unlessClosed<worker_report>([this, id = worker.entry.id, now, order,
+                                                    number = worker.openPoll](
+                                                       const result<worker_report> &answer) {
                            const auto found = m_tables.workers.find(id);
                            if (found == m_tables.workers.end()) {
                                return;
                            }
-                           found->second.pollInProgress = false;
+                           if (!answer && order.leaseUntil > 0) {
+                               onLeaseUnanswered(found->second, order.knownIncarnation, now);
+                           }
+                           if (found->second.openPoll != number) {
+                               return; // another poll has replaced this one
+                           }
+                           found->second.openPoll = 0;
                            if (!answer) {
-                               if (order.leaseUntil > 0) {
-                                   onLeaseUnanswered(found->second, order.knownIncarnation, now);
-                               }
                                onPollFailed(id, answer.error());
                                return;
                            }
@@ -554,6 +558,9 @@
     addRun(m_tables, std::move(run));
     auto line = describeRun(key);
     line["worker"] = worker.entry.id;
+    if (live) {
+        abandonUnsentStart(seen.task);
+    }
     if (live && task->phase == task_phase::waiting) {
         task->phase = task_phase::placed;
         task->currentRun = seen.run;
@@ -564,6 +571,22 @@
     orderStop(key, live ? "second_run" : "no_live_task");
 }
 
+void coordinator::abandonUnsentStart(const task_name &name)
+{
+    const auto *task = findTask(m_tables, name);
+    const run_key key {name, task->currentRun};
+    const auto run = m_tables.runs.find(key);
+    if (task->phase != task_phase::placed || run == m_tables.runs.end() || !isUnsent(run->second)) {
+        return;
+    }
+    const auto &job = m_tables.jobs.at(name.job);
+    if (job.spec.steps[static_cast<std::size_t>(name.step)].gang) {
+        stopGangMembers(name);
+    } else {
+        orderStop(key, "second_run");
+    }
+}
+
 void coordinator::removeUnlistedRuns(worker_status &worker, instant sentAt)
 {
     std::vector<run_key> gone;
@@ -750,15 +773,14 @@
         return;
     }
     const auto now = m_timers.now();
-    // A waiting poll breaks off when its worker ends, but too late for a suspect: only a worker
-    // that was up at the start can have been crashed by it.
-    const bool mayHaveEnded = (run.observed || !worker.pollInProgress)
-                              && since(worker.reportAt, now) > maxReportAgeAtStart;
-    if (!worker.awaitsContact && !mayHaveEnded) {
+    if (!worker.awaitsContact && since(worker.reportAt, now) <= maxReportAgeAtStart) {
         sendStart(key);
         return;
     }
-    worker.awaitsContact = true;
+    if (!std::exchange(worker.awaitsContact, true)) {
+        // A poll that is waiting at the worker may not break off when the worker restarts.
+        worker.openPoll = 0;
+    }
     worker.nextPollAt = now;
     pollIfDue(worker);
 }
