Count a request as open until its response is written

Callers: a connection could end without an answer when a process that had been stopped ended in the moment between the passing on of a response and its writing.

Cause: async_http_server::openRequests, which the end of ibishinge-fleet waits for, counted requests that are with the handler. `respond` takes a request out of that set and only plans the run that writes the response.

Change: a request counts from its request line, also while its body is read, until the library has written the response or closed the connection.

Evidence: requestIsOpenUntilItsResponseIsWritten failed with the former count: 0 open instead of 1 after the response was passed on. No loss by this cause was observed. async_http_server_test passes.

--- a/include/ibishinge/outside/async_http_server.h
+++ b/include/ibishinge/outside/async_http_server.h
@@ -58,7 +58,8 @@
     /// Returns the port in use.
     [[nodiscard]] std::uint16_t port() const noexcept;
 
-    /// Returns the number of requests whose response is not passed on yet.
+    /// Returns the number of requests that have been read, also in part, and whose response is not
+    /// written yet.
     [[nodiscard]] std::size_t openRequests() const noexcept;
 
     /// From now on each response closes its connection.
--- a/src/outside/async_http_server.cpp
+++ b/src/outside/async_http_server.cpp
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <map>
@@ -413,7 +414,10 @@
 
 std::size_t async_http_server::openRequests() const noexcept
 {
-    return m_impl->handled.size();
+    const auto &connections = m_impl->connections;
+    return static_cast<std::size_t>(
+        std::count_if(connections.begin(), connections.end(),
+                      [](const auto &each) { return each.second.current != nullptr; }));
 }
 
 void async_http_server::closeAfterResponses() noexcept
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(callerThatLeavesIsForgotten);
     CPPUNIT_TEST(forgottenRequestIsAnswered);
     CPPUNIT_TEST(openRequestsAreAnsweredAtTheEnd);
+    CPPUNIT_TEST(requestIsOpenUntilItsResponseIsWritten);
     CPPUNIT_TEST(pathAndQueryAreKeptAsSent);
     CPPUNIT_TEST_SUITE_END();
 
@@ -97,6 +98,16 @@
         CPPUNIT_ASSERT(m_calls >= count);
     }
 
+    void waitForOpenRequests(std::size_t count)
+    {
+        const auto end = std::chrono::steady_clock::now() + 10s;
+        std::size_t open = count + 1;
+        while (open != count && std::chrono::steady_clock::now() < end) {
+            onLoop([&] { open = m_server->openRequests(); });
+        }
+        CPPUNIT_ASSERT_EQUAL(count, open);
+    }
+
     void checkServes(const std::string &name)
     {
         const auto client = http_client::create({});
@@ -299,6 +310,25 @@
         CPPUNIT_ASSERT_EQUAL(503, statusOf(*response));
     }
 
+    /// Guards against a response that is lost because its process ends between the moment when it
+    /// was passed on and the one when it is written.
+    void requestIsOpenUntilItsResponseIsWritten()
+    {
+        raw_socket client(m_where);
+        client.write("GET /wait HTTP/1.1\r\nHost: a\r\n");
+        waitForOpenRequests(1); // its headers are not complete
+        client.write("\r\n");
+        waitForCalls(1);
+        std::size_t open = 0;
+        onLoop([&] {
+            m_waiting[0]({200, {{"Connection", "close"}}, "done"});
+            open = m_server->openRequests();
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, open);
+        CPPUNIT_ASSERT(client.readToEnd().has_value());
+        waitForOpenRequests(0);
+    }
+
     void pathAndQueryAreKeptAsSent()
     {
         raw_socket client(m_where);
