Answer each request before a stopped process ends

Cause: a submission that a coordinator may have received is tried until 150 ms before its caller's time is over, 2.85 s of the usual 3 s. A process that stops served for 3.5 s and gave open requests 1.5 s more, while the load balancer sends requests until 3 s after the signal. The node did not know when its process ends.

Change: fleet_node::answerAllBy. 4.5 s after the signal each open request is answered: a submission that may have been received as of unknown outcome (504), others as not ready (503); later ones at once. Another coordinator is asked until then, as before.

--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -60,6 +60,11 @@
     /// more.
     void resign();
 
+    /// Answers each of the callers' requests, the open ones and those to come, at `deadline` at the
+    /// latest, as a process that ends can answer none later. A submission without an answer that
+    /// was forwarded is answered with `outcome_unknown`, any other request with `not_ready`.
+    void answerAllBy(instant deadline);
+
     /// Handles a caller's request in this process if it coordinates, otherwise by forwarding it to
     /// the coordinator. Calls `done` exactly once; if no coordinator answers in time, with
     /// `not_ready` or, for a submission that a coordinator may have received, `outcome_unknown`.
@@ -145,6 +150,7 @@
     void onForwardAnswered(const std::shared_ptr<pending_request> &request,
                            const std::string &address, const caller_answer &answer);
     void retryRequest(const std::shared_ptr<pending_request> &request, milliseconds delay);
+    void answerAsShuttingDown(const std::shared_ptr<pending_request> &each);
     void finishRequest(const std::shared_ptr<pending_request> &request, caller_answer answer);
     void onForwardFailed(const std::string &address, const error &failure);
 
@@ -196,6 +202,8 @@
     std::int64_t m_revisionToReplace = 0;
     bool m_campaignScheduled = false;
     bool m_resigned = false;
+    std::set<std::shared_ptr<pending_request>> m_openRequests; ///< callers' requests
+    instant m_answerAllBy = instant::max();
 };
 
 } // namespace ibishinge::fleet
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -88,6 +88,7 @@
     instant giveUpAt; ///< when the request is answered with `not_ready` if no coordinator was found
     instant answerBy; ///< end of the caller's time-out, less `answerMargin`
     bool maybeReceived = false; ///< a coordinator may have received the request but did not answer
+    bool inFlight = false; ///< with a coordinator, and neither answered nor failed yet
     bool finished = false;
 };
 
@@ -709,6 +710,16 @@
     }
 }
 
+void fleet_node::answerAllBy(instant deadline)
+{
+    m_answerAllBy = deadline;
+    later(std::max(since(m_timers.now(), deadline), milliseconds(0)), [this] {
+        for (const auto &each : std::set(m_openRequests)) {
+            answerAsShuttingDown(each);
+        }
+    });
+}
+
 bool fleet_node::isReady() const
 {
     const auto now = m_timers.now();
@@ -727,6 +738,7 @@
     each->answerBy = now + std::max(callerTimeout - answerMargin, answerMargin);
     each->giveUpAt = std::min(each->answerBy, now + maxLeaderWait);
     each->done = std::move(done);
+    m_openRequests.insert(each);
     tryRequest(each);
 }
 
@@ -754,12 +766,18 @@
     if (each->finished) {
         return;
     }
+    if (m_timers.now() >= m_answerAllBy) {
+        answerAsShuttingDown(each);
+        return;
+    }
     each->request.servedConfigVersion = m_servedConfigVersion;
     each->request.sender = m_settings.peerAddress;
     each->request.senderProcessorShare = m_resigned ? 0 : m_settings.processorShare;
     each->request.senderDataCentre = m_settings.dataCentre;
     if (m_coordinator) {
+        each->inFlight = true;
         handleForwarded(each->request, [this, each](const caller_answer &answer) {
+            each->inFlight = false;
             onForwardAnswered(each, m_settings.peerAddress, answer);
         });
         return;
@@ -770,10 +788,12 @@
         return;
     }
     ++each->forwards;
+    each->inFlight = true;
     const auto left = each->answerBy - m_timers.now();
     const auto timeout = std::clamp(left, milliseconds(50), forwardTimeout);
     m_peers.forward(address, encodeRequest(each->request), timeout,
                     whileAlive<std::string>([this, each, address](const result<std::string> &body) {
+                        each->inFlight = false;
                         if (!body) {
                             each->maybeReceived =
                                 each->maybeReceived || body.error().kind != error_kind::unavailable;
@@ -862,12 +882,23 @@
     later(delay, [this, each] { tryRequest(each); });
 }
 
+void fleet_node::answerAsShuttingDown(const std::shared_ptr<pending_request> &each)
+{
+    each->maybeReceived = each->maybeReceived || each->inFlight;
+    caller_answer answer;
+    answer.kind = answer_kind::not_ready;
+    answer.message = "this process is shutting down";
+    answer.retryAfter = defaultRetryAfter;
+    finishRequest(each, answer);
+}
+
 void fleet_node::finishRequest(const std::shared_ptr<pending_request> &each, caller_answer answer)
 {
     if (each->finished) {
         return;
     }
     each->finished = true;
+    m_openRequests.erase(each);
     const bool refused = answer.kind == answer_kind::overloaded
                          || answer.kind == answer_kind::not_ready
                          || answer.kind == answer_kind::invalid;
--- a/tests/process/fleet_signals_test.py
+++ b/tests/process/fleet_signals_test.py
@@ -1,16 +1,26 @@
-"""Signals to `ibishinge-fleet` that come in series."""
+"""Signals to `ibishinge-fleet`: several in series, and a stop while requests are open."""
 
+import base64
+import http.client
+import json
 import signal
 import socket
 import subprocess
+import threading
 import time
 import unittest
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
 
 import support
 
 # A stop takes 3.5 s; the others are only bounds against a test that never ends.
 STILL_DRAINING_S = 1.5
 LIMIT_S = 30
+GRACE_S = 6  # the platform kills a process that is still there so long after its stop signal
+# Callers reach a process that stops until the load balancer has taken note of it.
+STILL_REACHED_S = 3.0
+REQUEST_INTERVAL_S = 0.1
 
 
 def free_address():
@@ -19,16 +29,65 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
+class StoreOfOneLeader(ThreadingHTTPServer):
+    """A store that holds the record of a leader and refuses all other calls."""
+
+    daemon_threads = True
+
+    def __init__(self, leader_address):
+        super().__init__(("127.0.0.1", 0), StoreHandler)
+        record = {"name": "frozen", "incarnation": "frozen-1", "address": leader_address, "term": 1}
+        self.leader = {"key": "fleet/leader", "created": 2, "revision": 2, "lease": 1,
+                       "value": base64.b64encode(json.dumps(record).encode()).decode(),
+                       "current-rev": 2}
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server_port}"
+
+
+class StoreHandler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self):
+        url = urlsplit(self.path)
+        known = url.path == "/-/kv-key" and parse_qs(url.query)["key"] == ["fleet/leader"]
+        body = json.dumps(self.server.leader).encode() if known else b""
+        self.send_response(200 if known else 503)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_):
+        pass
+
+
+def hand_in(address, number, answers):
+    """Sends a job and appends the status of the answer, or the error."""
+    connection = http.client.HTTPConnection(address, timeout=LIMIT_S)
+    job = {"spec": "work", "steps": [{"count": 1, "cpu": 1000, "mem-mb": 100, "estimate-ms": 500}]}
+    try:
+        connection.request("POST", f"/q/{number:016x}", json.dumps(job),
+                           {"Host": "queue.example", "Request-Deadline": "3000",
+                            "Content-Type": "application/json"})
+        answers.append(connection.getresponse().status)
+    except (OSError, http.client.HTTPException) as problem:
+        answers.append(repr(problem))
+    finally:
+        connection.close()
+
+
 class FleetSignalsTest(unittest.TestCase):
     """Guards against a process that ends at once, with the requests that it has read, when a signal
     reaches it while its main thread does not wait for one."""
 
-    def begin(self):
-        """Starts a process; none of its outside systems is there."""
+    def begin(self, callers=None, store=None):
+        """Starts a process; of its outside systems at most the store is there."""
         ready = free_address()
         words = [support.BINARIES / "ibishinge-fleet", "--name=one",
-                 f"--callers-listen={free_address()}", f"--ready-listen={ready}",
-                 f"--peers-listen={free_address()}", f"--store={free_address()}",
+                 f"--callers-listen={callers or free_address()}", f"--ready-listen={ready}",
+                 f"--peers-listen={free_address()}", f"--store={store or free_address()}",
                  f"--machines={free_address()}"]
         process = subprocess.Popen(words, stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
         self.addCleanup(process.stdout.close)
@@ -64,6 +123,37 @@
         process.send_signal(signal.SIGTERM)
         self.assertEqual(process.wait(LIMIT_S), 0)
 
+    def test_requests_are_answered_before_it_ends(self):
+        """Guards against requests without an answer: they wait for a coordinator that is frozen,
+        and their process is stopped."""
+        leader = socket.create_server(("127.0.0.1", 0), backlog=1024)
+        self.addCleanup(leader.close)
+        store = StoreOfOneLeader(f"127.0.0.1:{leader.getsockname()[1]}")
+        self.addCleanup(store.server_close)
+        self.addCleanup(store.shutdown)
+        callers = free_address()
+        process = self.begin(callers, store.address)
+        answers, threads = [], []
+
+        def send():
+            threads.append(support.in_background(hand_in, callers, len(threads), answers))
+
+        send()
+        leader.settimeout(LIMIT_S)
+        self.addCleanup(leader.accept()[0].close)  # the request has been passed on
+        process.send_signal(signal.SIGTERM)
+        stopped_at = time.monotonic()
+        while time.monotonic() < stopped_at + STILL_REACHED_S:
+            send()
+            time.sleep(REQUEST_INTERVAL_S)
+        self.assertEqual(process.wait(LIMIT_S), 0)
+        self.assertLess(time.monotonic() - stopped_at, GRACE_S)
+        for thread in threads:
+            thread.join()
+        self.assertEqual(len(answers), len(threads))
+        self.assertEqual([each for each in answers if each not in (503, 504)], [])
+        self.assertIn(504, answers)
+
 
 if __name__ == "__main__":
     support.main()
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -143,6 +144,7 @@
     virtual_world world;
     std::map<std::string, process> processes;
     int exchanges = 0; ///< messages that relays have received
+    std::set<std::string> frozen; ///< names of processes that answer no forwarded request
     /// Processor share by process name, in cores; 1 if not set.
     std::map<std::string, double> shares;
 
@@ -155,9 +157,15 @@
         {
         }
 
-        void forward(const std::string &address, const std::string &request,
-                     milliseconds /*timeout*/, reply<std::string> done) override
+        void forward(const std::string &address, const std::string &request, milliseconds timeout,
+                     reply<std::string> done) override
         {
+            if (m_fleet.frozen.count(nameAt(address)) > 0) {
+                m_fleet.loop.after(timeout, [done, address] {
+                    done(makeError(error_kind::outcome_unknown, address, "no answer"));
+                });
+                return;
+            }
             m_fleet.loop.after(networkDelay, [this, address, request, done] {
                 auto *node = m_fleet.nodeAt(address);
                 if (node == nullptr) {
@@ -225,9 +233,14 @@
         fleet_world &m_fleet;
     };
 
+    static std::string nameAt(const std::string &address)
+    {
+        return address.substr(0, address.find(':'));
+    }
+
     fleet_node *nodeAt(const std::string &address)
     {
-        const auto found = processes.find(address.substr(0, address.find(':')));
+        const auto found = processes.find(nameAt(address));
         return found == processes.end() ? nullptr : found->second.node.get();
     }
 
