Record the pools in which a job's tasks may run

What callers saw: a task could run twice at the same time (TWICE) after a change of the coordinator.

Cause: a coordinator that takes over starts the tasks of a job once all workers have answered that belong to the job's pool at its submission or to the present pool of its queue. A queue can have been routed to a third pool in between, where a run goes on while its worker is cut off.

Change: before the first start in another pool than that of the submission, the job's progress record names the pool. A successor waits for silent workers of these pools, too.

inherited_lease_test::runInAPoolThatTheQueueHasLeft failed before ("two runs of"). A host that moves needs nothing: the move ends all that runs there.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -242,6 +242,9 @@
     /// Sends the start of a suspected task once the store holds where it is started.
     void startWhenStored(const run_key &key);
     void startGang(const waiting_step &waitingStep, pool_candidates &candidates);
+    /// Returns true if a later coordinator will know that tasks of the job may run in this pool;
+    /// has that stored if need be.
+    bool ensurePoolStored(job_entry &job, const std::string &pool);
     bool ensureTickets(job_entry &job, const queue_config &queue, int occurrence, int step);
     void tick();
     /// Returns true, and records the time, if the next tick is overdue because the process or its
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -153,6 +153,9 @@
     std::string id;
     std::string queue;
     std::string pool; ///< pool of the queue when the job was accepted
+    /// Other pools in which tasks were or are to be started, and whether the store holds that,
+    /// which is required before a start.
+    std::map<std::string, bool> otherPools;
     std::string customer; ///< empty on a queue that is open to all
     job_spec spec;
     std::int64_t acceptedWallMs = 0; ///< wall time, milliseconds since 1970
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -367,7 +367,7 @@
                 reserveWorker(m_tables, candidates, waitingStep, name, tickets, now);
                 continue; // others of the step may be started
             }
-            if (worker == nullptr) {
+            if (worker == nullptr || !ensurePoolStored(job, worker->entry.pool)) {
                 break;
             }
             const auto proof =
@@ -491,6 +491,13 @@
         placed.push_back(key);
         addRun(m_tables, makeRun(job, key, worker->entry.id));
     }
+    if (!ensurePoolStored(job, queue.pool)) {
+        for (const auto &key : placed) {
+            removeRun(m_tables, key);
+        }
+        candidates.maxFreeResources = freeResourcesBefore;
+        return;
+    }
     for (const auto &key : placed) {
         auto &worker = m_tables.workers.at(m_tables.runs.at(key).worker);
         const auto proof =
@@ -501,6 +508,26 @@
     }
 }
 
+bool coordinator::ensurePoolStored(job_entry &job, const std::string &pool)
+{
+    if (pool == job.pool) {
+        return true;
+    }
+    const auto [found, added] = job.otherPools.try_emplace(pool, false);
+    if (added) {
+        write_unit unit = progressUnit(job);
+        unit.done = [this, id = job.id, pool](const result<void> &stored) {
+            const auto live = m_tables.jobs.find(id);
+            if (!m_closed && stored && live != m_tables.jobs.end()) {
+                live->second.otherPools[pool] = true;
+                requestSchedulingPass();
+            }
+        };
+        m_writer->add(job.id, std::move(unit));
+    }
+    return found->second;
+}
+
 bool coordinator::ensureTickets(job_entry &job, const queue_config &queue, int occurrence, int step)
 {
     if (!queue.advice) {
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -277,7 +277,10 @@
             continue;
         }
         const auto queue = m_tables.queues.find(job.queue);
-        if (incompletePools.count(job.pool) > 0
+        const bool leftPoolIsIncomplete =
+            std::any_of(job.otherPools.begin(), job.otherPools.end(),
+                        [&](const auto &pool) { return incompletePools.count(pool.first) > 0; });
+        if (incompletePools.count(job.pool) > 0 || leftPoolIsIncomplete
             || (queue != m_tables.queues.end() && incompletePools.count(queue->second->pool) > 0)) {
             continue;
         }
--- a/src/fleet/record_codec.cpp
+++ b/src/fleet/record_codec.cpp
@@ -205,6 +205,11 @@
         open = {{"done", steps}, {"failures", failures}};
         put(open, "crashes", crashes, json::array());
     }
+    json pools = json::array();
+    for (const auto &[pool, stored] : job.otherPools) {
+        pools.push_back(pool);
+    }
+    put(out, "pools", pools, json::array());
     return out.dump();
 }
 
@@ -263,6 +268,9 @@
                 }
             }
         }
+        for (const auto &pool : in.value("pools", std::vector<std::string> {})) {
+            job.otherPools[pool] = true;
+        }
         job.begun = true;
         return {};
     } catch (const std::exception &problem) {
--- a/tests/inherited_lease_test.cpp
+++ b/tests/inherited_lease_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(startOnPolledWorkerThatHasRestarted);
     CPPUNIT_TEST(unansweredStartOnPolledWorkerThatHasRestarted);
     CPPUNIT_TEST(tasksDoNotWaitForTheLongestLease);
+    CPPUNIT_TEST(runInAPoolThatTheQueueHasLeft);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<fleet_world> m_fleet;
@@ -50,6 +51,15 @@
         CPPUNIT_ASSERT(answer.kind == answer_kind::accepted);
     }
 
+    void routeTo(const std::string &pool)
+    {
+        auto &config = m_fleet->world.config;
+        config.queues.front().pool = pool;
+        ++config.version;
+        m_fleet->world.putItem("configuration", "", 0);
+        m_fleet->loop.run(50ms);
+    }
+
     /// Cuts off the worker of the job and ends the coordinator. Checks that the job runs on another
     /// worker within `limit` after its successor has taken over, and never on both.
     void cutOffWithItsCoordinatorAndCheck(milliseconds limit)
@@ -111,6 +121,18 @@
         m_fleet->loop.run(2s);
         cutOffWithItsCoordinatorAndCheck(5s);
     }
+
+    /// A run of a queue that was routed to another pool for a time goes on there.
+    void runInAPoolThatTheQueueHasLeft()
+    {
+        routeTo("spare");
+        submit(jobPath);
+        m_fleet->loop.run(100ms);
+        routeTo("pool-b");
+        CPPUNIT_ASSERT(m_fleet->loop.runUntil([this] { return workerOf(jobId) != nullptr; }, 1s));
+        routeTo("pool-a");
+        cutOffWithItsCoordinatorAndCheck(6s);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(inherited_lease_test);
