Repeat unanswered orders on the connection of the poll

Cause: a worker accepts a limited number of connections, and those of coordinators without power stay open there. It resets any further one. The coordinator's one connection carried a poll, which waits up to a second and is followed by the next at once. Each start or stop therefore took a new connection, was reset after 7 ms, and was repeated every second at the same worker without end: the polls were answered, so that neither the worker counted as silent nor the lease of the run ended.

Change: when a poll is answered, orders without an answer are repeated before the next poll, on the connection that the poll has left. While there are such orders, polls do not wait. The same holds for the stops that block late starts.

The summary names each task that waits beside free workers, with what keeps each worker from it, and each run on a silent worker, with what proves its end.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -198,8 +198,13 @@
     /// one has ended.
     [[nodiscard]] bool hasSuccessor(const worker_status &worker) const;
     /// Sends a stop of each ended run whose start an earlier process of the worker has not
-    /// answered: the present process would carry it out as if it were new.
-    void blockLateStarts(worker_status &worker);
+    /// answered: the present process would carry it out as if it were new. Returns true if any was
+    /// sent.
+    bool blockLateStarts(worker_status &worker);
+    /// Repeats the starts and stops that the worker has not answered. Returns true if any was sent.
+    bool repeatUnansweredOrders(worker_status &worker);
+    /// Returns true if the task exists and its job is not ending.
+    [[nodiscard]] bool isLive(const task_name &task);
     void stopGangMembers(const task_name &member);
     void stopRunsOf(const std::string &job, std::string_view reason);
     /// Stops a run. While no orders may be sent, the stop is remembered and sent later: what makes
@@ -247,6 +252,11 @@
     void logSummary();
     void logCoordinatorLoad();
     void logLearnedRunTimes();
+    /// Logs tasks that wait although a worker of their pool may have room, with the reasons for
+    /// which each worker is not given one.
+    void logWaitingTasks();
+    /// Logs tasks whose run may exist on a worker that does not answer, with what proves its end.
+    void logUnprovenRuns();
     void expireWorkers();
     void checkRuns();
     void evacuateDrainingWorkers();
--- a/include/ibishinge/fleet/placement.h
+++ b/include/ibishinge/fleet/placement.h
@@ -2,9 +2,12 @@
 
 #include <ibishinge/fleet/tables.h>
 
+#include <cstdint>
 #include <limits>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ibishinge::fleet {
@@ -42,6 +45,34 @@
 /// Returns true if the worker can be given new tasks. Thread-safe for a constant worker.
 [[nodiscard]] bool isUsable(const worker_status &worker, instant now) noexcept;
 
+/// Why a worker cannot be given a task now.
+enum class start_obstacle : std::uint8_t {
+    unregistered,
+    silent, ///< not verified by an answer since its last failure, or never
+    not_on_roster,
+    cordoned,
+    draining,
+    quarantined,
+    no_room,
+    wrong_label,
+    no_ticket,
+    step_limit, ///< `maxPerWorker` runs of the step are there
+    crash_isolation, ///< a start would mix up the causes of a crash, see `crash_isolation.h`
+};
+
+[[nodiscard]] std::string_view nameOf(start_obstacle obstacle) noexcept;
+
+/// Returns why the worker can be given no tasks now; nothing if it is usable. Thread-safe for a
+/// constant worker.
+[[nodiscard]] std::optional<start_obstacle> obstacleOf(const worker_status &worker,
+                                                       instant now) noexcept;
+
+/// Returns how many workers of `pool` cannot be given the task with index `index` now, by the
+/// reason. If `tickets` is not null, a ticket is required. Thread-safe for constant tables.
+[[nodiscard]] std::map<start_obstacle, int>
+countObstacles(const fleet_tables &tables, const std::string &pool, const waiting_step &where,
+               int index, const step_tickets *tickets, instant now);
+
 /// Returns true if the worker has the label. Thread-safe for a constant worker.
 [[nodiscard]] bool hasLabel(const worker_entry &worker, const std::string &label);
 
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -72,6 +72,7 @@
     /// it.
     bool fromRecord = false;
     bool callPending = false; ///< a start or stop request has not been answered yet
+    bool unanswered = false; ///< the last start or stop request that has ended had no answer
     bool stopAnswered = false; ///< the worker answered the stop request
     instant stopSentAt;
     std::int64_t listedInReport = 0; ///< number of the last report that listed the run
@@ -110,6 +111,7 @@
     /// Earliest start: end of a back-off, or of the leases of an earlier coordinator, whose run may
     /// still exist.
     instant notBefore;
+    instant waitsSince; ///< when its last run ended; epoch: it had none under this coordinator
     std::string avoidWorker; ///< worker on which the last run failed or made no progress
     int crashes = 0; ///< workers that crashed while they may have had a run of the task
     int lateCrashes = 0; ///< those under runs that had survived their observation
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -23,6 +23,11 @@
 /// Interval at which the load of each pool is logged.
 constexpr milliseconds summaryInterval {1000};
 
+/// A task that has waited for longer than this is logged with the reason, of at most so many in
+/// each summary.
+constexpr milliseconds longWait {2000};
+constexpr int maxWaitLines = 20;
+
 /// Minimum interval between scheduling passes. Events within it share one pass, as a pass visits
 /// all live jobs.
 constexpr milliseconds schedulingPassInterval {4};
@@ -241,6 +246,8 @@
     }
     logCoordinatorLoad();
     logLearnedRunTimes();
+    logWaitingTasks();
+    logUnprovenRuns();
 }
 
 void coordinator::logCoordinatorLoad()
@@ -287,6 +294,109 @@
     }
 }
 
+void coordinator::logWaitingTasks()
+{
+    const auto now = m_timers.now();
+    int lines = 0;
+    for (auto &[id, job] : m_tables.jobs) {
+        const auto queue = m_tables.queues.find(job.queue);
+        if (!job.stored || job.ending || queue == m_tables.queues.end()) {
+            continue;
+        }
+        for (const auto &[number, occurrence] : job.occurrences) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                const auto &tasks = occurrence.steps[step];
+                const auto first =
+                    std::find_if(tasks.begin(), tasks.end(), [&](const task_entry &task) {
+                        const auto since =
+                            std::max({task.waitsSince, m_startedAt, job.submittedAt});
+                        return task.phase == task_phase::waiting && now - since > longWait;
+                    });
+                if (first == tasks.end()
+                    || !isStepReady(job.spec, occurrence, static_cast<int>(step))) {
+                    continue;
+                }
+                const waiting_step where {&job, number, static_cast<int>(step)};
+                const auto index = static_cast<int>(first - tasks.begin());
+                const task_name name {id, number, where.step, index};
+                const auto known = job.tickets.find({number, where.step});
+                static const step_tickets none;
+                const auto *const tickets = !queue->second->advice       ? nullptr
+                                            : known == job.tickets.end() ? &none
+                                                                         : &known->second;
+                const auto obstacles =
+                    countObstacles(m_tables, queue->second->pool, where, index, tickets, now);
+                const bool poolIsFull =
+                    first->notBefore <= now
+                    && std::all_of(obstacles.begin(), obstacles.end(),
+                                   [](const auto &each) {
+                                       return each.first <= start_obstacle::no_room
+                                              && each.first != start_obstacle::not_on_roster;
+                                   })
+                    && obstacles.count(start_obstacle::no_room) > 0;
+                if (poolIsFull || ++lines > maxWaitLines) {
+                    continue;
+                }
+                auto workers = nlohmann::json::object();
+                for (const auto &[obstacle, count] : obstacles) {
+                    workers[std::string(nameOf(obstacle))] = count;
+                }
+                std::string reserved;
+                for (const auto &[worker, status] : m_tables.workers) {
+                    if (status.reservedFor == name) {
+                        reserved = worker;
+                    }
+                }
+                const auto &spec = job.spec.steps[step];
+                logEvent(
+                    log_level::info, "task_waits",
+                    {{"job", id},
+                     {"occurrence", number},
+                     {"step", where.step},
+                     {"index", index},
+                     {"long_running", spec.longRunning},
+                     {"inherited", job.inherited},
+                     {"not_before_ms", std::max<std::int64_t>(0, (first->notBefore - now).count())},
+                     {"within_limit", isWithinLimit(m_tables, job.customer, heldBy(spec))},
+                     {"suspected", isSuspected(job, name)},
+                     {"crashes_stored", areCrashesStored(job, name)},
+                     {"reserved_worker", reserved},
+                     {"workers", workers}});
+            }
+        }
+    }
+}
+
+void coordinator::logUnprovenRuns()
+{
+    const auto now = m_timers.now();
+    int lines = 0;
+    for (const auto &[key, run] : m_tables.runs) {
+        const auto &worker = m_tables.workers.at(run.worker);
+        if (worker.verified || now - worker.reportAt < longWait || ++lines > maxWaitLines) {
+            continue;
+        }
+        const auto late = worker.unansweredStarts.find(key);
+        const auto left = [now](instant until) {
+            return std::max<std::int64_t>(0, (until - now).count());
+        };
+        logEvent(log_level::info, "run_unproven",
+                 {{"job", key.task.job},
+                  {"occurrence", key.task.occurrence},
+                  {"step", key.task.step},
+                  {"index", key.task.index},
+                  {"run", key.run},
+                  {"worker", run.worker},
+                  {"registered", worker.registered},
+                  {"phase", static_cast<int>(run.phase)},
+                  {"orders", run.orders},
+                  {"failed_polls", worker.failedPolls},
+                  {"leases_left_ms", left(worker.leasesEndBy)},
+                  {"late_start_left_ms",
+                   late == worker.unansweredStarts.end() ? 0 : left(late->second.possibleUntil)}});
+    }
+}
+
 void coordinator::requestSchedulingPass()
 {
     if (m_schedulingPassPending) {
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -183,6 +183,9 @@
     bool longRunning = false;
     for (const auto &key : worker.runs) {
         const auto &run = m_tables.runs.at(key);
+        if (run.unanswered && run.phase != run_phase::running) {
+            return milliseconds(0); // the order is repeated when the poll is answered
+        }
         stopping = stopping || run.phase == run_phase::stopping;
         longRunning = longRunning || run.longRunning;
     }
@@ -287,16 +290,51 @@
     if (firstContact) {
         releaseInheritedTasks();
     }
+    // The connection of the poll is free now. A worker may reset any further one, so that an order
+    // beside a poll never arrives; these orders come before the next poll.
+    const bool repeated = repeatUnansweredOrders(worker);
     if (std::exchange(worker.awaitsContact, false)) {
         // The worker is polled again when it has answered a start: a report that was requested at
         // the same time as the start would not tell whether the run is gone.
         sendAwaitingStarts(worker);
-    } else {
+    } else if (!repeated) {
         pollIfDue(worker);
     }
     requestSchedulingPass();
 }
 
+bool coordinator::repeatUnansweredOrders(worker_status &worker)
+{
+    if (!mayIssueOrders()) {
+        return false;
+    }
+    std::vector<run_key> unanswered;
+    for (const auto &key : worker.runs) {
+        const auto &run = m_tables.runs.at(key);
+        if (run.unanswered && !run.callPending && run.phase != run_phase::running) {
+            unanswered.push_back(key);
+        }
+    }
+    for (const auto &key : unanswered) {
+        const auto found = m_tables.runs.find(key);
+        if (found == m_tables.runs.end()) {
+            continue; // removed with another member of its gang
+        }
+        if (found->second.phase == run_phase::starting && isLive(key.task)) {
+            sendStart(key);
+        } else {
+            orderStop(key, "unanswered");
+        }
+    }
+    const bool blocked = blockLateStarts(worker);
+    return blocked || !unanswered.empty();
+}
+
+bool coordinator::isLive(const task_name &task)
+{
+    return findTask(m_tables, task) != nullptr && !m_tables.jobs.at(task.job).ending;
+}
+
 void coordinator::onNewIncarnation(worker_status &worker, const worker_report &report,
                                    instant sentAt)
 {
@@ -347,17 +385,19 @@
     blockLateStarts(worker);
 }
 
-void coordinator::blockLateStarts(worker_status &worker)
+bool coordinator::blockLateStarts(worker_status &worker)
 {
     if (!mayIssueOrders() || worker.unansweredStarts.empty()) {
-        return;
+        return false;
     }
+    bool sent = false;
     for (const auto &key : startsToBlock(worker, m_timers.now())) {
         auto &start = worker.unansweredStarts.at(key);
         if (start.stopPending || m_tables.runs.count(key) > 0) {
             continue;
         }
         start.stopPending = true;
+        sent = true;
         m_workerCalls.stopRun(
             worker.entry, key.task, key.run, m_leadership.fencingToken,
             unlessClosed<run_command_reply>(
@@ -368,13 +408,14 @@
                         || found->second.unansweredStarts.count(key) == 0) {
                         return;
                     }
-                    auto &sent = found->second.unansweredStarts.at(key);
-                    sent.stopPending = false;
+                    auto &late = found->second.unansweredStarts.at(key);
+                    late.stopPending = false;
                     if (answer && answer->outcome == run_command_outcome::running) {
-                        sent.harmlessAt = incarnation;
+                        late.harmlessAt = incarnation;
                     }
                 }));
     }
+    return sent;
 }
 
 void coordinator::applyEnd(worker_status &worker, const run_end &end)
@@ -589,6 +630,7 @@
     auto *task = findTask(m_tables, key.task);
     if (task != nullptr && task->phase == task_phase::placed && task->currentRun == key.run) {
         task->phase = task_phase::waiting;
+        task->waitsSince = m_timers.now();
         task->currentRun = 0;
         task->suspectRun.reset();
     }
@@ -709,6 +751,7 @@
     auto &run = found->second;
     auto &worker = m_tables.workers.at(run.worker);
     run.callPending = false;
+    run.unanswered = !answer;
     if (!answer) {
         worker.verified = false;
         worker.nextPollAt = m_timers.now();
@@ -822,6 +865,7 @@
     auto &worker = m_tables.workers.at(run.worker);
     const auto now = m_timers.now();
     run.callPending = false;
+    run.unanswered = !answer;
     m_metrics.observe("ibishinge_start_seconds", {}, now - run.orderedAt);
     if (!answer) {
         ++m_unansweredStarts;
@@ -937,9 +981,7 @@
         if (run.phase == run_phase::starting) {
             // The order may have been carried out or may still be. Repeating it is safe: the worker
             // gives the same answer. On a silent worker the lease of the run expires.
-            const bool live =
-                findTask(m_tables, key.task) != nullptr && !m_tables.jobs.at(key.task.job).ending;
-            if (!live) {
+            if (!isLive(key.task)) {
                 toStop.push_back(key);
             } else if (run.orders == 0) {
                 toStart.push_back(key);
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -4,7 +4,9 @@
 #include <ibishinge/fleet/objective.h>
 
 #include <algorithm>
+#include <array>
 #include <tuple>
+#include <utility>
 
 namespace ibishinge::fleet {
 
@@ -72,8 +74,53 @@
     });
 }
 
+constexpr std::array<std::pair<start_obstacle, std::string_view>, 11> obstacleNames {{
+    {start_obstacle::unregistered, "unregistered"},
+    {start_obstacle::silent, "silent"},
+    {start_obstacle::not_on_roster, "not_on_roster"},
+    {start_obstacle::cordoned, "cordoned"},
+    {start_obstacle::draining, "draining"},
+    {start_obstacle::quarantined, "quarantined"},
+    {start_obstacle::no_room, "no_room"},
+    {start_obstacle::wrong_label, "wrong_label"},
+    {start_obstacle::no_ticket, "no_ticket"},
+    {start_obstacle::step_limit, "step_limit"},
+    {start_obstacle::crash_isolation, "crash_isolation"},
+}};
+
+/// Returns why a usable worker cannot be given a task now; nothing if it can.
+std::optional<start_obstacle> obstacleTo(const fleet_tables &tables, const worker_status &worker,
+                                         const waiting_step &where, const task_name &name,
+                                         const step_tickets *tickets, instant now)
+{
+    const auto &step = where.job->spec.steps[static_cast<std::size_t>(where.step)];
+    if (!fits(heldBy(step), worker.entry.capacity - worker.held)) {
+        return start_obstacle::no_room;
+    }
+    if (!step.requiredLabel.empty() && !hasLabel(worker.entry, step.requiredLabel)) {
+        return start_obstacle::wrong_label;
+    }
+    if (tickets != nullptr && tickets->ticketByWorker.count(worker.entry.id) == 0) {
+        return start_obstacle::no_ticket;
+    }
+    if (step.maxPerWorker > 0 && countRunsOfStep(worker, where) >= step.maxPerWorker) {
+        return start_obstacle::step_limit;
+    }
+    if (!permitsStart(tables, worker, name, isSuspected(*where.job, name), now)) {
+        return start_obstacle::crash_isolation;
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
+std::string_view nameOf(start_obstacle obstacle) noexcept
+{
+    return std::find_if(obstacleNames.begin(), obstacleNames.end(),
+                        [obstacle](const auto &row) { return row.first == obstacle; })
+        ->second;
+}
+
 std::map<std::string, std::vector<waiting_step>> waitingSteps(fleet_tables &tables, instant now)
 {
     struct row
@@ -147,8 +194,51 @@
 
 bool isUsable(const worker_status &worker, instant now) noexcept
 {
-    return worker.registered && worker.verified && worker.onRoster && !worker.cordoned
-           && worker.entry.state == worker_state::ready && worker.quarantinedUntil <= now;
+    return !obstacleOf(worker, now);
+}
+
+std::optional<start_obstacle> obstacleOf(const worker_status &worker, instant now) noexcept
+{
+    if (!worker.registered) {
+        return start_obstacle::unregistered;
+    }
+    if (!worker.verified) {
+        return start_obstacle::silent;
+    }
+    if (!worker.onRoster) {
+        return start_obstacle::not_on_roster;
+    }
+    if (worker.cordoned) {
+        return start_obstacle::cordoned;
+    }
+    if (worker.entry.state != worker_state::ready) {
+        return start_obstacle::draining;
+    }
+    if (worker.quarantinedUntil > now) {
+        return start_obstacle::quarantined;
+    }
+    return std::nullopt;
+}
+
+std::map<start_obstacle, int> countObstacles(const fleet_tables &tables, const std::string &pool,
+                                             const waiting_step &where, int index,
+                                             const step_tickets *tickets, instant now)
+{
+    const task_name name {where.job->id, where.occurrence, where.step, index};
+    std::map<start_obstacle, int> counts;
+    for (const auto &[id, worker] : tables.workers) {
+        if (worker.entry.pool != pool) {
+            continue;
+        }
+        auto obstacle = obstacleOf(worker, now);
+        if (!obstacle) {
+            obstacle = obstacleTo(tables, worker, where, name, tickets, now);
+        }
+        if (obstacle) {
+            ++counts[*obstacle];
+        }
+    }
+    return counts;
 }
 
 bool hasLabel(const worker_entry &worker, const std::string &label)
@@ -176,7 +266,6 @@
                             instant now)
 {
     const task_name name {where.job->id, where.occurrence, where.step, index};
-    const bool suspected = isSuspected(*where.job, name);
     const auto &task =
         where.job->occurrences.at(where.occurrence)
             .steps[static_cast<std::size_t>(where.step)][static_cast<std::size_t>(index)];
@@ -197,11 +286,7 @@
         largest = {std::max(largest.cpuMillis, left.cpuMillis),
                    std::max(largest.memoryMb, left.memoryMb),
                    std::max(largest.accelerators, left.accelerators)};
-        if (!fits(held, left)
-            || (!step.requiredLabel.empty() && !hasLabel(worker.entry, step.requiredLabel))
-            || (tickets != nullptr && tickets->ticketByWorker.count(id) == 0)
-            || (step.maxPerWorker > 0 && countRunsOfStep(worker, where) >= step.maxPerWorker)
-            || !permitsStart(tables, worker, name, suspected, now)) {
+        if (obstacleTo(tables, worker, where, name, tickets, now)) {
             continue;
         }
         const auto &capacity = worker.entry.capacity;
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -397,6 +397,9 @@
     }
 
     std::set<std::string> unansweredStops; ///< workers whose stops fail
+    /// Workers that accept one connection of this process: they reset further ones, so that a call
+    /// beside another has no answer.
+    std::set<std::string> singleConnection;
     int workerCalls = 0; ///< of all kinds
     int pollsOfEndedWorkers = 0;
     int renewals = 0; ///< of leases, sent
@@ -558,6 +561,11 @@
               reply<worker_report> done) override
     {
         ++workerCalls;
+        if (!connect(worker.id)) {
+            reset<worker_report>(done);
+            return;
+        }
+        done = disconnecting(worker.id, std::move(done));
         if (delayPolls > 0 && order.leaseUntil > 0) {
             --delayPolls;
             m_world.loop.after(pollDelay, [&world = m_world, id = worker.id, order] {
@@ -719,11 +727,42 @@
                            [this, done, act] { deliver([done, value = act()] { done(value); }); });
     }
 
+    bool connect(const std::string &id)
+    {
+        if (singleConnection.count(id) > 0 && m_openCalls[id] > 0) {
+            return false;
+        }
+        ++m_openCalls[id];
+        return true;
+    }
+
+    template <class T>
+    reply<T> disconnecting(const std::string &id, reply<T> done)
+    {
+        return [this, id, done = std::move(done)](result<T> value) {
+            --m_openCalls[id];
+            done(std::move(value));
+        };
+    }
+
     template <class T>
-    void atWorker(const std::string &id, const reply<T> &done,
+    void reset(reply<T> done)
+    {
+        m_world.loop.after(workerTime, [done = std::move(done)] {
+            done(makeError(error_kind::outcome_unknown, "worker", "connection reset"));
+        });
+    }
+
+    template <class T>
+    void atWorker(const std::string &id, const reply<T> &answer,
                   std::function<result<T>(virtual_worker &)> act)
     {
         ++workerCalls;
+        if (!connect(id)) {
+            reset<T>(answer);
+            return;
+        }
+        const auto done = disconnecting(id, answer);
         m_world.loop.after(workerTime, [=, this] {
             auto &worker = m_world.workers.at(id);
             if (workersCut || !worker.alive || !worker.reachable) {
@@ -801,6 +840,7 @@
     }
 
     virtual_world &m_world;
+    std::map<std::string, int> m_openCalls; ///< by worker
     milliseconds m_ttl {3000};
     bool m_frozen = false;
     std::vector<std::function<void()>> m_heldReplies;
