--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -23,10 +23,10 @@
 /// Interval at which the load of each pool is logged.
 constexpr milliseconds summaryInterval {1000};
 
-/// A task that has waited for longer than this is logged with the reason, of at most so many in
-/// each summary.
+/// A task that has waited for longer than this is logged with the reason. At most so many are
+/// looked at for each summary, as each look visits all workers.
 constexpr milliseconds longWait {2000};
-constexpr int maxWaitLines = 20;
+constexpr int maxWaitsExamined = 20;
 
 /// Minimum interval between scheduling passes. Events within it share one pass, as a pass visits
 /// all live jobs.
@@ -297,7 +297,7 @@
 void coordinator::logWaitingTasks()
 {
     const auto now = m_timers.now();
-    int lines = 0;
+    int examined = 0;
     for (auto &[id, job] : m_tables.jobs) {
         const auto queue = m_tables.queues.find(job.queue);
         if (!job.stored || job.ending || queue == m_tables.queues.end()) {
@@ -316,6 +316,9 @@
                     || !isStepReady(job.spec, occurrence, static_cast<int>(step))) {
                     continue;
                 }
+                if (++examined > maxWaitsExamined) {
+                    return;
+                }
                 const waiting_step where {&job, number, static_cast<int>(step)};
                 const auto index = static_cast<int>(first - tasks.begin());
                 const task_name name {id, number, where.step, index};
@@ -334,7 +337,7 @@
                                               && each.first != start_obstacle::not_on_roster;
                                    })
                     && obstacles.count(start_obstacle::no_room) > 0;
-                if (poolIsFull || ++lines > maxWaitLines) {
+                if (poolIsFull) {
                     continue;
                 }
                 auto workers = nlohmann::json::object();
@@ -373,9 +376,12 @@
     int lines = 0;
     for (const auto &[key, run] : m_tables.runs) {
         const auto &worker = m_tables.workers.at(run.worker);
-        if (worker.verified || now - worker.reportAt < longWait || ++lines > maxWaitLines) {
+        if (worker.verified || now - worker.reportAt < longWait) {
             continue;
         }
+        if (++lines > maxWaitsExamined) {
+            return;
+        }
         const auto late = worker.unansweredStarts.find(key);
         const auto left = [now](instant until) {
             return std::max<std::int64_t>(0, (until - now).count());
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -384,8 +384,10 @@
         }
         // The new process may still carry out the start. Once it has answered a stop, it rejects
         // the start, and the task may run elsewhere.
-        m_tables.runs.at(key).stopAnswered = false;
-        orderStop(key, "worker_restarted");
+        if (const auto run = m_tables.runs.find(key); run != m_tables.runs.end()) {
+            run->second.stopAnswered = false;
+            orderStop(key, "worker_restarted");
+        }
     }
     blockLateStarts(worker);
 }
