Open an occurrence that a worker lists before it is due

What callers saw: after a change of the coordinator a task of a scheduled job could be started again after its end, or run twice at the same time (TWICE).

Cause: the clock of a coordinator that takes over may be behind that of the one before. An end in an occurrence that was not due yet was acknowledged and passed over, and a run in it was stopped as if its job had ended. When the occurrence became due, its tasks were started without waiting for workers that had not answered, which may run them under an inherited lease.

Change: a listed run or end opens its occurrence, as progress records do. Tasks of an occurrence that opens after a take-over wait for inherited leases like those that were open before.

undue_occurrence_test: three of four cases failed before: "start after the end of ...", three starts instead of two, "two runs of ...". The fourth, that an end is acknowledged only when it is stored, passed before.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -153,6 +153,7 @@
     void releaseInheritedTasks();
     /// Returns when the last lease given by an earlier coordinator has expired on every worker.
     [[nodiscard]] instant inheritedLeasesEnd() const;
+    /// Delays the tasks of an inherited job until then.
     void delayInheritedTasks(job_entry &job);
     /// Adds the runs of suspected tasks that an earlier coordinator may have started. They are
     /// adopted, found missing, or lost with their workers like any other.
@@ -183,6 +184,9 @@
     void onReport(const std::string &id, const worker_report &report, instant sentAt);
     void onPollFailed(const std::string &id, const error &failure);
     void onNewIncarnation(worker_status &worker, const worker_report &report, instant sentAt);
+    /// Opens the occurrence of a task of which a worker lists a run or an end, if it is not due by
+    /// this process's clock.
+    void openListedOccurrence(const task_name &name);
     void applyEnd(worker_status &worker, const run_end &end);
     void finishTasks(job_entry &job, const task_name &name);
     void applyFailure(worker_status &worker, job_entry &job, task_entry &task, const run_end &end);
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -315,6 +315,10 @@
 /// true if any occurrence was opened. Not thread-safe.
 bool openDueOccurrences(job_entry &job, std::int64_t wallMs);
 
+/// Creates the tasks of the occurrences up to `number`, whether they are due or not: a coordinator
+/// whose clock was ahead has begun it. Not thread-safe.
+void openOccurrencesUpTo(job_entry &job, int number);
+
 /// Returns the wall time at which the next occurrence is due, in milliseconds since 1970; 0 for a
 /// job that runs once, nothing if all occurrences are open.
 [[nodiscard]] std::optional<std::int64_t> nextDueMs(const job_entry &job);
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -203,6 +203,7 @@
     const auto wall = m_timers.wallMs();
     for (auto &[id, job] : m_tables.jobs) {
         if (job.stored && openDueOccurrences(job, wall)) {
+            delayInheritedTasks(job);
             requestSchedulingPass();
         }
     }
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -217,6 +217,9 @@
 
 void coordinator::delayInheritedTasks(job_entry &job)
 {
+    if (!job.inherited) {
+        return;
+    }
     // Until each worker of the pool has reported its runs, a task without a known end may be
     // running under a lease of an earlier coordinator.
     for (auto &[number, occurrence] : job.occurrences) {
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -381,8 +381,18 @@
     }
 }
 
+void coordinator::openListedOccurrence(const task_name &name)
+{
+    const auto job = m_tables.jobs.find(name.job);
+    if (job != m_tables.jobs.end() && name.occurrence >= job->second.nextOccurrence) {
+        openOccurrencesUpTo(job->second, name.occurrence);
+        delayInheritedTasks(job->second);
+    }
+}
+
 void coordinator::applyEnd(worker_status &worker, const run_end &end)
 {
+    openListedOccurrence(end.task);
     const run_key key {end.task, end.run};
     const auto found = m_tables.runs.find(key);
     const bool known = found != m_tables.runs.end() && found->second.worker == worker.entry.id;
@@ -528,6 +538,7 @@
         return;
     }
     // The run was started by an earlier coordinator.
+    openListedOccurrence(seen.task);
     auto *task = findTask(m_tables, seen.task);
     const bool live = task != nullptr && !m_tables.jobs.at(seen.task.job).ending;
     run_entry run;
--- a/src/fleet/record_codec.cpp
+++ b/src/fleet/record_codec.cpp
@@ -223,14 +223,8 @@
         }
         for (const auto &[name, open] : in.at("open").items()) {
             const int number = std::stoi(name);
-            while (job.nextOccurrence <= number) {
-                // The clock of the process that wrote the record was ahead of this one's.
-                const auto due = nextDueMs(job);
-                if (!due) {
-                    break;
-                }
-                openDueOccurrences(job, *due);
-            }
+            // The clock of the process that wrote the record may have been ahead of this one's.
+            openOccurrencesUpTo(job, number);
             const auto &steps = open.at("done");
             for (std::size_t step = 0; step < steps.size(); ++step) {
                 const auto done = steps[step].get<std::string>();
--- a/src/fleet/tables.cpp
+++ b/src/fleet/tables.cpp
@@ -144,6 +144,17 @@
     return opened;
 }
 
+void openOccurrencesUpTo(job_entry &job, int number)
+{
+    while (job.nextOccurrence <= number) {
+        const auto due = nextDueMs(job);
+        if (!due) {
+            return;
+        }
+        openDueOccurrences(job, *due);
+    }
+}
+
 std::optional<std::int64_t> nextDueMs(const job_entry &job)
 {
     if (job.nextOccurrence >= std::max(job.spec.repetitions, 1)) {
