Record an order of maintenance before it is sent

A coordinator that was cut off from the store ordered the maintenance of a host; its successor did not know of it and ordered the next one while the first was down.

Cause: the record of a wave named the hosts whose order had been accepted, and was written when that answer arrived. A coordinator without the store left no trace of its orders, and countUnavailableHosts looked at the phases of its own coordinator only.

Change: the record names a host before its order is sent (field `ordered`). Such a host counts as down, also for a successor, which repeats the order once nothing runs on the host; the platform answers an order that is done as accepted. So an order without an answer that is carried out seconds later counts too. A host that the platform lists as in maintenance counts whoever ordered it. The price is one write before each order, and waves stand still while the store cannot be reached.

The stand-in of the platform takes an order that is done as done, as the protocol says.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -258,9 +258,12 @@
     void refreshHosts();
     void maintainHosts();
     void readWaveRecord(std::int64_t number);
-    void writeWaveRecord(const wave_progress &progress);
+    void writeWaveRecord(const wave_progress &progress,
+                         std::function<void(result<void>)> done = nullptr);
     void advanceMaintenance(wave_progress &progress, const std::string &host,
                             host_maintenance &each);
+    void recordOrder(const wave_progress &progress, const std::string &host,
+                     host_maintenance &each);
     void orderMaintenance(wave_progress &progress, const std::string &host, host_maintenance &each);
     void stopRunsForMaintenance(worker_status &worker, bool gracePeriodOver);
     void resizePools();
--- a/include/ibishinge/fleet/host_maintenance.h
+++ b/include/ibishinge/fleet/host_maintenance.h
@@ -20,11 +20,19 @@
     finished,
 };
 
+/// Whether the record of the wave in the store says that an order to the host may have been sent.
+enum class order_record : std::uint8_t {
+    none,
+    being_written,
+    stored, ///< the order may be sent
+};
+
 /// Maintenance of one host in a wave.
 struct host_maintenance
 {
     maintenance_phase step = maintenance_phase::waiting;
     instant since; ///< when the phase began
+    order_record recorded = order_record::none;
 };
 
 /// State of a maintenance wave.
@@ -64,9 +72,10 @@
 /// answered yet may have runs although none is known. Thread-safe for a constant worker.
 [[nodiscard]] bool isConfirmedIdle(const worker_status &worker, instant now) noexcept;
 
-/// Returns the number of hosts of the wave that are or may be down for maintenance. Thread-safe for
-/// a constant wave.
-[[nodiscard]] int countUnavailableHosts(const wave_progress &progress);
+/// Returns the number of hosts of the wave that are or may be down for maintenance, whichever
+/// coordinator ordered it: those with an order, those whose order is or may be recorded, and those
+/// that the platform lists as in maintenance. Thread-safe for constant arguments.
+[[nodiscard]] int countUnavailableHosts(const fleet_tables &tables, const wave_progress &progress);
 
 /// Sets `maintenanceDue` of the workers whose hosts are part of an unfinished wave, and `cordoned`
 /// of those whose maintenance has begun; clears both for all other workers. Not thread-safe.
--- a/include/ibishinge/fleet/record_codec.h
+++ b/include/ibishinge/fleet/record_codec.h
@@ -84,6 +84,8 @@
 {
     std::vector<std::string> hosts; ///< hosts whose maintenance was accepted by the platform
     bool completed = false; ///< maintenance of all hosts is finished
+    /// Hosts whose maintenance may have been ordered and is not known to be accepted.
+    std::vector<std::string> ordered;
 };
 
 [[nodiscard]] std::string encodeWaveRecord(const wave_record &record);
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -76,7 +76,16 @@
                             // The order of an earlier coordinator was accepted: the next host list
                             // shows whether the host is up again.
                             progress.hosts[host] = {maintenance_phase::in_maintenance,
-                                                    m_timers.now() - m_settings.maintenanceTime};
+                                                    m_timers.now() - m_settings.maintenanceTime,
+                                                    order_record::stored};
+                        }
+                    }
+                    for (const auto &host : record->ordered) {
+                        if (progress.hosts.count(host) > 0) {
+                            // An earlier coordinator may have sent the order, and the platform may
+                            // still carry it out. It is repeated once nothing runs on the host.
+                            progress.hosts[host] = {maintenance_phase::evacuating, m_timers.now(),
+                                                    order_record::stored};
                         }
                     }
                 }
@@ -88,7 +97,8 @@
         }));
 }
 
-void coordinator::writeWaveRecord(const wave_progress &progress)
+void coordinator::writeWaveRecord(const wave_progress &progress,
+                                  std::function<void(result<void>)> done)
 {
     wave_record record;
     record.completed = progress.completed;
@@ -96,6 +106,8 @@
         if (each.step == maintenance_phase::in_maintenance
             || each.step == maintenance_phase::finished) {
             record.hosts.push_back(host);
+        } else if (each.recorded != order_record::none) {
+            record.ordered.push_back(host);
         }
     }
     const auto number = progress.wave.number;
@@ -106,6 +118,7 @@
         const auto status = m_platform.encodeWaveStatus(number, true);
         unit.changes.push_back({status.key, status.value});
     }
+    unit.done = std::move(done);
     const auto owner = unit.changes.front().key;
     m_writer->add(owner, std::move(unit));
 }
@@ -210,8 +223,11 @@
             stopRunsForMaintenance(*worker, since(each.since, now) > evacuationTimeout);
             return;
         }
-        if (countUnavailableHosts(progress) < progress.wave.maxConcurrent) {
+        if (each.recorded == order_record::stored) {
             orderMaintenance(progress, host, each);
+        } else if (each.recorded == order_record::none
+                   && countUnavailableHosts(m_tables, progress) < progress.wave.maxConcurrent) {
+            recordOrder(progress, host, each);
         }
         return;
     }
@@ -233,17 +249,35 @@
     }
 }
 
+void coordinator::recordOrder(const wave_progress &progress, const std::string &host,
+                              host_maintenance &each)
+{
+    // The order is sent once the record is stored: a successor must know of each host that may go
+    // down, also if this coordinator loses the store before the platform answers.
+    each.recorded = order_record::being_written;
+    writeWaveRecord(progress,
+                    [this, host, number = progress.wave.number](const result<void> &stored) {
+                        if (m_closed || !stored) {
+                            return;
+                        }
+                        auto &wave = m_maintenance.waves.at(number);
+                        auto &state = wave.hosts.at(host);
+                        state.recorded = order_record::stored;
+                        advanceMaintenance(wave, host, state);
+                    });
+}
+
 void coordinator::orderMaintenance(wave_progress &progress, const std::string &host,
                                    host_maintenance &each)
 {
     if (!mayIssueOrders()) {
         return;
     }
-    each = {maintenance_phase::ordered, m_timers.now()};
+    each = {maintenance_phase::ordered, m_timers.now(), order_record::stored};
     logEvent(log_level::info, "maintenance_ordered",
              {{"host", host},
               {"wave", progress.wave.number},
-              {"away", countUnavailableHosts(progress)},
+              {"away", countUnavailableHosts(m_tables, progress)},
               {"at_once", progress.wave.maxConcurrent},
               {"host_list_age_ms", since(m_tables.hostsReadAt, m_timers.now()).count()}});
     m_platform.maintainHost(
--- a/src/fleet/host_maintenance.cpp
+++ b/src/fleet/host_maintenance.cpp
@@ -37,12 +37,20 @@
            && (worker.contacted || worker.leasesEndBy <= now);
 }
 
-int countUnavailableHosts(const wave_progress &progress)
+int countUnavailableHosts(const fleet_tables &tables, const wave_progress &progress)
 {
     return static_cast<int>(
-        std::count_if(progress.hosts.begin(), progress.hosts.end(), [](const auto &each) {
-            return each.second.step == maintenance_phase::ordered
-                   || each.second.step == maintenance_phase::in_maintenance;
+        std::count_if(progress.hosts.begin(), progress.hosts.end(), [&](const auto &row) {
+            const auto &[host, each] = row;
+            if (each.step == maintenance_phase::finished) {
+                return false;
+            }
+            const auto listed = tables.hosts.find(host);
+            return each.step == maintenance_phase::ordered
+                   || each.step == maintenance_phase::in_maintenance
+                   || each.recorded != order_record::none
+                   || (listed != tables.hosts.end()
+                       && listed->second.state == host_state::maintenance);
         }));
 }
 
--- a/src/fleet/record_codec.cpp
+++ b/src/fleet/record_codec.cpp
@@ -343,14 +343,19 @@
 
 std::string encodeWaveRecord(const wave_record &record)
 {
-    return json({{"hosts", record.hosts}, {"completed", record.completed}}).dump();
+    json out = {{"hosts", record.hosts}, {"completed", record.completed}};
+    if (!record.ordered.empty()) {
+        out["ordered"] = record.ordered;
+    }
+    return out.dump();
 }
 
 result<wave_record> decodeWaveRecord(const std::string &text)
 {
     return parseRecord<wave_record>("wave record", text, [](const json &in) {
         return wave_record {in.at("hosts").get<std::vector<std::string>>(),
-                            in.at("completed").get<bool>()};
+                            in.at("completed").get<bool>(),
+                            in.value("ordered", std::vector<std::string> {})};
     });
 }
 
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -357,6 +357,7 @@
     std::map<task_name, int> failures;
     std::vector<std::string> violations;
     std::vector<std::string> maintained; ///< hosts, in the order of their maintenance
+    std::set<std::pair<std::int64_t, std::string>> maintenanceBegun; ///< wave and host
     std::vector<std::pair<std::string, std::string>> moved; ///< host and pool
     bool refuseMoves = false;
     std::function<void(const virtual_worker &)> onTakeDown; ///< before a move or maintenance
@@ -414,6 +415,8 @@
     /// process that the worker has then.
     int delayPolls = 0;
     milliseconds pollDelay {3000};
+    /// Unless 0, orders of maintenance have no answer and are carried out so much later.
+    milliseconds lateMaintenance {0};
 
     void readItem(const std::string &key, reply<store_item> done) override
     {
@@ -644,11 +647,17 @@
         m_world.loop.after(workerTime, [done] { done(host_order_outcome::accepted); });
     }
 
-    void maintainHost(const std::string &host, std::int64_t /*wave*/, std::int64_t /*fencingToken*/,
+    void maintainHost(const std::string &host, std::int64_t wave, std::int64_t /*fencingToken*/,
                       reply<host_order_outcome> done) override
     {
-        m_world.maintained.push_back(host);
-        takeDown(host, m_world.hosts.at(host).pool);
+        if (lateMaintenance > milliseconds(0)) {
+            m_world.loop.after(lateMaintenance, [this, host, wave] { maintain(host, wave); });
+            m_world.loop.after(hostOrderTimeout, [done] {
+                done(makeError(error_kind::outcome_unknown, "hosts", "no answer"));
+            });
+            return;
+        }
+        maintain(host, wave);
         m_world.loop.after(workerTime, [done] { done(host_order_outcome::accepted); });
     }
 
@@ -690,6 +699,7 @@
 private:
     static constexpr milliseconds workerTime {2};
     static constexpr milliseconds downTime {1500};
+    static constexpr milliseconds hostOrderTimeout {1000};
 
     void deliver(std::function<void()> reply)
     {
@@ -771,6 +781,15 @@
         m_world.loop.after(until - m_world.loop.now(), again);
     }
 
+    /// Has no effect if the maintenance of that wave has begun before.
+    void maintain(const std::string &host, std::int64_t wave)
+    {
+        if (m_world.maintenanceBegun.insert({wave, host}).second) {
+            m_world.maintained.push_back(host);
+            takeDown(host, m_world.hosts.at(host).pool);
+        }
+    }
+
     void takeDown(const std::string &host, const std::string &pool)
     {
         auto &entry = m_world.hosts.at(host);
--- a/tests/message_fuzz_test.cpp
+++ b/tests/message_fuzz_test.cpp
@@ -105,7 +105,7 @@
          {encodeEnded(job_state::completed, 5)}},
         {"wave record",
          [](const auto &text) { static_cast<void>(decodeWaveRecord(text)); },
-         {encodeWaveRecord({{"a"}, false})}},
+         {encodeWaveRecord({{"a"}, false, {"b"}})}},
         {"homes",
          [](const auto &text) { static_cast<void>(decodeBaselines(text)); },
          {encodeBaselines({{"a", 5}})}},
