Split the orders to workers and the summaries off the coordinator's files

Starts, stops and leases move to coordinator_orders.cpp, the periodic log lines to coordinator_logs.cpp; the line on a waiting task becomes a function of its own. No behaviour changes.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -26,6 +26,15 @@
 /// by 2%, and the rest covers rounding.
 inline constexpr double slowClockFactor = 1.021;
 
+/// Returns `value` multiplied by `factor`, rounded down to whole milliseconds. Thread-safe.
+[[nodiscard]] constexpr milliseconds scaled(milliseconds value, double factor) noexcept
+{
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(value.count()) * factor));
+}
+
+/// Returns the names and numbers that identify a run in the log. Thread-safe.
+[[nodiscard]] nlohmann::json describeRun(const run_key &key);
+
 /// Durations and limits of the platform that the coordinator observes.
 struct coordinator_settings
 {
@@ -204,6 +213,8 @@
     /// Returns true if a later worker has registered on the worker's host, which proves that this
     /// one has ended.
     [[nodiscard]] bool hasSuccessor(const worker_status &worker) const;
+
+    // coordinator_orders.cpp
     /// Sends a stop of each ended run whose start an earlier process of the worker has not
     /// answered: the present process would carry it out as if it were new. Returns true if any was
     /// sent.
@@ -243,6 +254,9 @@
     /// Extends the time by which the worker's leases end to what its clock implies, which is the
     /// longest lease if the worker has restarted since the lease was reckoned.
     void boundLeases(worker_status &worker, std::int64_t workerClockMs);
+    void checkRuns();
+    void evacuateDrainingWorkers();
+    void stopStuckRuns();
 
     // coordinator.cpp
     void requestSchedulingPass();
@@ -261,19 +275,20 @@
     /// Returns true, and records the time, if the next tick is overdue because the process or its
     /// host was stalled.
     bool detectProcessStall();
+    void expireWorkers();
+    void adjustThrottling();
+
+    // coordinator_logs.cpp
     void logSummary();
     void logCoordinatorLoad();
     void logLearnedRunTimes();
     /// Logs tasks that wait although a worker of their pool may have room, with the reasons for
     /// which each worker is not given one.
     void logWaitingTasks();
+    /// Logs why the task waits, unless its pool is full. Precondition: its queue is configured.
+    void logWaitingTask(const waiting_step &where, int index);
     /// Logs tasks whose run may exist on a worker that does not answer, with what proves its end.
     void logUnprovenRuns();
-    void expireWorkers();
-    void checkRuns();
-    void evacuateDrainingWorkers();
-    void stopStuckRuns();
-    void adjustThrottling();
 
     // coordinator_hosts.cpp
     void readWaves();
