Log unanswered stops; satisfy the linter

A stop without an answer had no log line, so that the log of UNASKED did not show why a cancelled run went on. No change of behaviour: the summary of waiting tasks captures no structured binding.

--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -298,7 +298,8 @@
 {
     const auto now = m_timers.now();
     int lines = 0;
-    for (auto &[id, job] : m_tables.jobs) {
+    for (auto &entry : m_tables.jobs) {
+        auto &job = entry.second;
         const auto queue = m_tables.queues.find(job.queue);
         if (!job.stored || job.ending || queue == m_tables.queues.end()) {
             continue;
@@ -318,7 +319,7 @@
                 }
                 const waiting_step where {&job, number, static_cast<int>(step)};
                 const auto index = static_cast<int>(first - tasks.begin());
-                const task_name name {id, number, where.step, index};
+                const task_name name {job.id, number, where.step, index};
                 const auto known = job.tickets.find({number, where.step});
                 static const step_tickets none;
                 const auto *const tickets = !queue->second->advice       ? nullptr
@@ -350,7 +351,7 @@
                 const auto &spec = job.spec.steps[step];
                 logEvent(
                     log_level::info, "task_waits",
-                    {{"job", id},
+                    {{"job", job.id},
                      {"occurrence", number},
                      {"step", where.step},
                      {"index", index},
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -755,6 +755,10 @@
     if (!answer) {
         worker.verified = false;
         worker.nextPollAt = m_timers.now();
+        auto line = describeRun(key);
+        line["worker"] = run.worker;
+        line["error"] = describe(answer.error());
+        logEvent(log_level::warning, "stop_unanswered", line);
         return;
     }
     if (answer->outcome == run_command_outcome::fenced) {
--- a/tests/standing_task_test.cpp
+++ b/tests/standing_task_test.cpp
@@ -52,7 +52,6 @@
 
     std::unique_ptr<fleet_world> m_fleet;
     std::mt19937 m_random;
-    int m_submitted = 0;
 
     void submit(int number, const job_spec &spec)
     {
@@ -74,6 +73,7 @@
     [[nodiscard]] std::vector<std::string> someWorkers(std::size_t count)
     {
         std::vector<std::string> ids;
+        ids.reserve(workersOfPool);
         for (int i = 0; i < workersOfPool; ++i) {
             ids.push_back("pool-a-" + std::to_string(i));
         }
