Forget a replaced worker at once, whatever orders it has not answered

Callers: after a take-over, inherited tasks could wait for a worker that had been replaced within the last 12 s. Cause: keeps a worker that is no longer registered until its unanswered orders can no longer arrive, also if its host runs another worker, and with it its entry in the roster, which a successor reads. A worker whose host runs another one does not return under its id. late_start_review_test::replacedWorkerIsForgottenAtOnce failed before (still on the roster after 4 s).

--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -542,8 +542,10 @@
         for (const auto &key : worker.runs) {
             expired.push_back(key);
         }
-        // A worker that returns under its id may carry out orders to its earlier process.
-        if (!worker.registered && m_loaded && !mayReceiveLateOrders(worker, now)) {
+        // A worker that returns under its id may carry out orders to its earlier process. One whose
+        // host runs another worker does not return.
+        if (!worker.registered && m_loaded
+            && (worker.ended || !mayReceiveLateOrders(worker, now))) {
             gone.push_back(id);
         }
     }
--- a/tests/late_start_review_test.cpp
+++ b/tests/late_start_review_test.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/fleet_world.h"
 
+#include <ibishinge/fleet/record_codec.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -44,6 +46,7 @@
     CPPUNIT_TEST(restartFoundBeforeTheStartFailed);
     CPPUNIT_TEST(workerThatReturnsAfterItWasForgotten);
     CPPUNIT_TEST(leaseOfAWorkerThatReturnsAfterItWasForgotten);
+    CPPUNIT_TEST(replacedWorkerIsForgottenAtOnce);
     CPPUNIT_TEST(stopAnsweredByTheFormerProcess);
     CPPUNIT_TEST(workerThatRestartsTwice);
     CPPUNIT_TEST(gangMemberOnARestartedWorker);
@@ -244,6 +247,26 @@
         checkNeverTwice(firstJob);
     }
 
+    /// Guards against a take-over that waits for a worker whose host runs another one: it is on the
+    /// roster for as long as it is not forgotten.
+    void replacedWorkerIsForgottenAtOnce()
+    {
+        submit(firstJob, longRunningJob());
+        waitForRun(firstJob);
+        const auto id = workerOf(firstJob)->entry.id;
+        const auto isOnRoster = [&] {
+            const auto &items = m_fleet->world.items;
+            return std::any_of(items.begin(), items.end(), [&](const auto &item) {
+                return item.first.starts_with(rosterPrefix)
+                       && item.second.value.find('"' + id + '"') != std::string::npos;
+            });
+        };
+        CPPUNIT_ASSERT(isOnRoster());
+        m_fleet->world.crashAndReturn(id);
+        waitFor([&] { return !isOnRoster(); }, 4s);
+        checkNeverTwice(firstJob);
+    }
+
     /// A poll without an answer renews the leases of the process that returns.
     void leaseOfAWorkerThatReturnsAfterItWasForgotten()
     {
