standing_task_test: do not pass a key of the map that is erased

The address sanitizer found a use after free in the test's expireLeases: virtual_world::end erases the element whose key it was given by reference.

--- a/tests/standing_task_test.cpp
+++ b/tests/standing_task_test.cpp
@@ -94,7 +94,8 @@
     {
         for (auto &[id, worker] : m_fleet->world.workers) {
             while (worker.leaseEnd < m_fleet->loop.now() && !worker.running.empty()) {
-                m_fleet->world.end(worker, worker.running.begin()->first, end_kind::lease_expired);
+                const auto task = worker.running.begin()->first; // `end` erases the element
+                m_fleet->world.end(worker, task, end_kind::lease_expired);
             }
         }
     }
