Remember cancellations of ids that no job has

A coordinator that knows no such job answered 410 and kept nothing, so the submission that was under way was accepted when it arrived. Such a cancellation is now stored as a final state before it is answered; a submission that arrives later is rejected, also by later coordinators.

--- a/include/ibishinge/fleet/record_codec.h
+++ b/include/ibishinge/fleet/record_codec.h
@@ -60,10 +60,17 @@
 /// `invalid_request`.
 [[nodiscard]] result<void> applyProgress(job_entry &job, const std::string &text);
 
-/// Final state of a job, kept for a while for callers that ask for it. `wallMs` is the time of the
-/// end in milliseconds since 1970.
-[[nodiscard]] std::string encodeEnded(job_state state, std::int64_t wallMs);
-[[nodiscard]] result<std::pair<job_state, std::int64_t>> decodeEnded(const std::string &text);
+/// Final state of a job, kept for a while for callers that ask for it.
+struct ended_record
+{
+    job_state state = job_state::completed;
+    std::int64_t wallMs = 0; ///< time of the end, milliseconds since 1970
+    /// False: the id was cancelled while no job had it, see `fleet_tables::withdrawn`.
+    bool submitted = true;
+};
+
+[[nodiscard]] std::string encodeEnded(const ended_record &ended);
+[[nodiscard]] result<ended_record> decodeEnded(const std::string &text);
 
 /// Processes that call workers on behalf of the coordinator.
 [[nodiscard]] std::string encodeRelays(const std::vector<relay_peer> &relays);
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -265,6 +265,13 @@
     instant before; ///< when the crash was noticed
 };
 
+/// An id that was cancelled while no job had it.
+struct withdrawn_id
+{
+    std::int64_t wallMs = 0; ///< time of the cancellation, milliseconds since 1970
+    bool stored = false;
+};
+
 /// State of the coordinator. Plain data, changed by free functions and by the coordinator. Not
 /// thread-safe.
 struct fleet_tables
@@ -274,6 +281,9 @@
     std::map<std::string, job_entry> jobs; ///< jobs that have not ended, by id
     /// Final state, and wall time of the end in milliseconds since 1970, by job.
     std::map<std::string, std::pair<job_state, std::int64_t>> ended;
+    /// Ids that were cancelled while no job had them. A submission that was under way is rejected
+    /// when it arrives.
+    std::map<std::string, withdrawn_id> withdrawn;
     std::map<run_key, run_entry> runs;
     std::map<std::string, worker_status> workers;
     std::map<std::string, resources> customerHeld; ///< resources of all runs, by customer
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -34,6 +34,11 @@
 constexpr milliseconds pruneInterval {5000};
 constexpr std::size_t maxPrunedAtOnce = 200;
 
+/// Maximum number of ids without a job whose cancellation is remembered.
+constexpr std::size_t maxWithdrawnIds = 20'000;
+constexpr milliseconds retryAfterTooManyWithdrawn {10'000};
+constexpr std::string_view withdrawnMessage = "the job was cancelled before it was submitted";
+
 /// Length of a job's id in hexadecimal digits, set by the callers' protocol.
 constexpr std::size_t jobIdLength = 16;
 
@@ -145,6 +150,15 @@
         done(answerOf(answer_kind::accepted));
         return;
     }
+    const auto withdrawn = m_tables.withdrawn.find(id);
+    if (withdrawn != m_tables.withdrawn.end()) {
+        if (withdrawn->second.stored) {
+            done(answerOf(answer_kind::invalid, std::string(withdrawnMessage)));
+        } else {
+            m_submitWaiters[id].push_back(done);
+        }
+        return;
+    }
     if (!request.spec) {
         done(answerOf(answer_kind::invalid, "a submission needs a description of the job"));
         return;
@@ -274,7 +288,7 @@
     }
     const auto found = m_tables.jobs.find(id);
     if (found == m_tables.jobs.end()) {
-        done(answerOf(answer_kind::no_such_job));
+        withdraw(id, done);
         return;
     }
     auto &job = found->second;
@@ -289,12 +303,73 @@
     }
 }
 
+void coordinator::withdraw(const std::string &id, const answer_handler &done)
+{
+    const auto known = m_tables.withdrawn.find(id);
+    if (known != m_tables.withdrawn.end()) {
+        if (known->second.stored) {
+            done(answerOf(answer_kind::no_such_job));
+        } else {
+            m_cancelWaiters[id].push_back(done);
+        }
+        return;
+    }
+    if (!acceptsSubmissions()) {
+        done(answerOf(answer_kind::not_ready, "the store is away", retryAfterUnavailable));
+        return;
+    }
+    if (m_tables.withdrawn.size() >= maxWithdrawnIds) {
+        done(answerOf(answer_kind::overloaded, "too many cancellations of unknown jobs",
+                      retryAfterTooManyWithdrawn));
+        return;
+    }
+    const auto wallMs = m_timers.wallMs();
+    m_tables.withdrawn[id] = {wallMs, false};
+    m_cancelWaiters[id].push_back(done);
+    write_unit unit;
+    unit.changes.push_back(
+        {std::string(endedPrefix) + id, encodeEnded({job_state::cancelled, wallMs, false})});
+    unit.droppable = true;
+    unit.done = [this, id](const result<void> &stored) {
+        if (m_closed) {
+            return;
+        }
+        auto toCancellation = answerOf(answer_kind::no_such_job);
+        auto toSubmission = answerOf(answer_kind::invalid, std::string(withdrawnMessage));
+        if (stored) {
+            m_tables.withdrawn.at(id).stored = true;
+            logEvent(log_level::info, "job_withdrawn", {{"job", id}});
+        } else {
+            m_tables.withdrawn.erase(id);
+            toCancellation =
+                answerOf(answer_kind::not_ready, "the store is away", retryAfterUnavailable);
+            toSubmission = toCancellation;
+        }
+        answerCancellations(id, toCancellation);
+        answerWaiters(id, toSubmission);
+    };
+    m_writer->add(id, std::move(unit));
+}
+
+void coordinator::answerCancellations(const std::string &id, const caller_answer &answer)
+{
+    const auto found = m_cancelWaiters.find(id);
+    if (found == m_cancelWaiters.end()) {
+        return;
+    }
+    const auto handlers = std::move(found->second);
+    m_cancelWaiters.erase(found);
+    for (const auto &done : handlers) {
+        done(answer);
+    }
+}
+
 void coordinator::endJob(job_entry &job, job_state state)
 {
     job.ending = true;
     write_unit unit;
     unit.changes.push_back(
-        {std::string(endedPrefix) + job.id, encodeEnded(state, m_timers.wallMs())});
+        {std::string(endedPrefix) + job.id, encodeEnded({state, m_timers.wallMs(), true})});
     unit.changes.push_back({std::string(jobPrefix) + job.id, std::nullopt});
     unit.changes.push_back({std::string(progressPrefix) + job.id, std::nullopt});
     unit.done = [this, id = job.id, state](const result<void> &stored) {
@@ -324,10 +399,7 @@
         m_dirtyJobs.erase(id);
         m_tables.jobs.erase(found);
         stopRunsOf(id, "job_ended");
-        for (const auto &done : std::exchange(m_cancelWaiters[id], {})) {
-            done(answerOf(answer_kind::cancelled));
-        }
-        m_cancelWaiters.erase(id);
+        answerCancellations(id, answerOf(answer_kind::cancelled));
         requestSchedulingPass();
     };
     m_writer->add(job.id, std::move(unit));
@@ -424,18 +496,22 @@
     m_nextPruneAt = m_timers.now() + pruneInterval;
     const auto oldest = m_timers.wallMs() - endedRetentionMs;
     std::size_t pruned = 0;
-    for (auto entry = m_tables.ended.begin();
-         entry != m_tables.ended.end() && pruned < maxPrunedAtOnce;) {
-        if (entry->second.second > oldest) {
-            ++entry;
-            continue;
+    const auto prune = [&](auto &entries, const auto &isOld) {
+        for (auto entry = entries.begin(); entry != entries.end() && pruned < maxPrunedAtOnce;) {
+            if (!isOld(entry->second)) {
+                ++entry;
+                continue;
+            }
+            write_unit unit;
+            unit.changes.push_back({std::string(endedPrefix) + entry->first, std::nullopt});
+            m_writer->add(entry->first, std::move(unit));
+            entry = entries.erase(entry);
+            ++pruned;
         }
-        write_unit unit;
-        unit.changes.push_back({std::string(endedPrefix) + entry->first, std::nullopt});
-        m_writer->add(entry->first, std::move(unit));
-        entry = m_tables.ended.erase(entry);
-        ++pruned;
-    }
+    };
+    prune(m_tables.ended, [oldest](const auto &ended) { return ended.second <= oldest; });
+    prune(m_tables.withdrawn,
+          [oldest](const withdrawn_id &each) { return each.stored && each.wallMs <= oldest; });
 }
 
 } // namespace ibishinge::fleet
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -114,7 +114,11 @@
             return;
         }
         const auto id = item.key.substr(endedPrefix.size());
-        m_tables.ended[id] = *ended;
+        if (ended->submitted) {
+            m_tables.ended[id] = {ended->state, ended->wallMs};
+        } else {
+            m_tables.withdrawn[id] = {ended->wallMs, true};
+        }
         if (m_tables.jobs.erase(id) > 0) {
             deleteRecordsOfEndedJob(id);
         }
--- a/src/fleet/record_codec.cpp
+++ b/src/fleet/record_codec.cpp
@@ -272,16 +272,21 @@
     }
 }
 
-std::string encodeEnded(job_state state, std::int64_t wallMs)
+std::string encodeEnded(const ended_record &ended)
 {
-    return json({{"state", nameOf(state)}, {"at", wallMs}}).dump();
+    json out = {{"state", nameOf(ended.state)}, {"at", ended.wallMs}};
+    if (!ended.submitted) {
+        out["submitted"] = false;
+    }
+    return out.dump();
 }
 
-result<std::pair<job_state, std::int64_t>> decodeEnded(const std::string &text)
+result<ended_record> decodeEnded(const std::string &text)
 {
-    return parseRecord<std::pair<job_state, std::int64_t>>("ended job", text, [](const json &in) {
+    return parseRecord<ended_record>("ended job", text, [](const json &in) {
         const auto state = parseJobState(in.at("state").get<std::string>());
-        return std::pair(state.value_or(job_state::completed), in.at("at").get<std::int64_t>());
+        return ended_record {state.value_or(job_state::completed), in.at("at").get<std::int64_t>(),
+                             in.value("submitted", true)};
     });
 }
 
--- a/tests/encoding_compatibility_test.cpp
+++ b/tests/encoding_compatibility_test.cpp
@@ -170,11 +170,7 @@
              }},
             {"fleet-progress.json", reencodeProgress},
             {"fleet-ended.json",
-             [](const text &in) {
-                 return reencode(in, fleet::decodeEnded, [](const auto &each) {
-                     return fleet::encodeEnded(each.first, each.second);
-                 });
-             }},
+             [](const text &in) { return reencode(in, fleet::decodeEnded, fleet::encodeEnded); }},
             {"fleet-relays.json",
              [](const text &in) { return reencode(in, fleet::decodeRelays, fleet::encodeRelays); }},
             {"fleet-roster.json",
