Read what has arrived before expired times are acted on

epoll_wait returns EINTR when the process goes on; the loop then had no events and ran the timers that were due. Timers and the timeouts of requests are now due by the time at which the loop last began to look for input. libcurl's own timeout is not used any more: it is compared with the present before a response is read.

Failed on and pass now: two cases of io_loop_test, one of async_http_server_test, and process_fleet_signals_test with a process suspended from 1.5 s after SIGTERM until 4.0 and 5.6 s.

--- a/include/ibishinge/outside/async_http_server.h
+++ b/include/ibishinge/outside/async_http_server.h
@@ -62,6 +62,9 @@
     /// written yet.
     [[nodiscard]] std::size_t openRequests() const noexcept;
 
+    /// Returns true if there may be requests that have arrived and of which nothing has been read.
+    [[nodiscard]] bool hasUnreadInput() const noexcept;
+
     /// From now on each response closes its connection.
     void closeAfterResponses() noexcept;
 
--- a/src/outside/async_http_server.cpp
+++ b/src/outside/async_http_server.cpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -81,6 +82,7 @@
     const async_http_handler handler;
     MHD_Daemon *daemon = nullptr;
     int epoll = -1;
+    int listener = -1;
     std::uint16_t port = 0;
     bool closing = false;
     bool runPlanned = false;
@@ -168,6 +170,19 @@
     return MHD_YES;
 }
 
+/// Returns true if bytes that have arrived on a connection are unread. Its end does not count.
+bool hasUnreadBytes(int connection)
+{
+    char byte = 0;
+    return recv(connection, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+bool hasConnectionToAccept(int listener)
+{
+    pollfd state {listener, POLLIN, 0};
+    return poll(&state, 1, 0) > 0;
+}
+
 std::string addressOf(MHD_Connection *connection)
 {
     const auto *const info =
@@ -329,7 +344,8 @@
         }
         const bool late = current != nullptr ? now > current->since + options.transferTimeout
                                              : now > place.idleSince + options.keepAliveTimeout;
-        if (late) {
+        // A request that has arrived in time is read first, also after a stall of the process.
+        if (late && !hasUnreadBytes(place.descriptor)) {
             shutdown(place.descriptor, SHUT_RDWR); // the library sees the end and closes it
         }
     }
@@ -373,11 +389,13 @@
     auto &made = *server->m_impl;
     const auto *const epoll = MHD_get_daemon_info(made.daemon, MHD_DAEMON_INFO_EPOLL_FD);
     const auto *const port = MHD_get_daemon_info(made.daemon, MHD_DAEMON_INFO_BIND_PORT);
-    if (epoll == nullptr || port == nullptr) {
+    const auto *const listener = MHD_get_daemon_info(made.daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    if (epoll == nullptr || port == nullptr || listener == nullptr) {
         return makeError(error_kind::internal, where, "the library does not use epoll");
     }
     made.epoll = epoll->epoll_fd;
     made.port = port->port;
+    made.listener = listener->listen_fd;
     loop.addReadable(made.epoll, [&made] { made.run(); });
     made.run();
     made.sweep();
@@ -420,6 +438,15 @@
                       [](const auto &each) { return each.second.current != nullptr; }));
 }
 
+bool async_http_server::hasUnreadInput() const noexcept
+{
+    const auto &connections = m_impl->connections;
+    return hasConnectionToAccept(m_impl->listener)
+           || std::any_of(connections.begin(), connections.end(), [](const auto &each) {
+                  return each.second.current == nullptr && hasUnreadBytes(each.second.descriptor);
+              });
+}
+
 void async_http_server::closeAfterResponses() noexcept
 {
     m_impl->closing = true;
--- a/src/outside/io_loop.cpp
+++ b/src/outside/io_loop.cpp
@@ -8,7 +8,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <exception>
 #include <map>
@@ -39,6 +38,10 @@
 /// Idle connections are closed after this time, in seconds.
 constexpr long idleConnectionSeconds = 30;
 
+/// Events handled before timers are looked at: more than a process has connections in use, so that
+/// none is left out.
+constexpr std::size_t maxEventsAtOnce = 4096;
+
 /// Largest wait of the loop without a timer.
 constexpr milliseconds longestWait {1000};
 
@@ -48,9 +51,12 @@
     return size * count;
 }
 
+using deadlines = std::multimap<instant, CURL *>;
+
 struct exchange
 {
     CURL *handle = nullptr;
+    deadlines::iterator deadline;
     curl_slist *headers = nullptr;
     std::string address;
     std::string requestBody;
@@ -94,6 +100,12 @@
     std::optional<instant> curlTimer;
     std::vector<CURL *> idleHandles;
     std::map<CURL *, std::unique_ptr<exchange>> exchanges;
+    /// Ends of the timeouts of `exchanges`. libcurl would compare its own with the present time
+    /// before it reads a response that has arrived.
+    deadlines timeouts;
+    /// Input that arrived before this has been handled. Timers and timeouts are due by this time:
+    /// after a stall of the process, those that ran out meanwhile wait until it has been read.
+    instant polledAt = boot_clock::now();
     std::map<std::string, instant, std::less<>> freshUntil; ///< by address
     std::multimap<instant, std::function<void()>> timers;
     std::map<int, std::function<void()>> readable; ///< by descriptor
@@ -105,7 +117,9 @@
     void finishDone();
     void runPosted();
     void runTimers();
+    void runTimeouts();
     void runCurlTimer();
+    void handleEvent(const epoll_event &event);
     [[nodiscard]] milliseconds waitTime() const;
     void wake() const
     {
@@ -146,7 +160,8 @@
     auto &state = *static_cast<Impl *>(user);
     state.curlTimer.reset();
     if (delayMs >= 0) {
-        state.curlTimer = boot_clock::now() + milliseconds(delayMs);
+        // Without a delay, libcurl only wants to be called outside of its own functions.
+        state.curlTimer = delayMs > 0 ? boot_clock::now() + milliseconds(delayMs) : state.polledAt;
     }
     return 0;
 }
@@ -235,7 +250,6 @@
     curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
-    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(std::min(request.timeout, connectTimeout).count()));
     curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, idleConnectionSeconds);
@@ -265,6 +279,7 @@
     }
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, call->headers);
     curl_multi_add_handle(m_impl->multi, handle);
+    call->deadline = m_impl->timeouts.emplace(now() + request.timeout, handle);
     m_impl->exchanges.emplace(handle, std::move(call));
 }
 
@@ -273,6 +288,7 @@
     const auto found = exchanges.find(handle);
     const auto call = std::move(found->second);
     exchanges.erase(found);
+    timeouts.erase(call->deadline);
     long status = 0;
     long systemError = 0;
     long requestBytes = 0;
@@ -318,13 +334,20 @@
 
 void io_loop::impl::runTimers()
 {
-    while (!timers.empty() && timers.begin()->first <= boot_clock::now()) {
+    while (!timers.empty() && timers.begin()->first <= polledAt) {
         const auto function = std::move(timers.begin()->second);
         timers.erase(timers.begin());
         runGuarded(function);
     }
 }
 
+void io_loop::impl::runTimeouts()
+{
+    while (!timeouts.empty() && timeouts.begin()->first <= polledAt) {
+        finish(timeouts.begin()->second, CURLE_OPERATION_TIMEDOUT);
+    }
+}
+
 void io_loop::post(std::function<void()> function)
 {
     {
@@ -346,7 +369,7 @@
 
 void io_loop::impl::runCurlTimer()
 {
-    if (curlTimer && *curlTimer <= boot_clock::now()) {
+    if (curlTimer && *curlTimer <= polledAt) {
         curlTimer.reset();
         int running = 0;
         curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
@@ -359,6 +382,9 @@
     if (!timers.empty()) {
         end = std::min(end, timers.begin()->first);
     }
+    if (!timeouts.empty()) {
+        end = std::min(end, timeouts.begin()->first);
+    }
     if (curlTimer) {
         end = std::min(end, *curlTimer);
     }
@@ -380,35 +406,44 @@
     m_impl->readable.erase(descriptor);
 }
 
+void io_loop::impl::handleEvent(const epoll_event &event)
+{
+    if (event.data.fd == wakeUp) {
+        std::uint64_t value = 0;
+        static_cast<void>(!read(wakeUp, &value, sizeof value));
+        return;
+    }
+    const auto reader = readable.find(event.data.fd);
+    if (reader != readable.end()) {
+        const auto onReadable = reader->second; // it may remove itself
+        runGuarded(onReadable);
+        return;
+    }
+    const int flags = ((event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0)
+                      | ((event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0)
+                      | ((event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
+    int running = 0;
+    curl_multi_socket_action(multi, event.data.fd, flags, &running);
+}
+
 void io_loop::run()
 {
-    std::array<epoll_event, 64> events {};
+    std::vector<epoll_event> events(maxEventsAtOnce);
     while (!m_impl->stopping) {
+        const auto pollingSince = now();
         const int count = epoll_wait(m_impl->epoll, events.data(), static_cast<int>(events.size()),
                                      static_cast<int>(m_impl->waitTime().count()));
+        if (count < 0) {
+            continue; // interrupted, as by a suspension of the process: nothing has been read
+        }
         for (int i = 0; i < count; ++i) {
-            const auto &event = events[static_cast<std::size_t>(i)];
-            if (event.data.fd == m_impl->wakeUp) {
-                std::uint64_t value = 0;
-                static_cast<void>(!read(m_impl->wakeUp, &value, sizeof value));
-                continue;
-            }
-            const auto reader = m_impl->readable.find(event.data.fd);
-            if (reader != m_impl->readable.end()) {
-                const auto onReadable = reader->second; // it may remove itself
-                runGuarded(onReadable);
-                continue;
-            }
-            const int flags =
-                ((event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0)
-                | ((event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0)
-                | ((event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
-            int running = 0;
-            curl_multi_socket_action(m_impl->multi, event.data.fd, flags, &running);
+            m_impl->handleEvent(events[static_cast<std::size_t>(i)]);
         }
+        m_impl->polledAt = pollingSince;
         m_impl->runCurlTimer();
         m_impl->finishDone();
         m_impl->runPosted();
+        m_impl->runTimeouts();
         m_impl->runTimers();
     }
 }
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(forgottenRequestIsAnswered);
     CPPUNIT_TEST(openRequestsAreAnsweredAtTheEnd);
     CPPUNIT_TEST(requestIsOpenUntilItsResponseIsWritten);
+    CPPUNIT_TEST(requestThatArrivedDuringAStallIsAnswered);
     CPPUNIT_TEST(pathAndQueryAreKeptAsSent);
     CPPUNIT_TEST_SUITE_END();
 
@@ -329,6 +330,26 @@
         waitForOpenRequests(0);
     }
 
+    /// Guards against a kept connection that is closed with a request in it, because a suspension
+    /// of the process lasts longer than connections stay open.
+    void requestThatArrivedDuringAStallIsAnswered()
+    {
+        raw_socket client(m_where);
+        client.write("GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT(client.read(5s).has_value());
+        onLoop([&] {
+            client.write("GET /second HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+            CPPUNIT_ASSERT(m_server->hasUnreadInput());
+            const auto end = m_loop->now() + 2 * options().keepAliveTimeout;
+            while (m_loop->now() < end) {
+                std::this_thread::yield();
+            }
+        });
+        const auto response = client.readToEnd();
+        CPPUNIT_ASSERT(response.has_value());
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(*response));
+    }
+
     void pathAndQueryAreKeptAsSent()
     {
         raw_socket client(m_where);
--- a/tests/io_loop_test.cpp
+++ b/tests/io_loop_test.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(silentServerTimesOutWithAnUnknownOutcome);
     CPPUNIT_TEST(refusedConnectionCertainlyHadNoEffect);
     CPPUNIT_TEST(requestOnAClosedConnectionIsNotSentAgain);
+    CPPUNIT_TEST(responseThatArrivedDuringAStallIsNotTimedOut);
+    CPPUNIT_TEST(inputIsReadBeforeTimersThatRanOutDuringAStall);
     CPPUNIT_TEST(timersRunInOrder);
     CPPUNIT_TEST(postedFunctionsRunOnTheLoop);
     CPPUNIT_TEST(bodyAndHeadersArrive);
@@ -56,6 +58,48 @@
         return done();
     }
 
+    /// Sends a request whose response arrives while the loop stands still, as in a suspension of
+    /// the process, until the request's timeout has passed. `beforeStall` runs just before that.
+    std::optional<result<http_response>> sendBeforeStall(std::chrono::milliseconds timeout,
+                                                         const std::function<void()> &beforeStall)
+    {
+        const bound_socket listener;
+        CPPUNIT_ASSERT_EQUAL(0, listen(listener.descriptor(), 16));
+        std::atomic<bool> received = false;
+        std::atomic<bool> stalled = false;
+        std::atomic<bool> answered = false;
+        std::thread server([&] {
+            raw_socket peer(accept(listener.descriptor(), nullptr, nullptr));
+            received = !peer.read(5s).value_or("").empty();
+            while (!stalled) {
+                std::this_thread::yield();
+            }
+            peer.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            answered = true;
+            static_cast<void>(peer.read(5s)); // until the loop has closed the connection
+        });
+        std::optional<result<http_response>> outcome;
+        m_loop->send({"POST", addressOf(listener), "/", {}, "order", timeout},
+                     [&](const result<http_response> &response) { outcome = response; });
+        std::function<void()> stallOnceReceived = [&] {
+            if (!received) {
+                m_loop->after(1ms, stallOnceReceived);
+                return;
+            }
+            beforeStall();
+            stalled = true;
+            const auto end = m_loop->now() + 2 * timeout;
+            while (!answered || m_loop->now() < end) {
+                std::this_thread::yield();
+            }
+        };
+        m_loop->after(0ms, stallOnceReceived);
+        runUntil([&] { return outcome.has_value(); }, 10s);
+        m_loop.reset();
+        server.join();
+        return outcome;
+    }
+
     static std::unique_ptr<http_server> serve(http_handler handler)
     {
         http_server_options options;
@@ -159,6 +203,40 @@
         }
     }
 
+    /// Guards against a response that is taken for a lost one, because a suspension of the process
+    /// lasts longer than the timeout of the request.
+    void responseThatArrivedDuringAStallIsNotTimedOut()
+    {
+        const auto outcome = sendBeforeStall(300ms, [] {});
+        CPPUNIT_ASSERT(outcome.has_value());
+        CPPUNIT_ASSERT(outcome->has_value());
+        CPPUNIT_ASSERT_EQUAL(200, (*outcome)->status);
+    }
+
+    /// Guards against decisions of timers that do not know of what arrived in the meantime.
+    void inputIsReadBeforeTimersThatRanOutDuringAStall()
+    {
+        std::optional<bool> known;
+        bool handled = false;
+        const bound_socket listener;
+        CPPUNIT_ASSERT_EQUAL(0, listen(listener.descriptor(), 16));
+        m_loop->addReadable(listener.descriptor(), [&] {
+            m_loop->removeReadable(listener.descriptor());
+            handled = true;
+        });
+        std::optional<raw_socket> client;
+        m_loop->after(0ms, [&] {
+            m_loop->after(20ms, [&] { known = handled; });
+            client.emplace(listener.where());
+            const auto end = m_loop->now() + 100ms;
+            while (m_loop->now() < end) {
+                std::this_thread::yield();
+            }
+        });
+        CPPUNIT_ASSERT(runUntil([&] { return known.has_value(); }, 5s));
+        CPPUNIT_ASSERT(*known);
+    }
+
     void timersRunInOrder()
     {
         std::string order;
--- a/tests/process/fleet_signals_test.py
+++ b/tests/process/fleet_signals_test.py
@@ -21,6 +21,10 @@
 # Callers reach a process that stops until the load balancer has taken note of it.
 STILL_REACHED_S = 3.0
 REQUEST_INTERVAL_S = 0.1
+# Of a process that is stopped: the length of its drain, and when it ends at the latest.
+DRAIN_S = 3.5
+STOPS_BY_S = 5.4
+SUSPENDED_AFTER_S = 1.5
 
 
 def free_address():
@@ -154,6 +158,31 @@
         self.assertEqual([each for each in answers if each not in (503, 504)], [])
         self.assertIn(504, answers)
 
+    def test_requests_that_arrive_while_a_draining_process_is_suspended_are_answered(self):
+        """Guards against requests on kept connections that are closed unread: the time of the drain
+        runs out while the process is suspended."""
+        for wakes_after_s in (DRAIN_S + 0.5, STOPS_BY_S + 0.2):
+            with self.subTest(wakes_after_s=wakes_after_s):
+                callers = free_address()
+                process = self.begin(callers)
+                kept = [http.client.HTTPConnection(callers, timeout=LIMIT_S) for _ in range(6)]
+                for connection in kept:
+                    self.addCleanup(connection.close)
+                    connection.request("GET", f"/q/{1:016x}", headers={"Host": "queue.example",
+                                                                       "Request-Deadline": "200"})
+                    connection.getresponse().read()
+                process.send_signal(signal.SIGTERM)
+                stopped_at = time.monotonic()
+                time.sleep(SUSPENDED_AFTER_S)
+                process.send_signal(signal.SIGSTOP)
+                for connection in kept:
+                    connection.request("GET", f"/q/{2:016x}", headers={"Host": "queue.example"})
+                time.sleep(stopped_at + wakes_after_s - time.monotonic())
+                process.send_signal(signal.SIGCONT)
+                self.assertEqual([connection.getresponse().status for connection in kept],
+                                 [503] * len(kept))
+                self.assertEqual(process.wait(LIMIT_S), 0)
+
 
 if __name__ == "__main__":
     support.main()
