Log failed forwards to an address once a second

A coordinator that resets connections cost a line for each repetition of each request, 60 to 100 a second for a process. One line a second for an address now says how many were left out. The new case of process_fleet_signals_test fails before (more lines than seconds).

--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -103,6 +103,13 @@
         std::string dataCentre;
     };
 
+    /// Failed forwards to one address, as far as they are logged.
+    struct forward_failures
+    {
+        instant loggedAt;
+        int leftOut = 0; ///< failures since then
+    };
+
     void later(milliseconds delay, std::function<void()> function);
     template <class T, class Function>
     reply<T> whileAlive(Function function)
@@ -153,6 +160,7 @@
     void answerAsShuttingDown(const std::shared_ptr<pending_request> &each);
     void finishRequest(const std::shared_ptr<pending_request> &request, caller_answer answer);
     void onForwardFailed(const std::string &address, const error &failure);
+    void logForwardFailure(const std::string &address, const error &failure);
 
     platform_api &m_platform;
     peer_link &m_peers;
@@ -194,6 +202,7 @@
     instant m_declinedAt;
     instant m_leadingSince;
     std::map<std::string, peer_state> m_knownPeers; ///< by address ("ip:port")
+    std::map<std::string, forward_failures> m_forwardFailures; ///< by address
     /// Addresses of the processes that declined the last offer or were not reached.
     std::set<std::string> m_declinedBy;
     bool m_offeringLeadership = false;
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -76,6 +76,10 @@
 constexpr milliseconds forwardTimeout {1100};
 constexpr milliseconds defaultRetryAfter {1000};
 
+/// Requests are repeated each 40 ms while no coordinator answers; one failure of each address is
+/// logged in this time.
+constexpr milliseconds forwardFailureLogInterval {1000};
+
 } // namespace
 
 /// A caller's request that has not been answered yet.
@@ -847,8 +851,7 @@
 
 void fleet_node::onForwardFailed(const std::string &address, const error &failure)
 {
-    logEvent(log_level::warning, "forward_failed",
-             {{"address", address}, {"error", describe(failure)}});
+    logForwardFailure(address, failure);
     if (address == m_leaderReportedByPeers) {
         m_leaderReportedByPeers.clear();
         return;
@@ -866,6 +869,22 @@
     }
 }
 
+void fleet_node::logForwardFailure(const std::string &address, const error &failure)
+{
+    const auto now = m_timers.now();
+    const auto [found, first] = m_forwardFailures.try_emplace(address);
+    auto &logged = found->second;
+    if (!first && since(logged.loggedAt, now) < forwardFailureLogInterval) {
+        ++logged.leftOut;
+        return;
+    }
+    logEvent(log_level::warning, "forward_failed",
+             {{"address", address},
+              {"error", describe(failure)},
+              {"left_out", std::exchange(logged.leftOut, 0)}});
+    logged.loggedAt = now;
+}
+
 void fleet_node::retryRequest(const std::shared_ptr<pending_request> &each, milliseconds delay)
 {
     const auto now = m_timers.now();
--- a/tests/process/fleet_signals_test.py
+++ b/tests/process/fleet_signals_test.py
@@ -5,6 +5,7 @@
 import json
 import signal
 import socket
+import struct
 import subprocess
 import threading
 import time
@@ -158,6 +159,40 @@
         self.assertEqual([each for each in answers if each not in (503, 504)], [])
         self.assertIn(504, answers)
 
+    def test_failures_of_a_coordinator_that_resets_connections_are_logged_once_a_second(self):
+        """Guards against a log that grows with each repetition of a request."""
+        leader = socket.create_server(("127.0.0.1", 0), backlog=1024)
+        self.addCleanup(leader.close)
+        self.addCleanup(leader.shutdown, socket.SHUT_RDWR)  # ends the wait for a connection
+
+        def reset_all():
+            while True:
+                try:
+                    connection, _ = leader.accept()
+                except OSError:
+                    return
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                connection.close()
+
+        support.in_background(reset_all)
+        store = StoreOfOneLeader(f"127.0.0.1:{leader.getsockname()[1]}")
+        self.addCleanup(store.server_close)
+        self.addCleanup(store.shutdown)
+        callers = free_address()
+        process = self.begin(callers, store.address)
+        answers = []
+        began_at = time.monotonic()
+        threads = [support.in_background(hand_in, callers, number, answers) for number in range(8)]
+        for thread in threads:
+            thread.join()
+        seconds = time.monotonic() - began_at
+        process.send_signal(signal.SIGTERM)
+        output, _ = process.communicate(timeout=LIMIT_S)
+        lines = [json.loads(line) for line in output.splitlines() if b"forward_failed" in line]
+        self.assertGreater(len(lines), 0)
+        self.assertLessEqual(len(lines), seconds + 1)
+        self.assertGreater(sum(line["left_out"] for line in lines), 0)
+
     def test_requests_that_arrive_while_a_draining_process_is_suspended_are_answered(self):
         """Guards against requests on kept connections that are closed unread: the time of the drain
         runs out while the process is suspended."""
