--- a/tests/unclear_store_answer_test.cpp
+++ b/tests/unclear_store_answer_test.cpp
@@ -6,6 +6,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,15 +22,18 @@
     CPPUNIT_TEST(outcomeOfATransaction);
     CPPUNIT_TEST_SUITE_END();
 
-    static std::optional<result<transaction_reply>> commit(const http_response &answer)
+    std::mutex m_mutex;
+    http_response m_answer; ///< of the store
+    std::unique_ptr<http_server> m_server;
+
+    std::optional<result<transaction_reply>> commit(const http_response &answer)
     {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_answer = answer;
+        }
         auto loop = std::move(io_loop::make().value());
-        http_server_options options;
-        options.address = "127.0.0.1";
-        const auto server =
-            http_server::start(options, [&](const http_request &) { return answer; });
-        CPPUNIT_ASSERT(server.has_value());
-        const auto address = "127.0.0.1:" + std::to_string((*server)->port());
+        const auto address = "127.0.0.1:" + std::to_string(m_server->port());
         platform::platform_client client(*loop, {address, address, "", "one"});
         std::optional<result<transaction_reply>> outcome;
         store_transaction change;
@@ -43,6 +47,18 @@
     }
 
 public:
+    void setUp() override
+    {
+        http_server_options options;
+        options.address = "127.0.0.1";
+        auto server = http_server::start(options, [this](const http_request &) {
+            const std::lock_guard lock(m_mutex);
+            return m_answer;
+        });
+        CPPUNIT_ASSERT(server.has_value());
+        m_server = std::move(*server);
+    }
+
     void outcomeOfATransaction()
     {
         struct row
