--- a/include/ibishinge/fleet/late_orders.h
+++ b/include/ibishinge/fleet/late_orders.h
@@ -19,6 +19,19 @@
 /// `sentBy` or earlier, has no answer. Not thread-safe.
 void recordUnansweredLease(worker_status &worker, std::int64_t incarnation, instant sentBy);
 
+/// Records that an acknowledgement of ends, which was sent to the process `incarnation` of `worker`
+/// at `sentBy` or earlier, has no answer. Not thread-safe.
+void recordUnansweredAcknowledgement(worker_status &worker, std::int64_t incarnation,
+                                     instant sentBy);
+
+/// Records that the process `worker.incarnation` has been replaced by another one. Not thread-safe.
+void expectLateAcknowledgement(worker_status &worker);
+
+/// Returns true if the worker may forget an end before it is read: processes number their ends from
+/// 1, and the present one may carry out an acknowledgement meant for an earlier one. Thread-safe
+/// for a constant worker.
+[[nodiscard]] bool mayForgetUnreadEnds(const worker_status &worker, instant now);
+
 /// Returns true if a process of the worker that has not reported yet may carry out an unanswered
 /// start of this run, or may have done so under a lease of at most `maxLease` that has not expired.
 /// Thread-safe for a constant worker.
--- a/include/ibishinge/fleet/placement.h
+++ b/include/ibishinge/fleet/placement.h
@@ -58,6 +58,7 @@
     no_ticket,
     step_limit, ///< `maxPerWorker` runs of the step are there
     crash_isolation, ///< a start would mix up the causes of a crash, see `crash_isolation.h`
+    late_acknowledgement, ///< the end of the run might be forgotten unread, see `late_orders.h`
 };
 
 [[nodiscard]] std::string_view nameOf(start_obstacle obstacle) noexcept;
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -219,6 +219,10 @@
     instant leaseSentAt; ///< when a lease was last sent to the worker
     std::map<run_key, unanswered_start> unansweredStarts;
     unanswered_lease unansweredLease; ///< the last one
+    /// When the last acknowledgement of ends to the present process had no answer; epoch: none.
+    instant acknowledgementUnansweredAt;
+    /// Until then the present process may carry out an acknowledgement meant for an earlier one.
+    instant mayForgetEndsUntil;
     bool awaitsContact = false; ///< starts wait for the answer to a poll
     std::int64_t processedEnd = 0; ///< number of the last end that was applied to the tables
     std::int64_t storedEnd = 0; ///< number of the last end whose effects are in the store
--- a/src/fleet/coordinator_orders.cpp
+++ b/src/fleet/coordinator_orders.cpp
@@ -247,11 +247,11 @@
 {
     const auto &run = m_tables.runs.at(key);
     auto &worker = m_tables.workers.at(run.worker);
-    if (!worker.verified) {
+    const auto now = m_timers.now();
+    if (!worker.verified || (!run.longRunning && mayForgetUnreadEnds(worker, now))) {
         abandonStart(key, true);
         return;
     }
-    const auto now = m_timers.now();
     if (!worker.awaitsContact && since(worker.reportAt, now) <= maxReportAgeAtStart) {
         sendStart(key);
         return;
@@ -276,8 +276,17 @@
             awaiting.push_back(key);
         }
     }
+    const auto now = m_timers.now();
     for (const auto &key : awaiting) {
-        sendStart(key);
+        const auto run = m_tables.runs.find(key);
+        if (run == m_tables.runs.end()) {
+            continue; // removed with another member of its gang
+        }
+        if (!run->second.longRunning && mayForgetUnreadEnds(worker, now)) {
+            abandonStart(key, true);
+        } else {
+            sendStart(key);
+        }
     }
 }
 
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -97,6 +97,10 @@
                            if (!answer && order.leaseUntil > 0) {
                                onLeaseUnanswered(found->second, order.knownIncarnation, now);
                            }
+                           if (!answer && order.acknowledgedEnd > 0) {
+                               recordUnansweredAcknowledgement(
+                                   found->second, order.knownIncarnation, m_timers.now());
+                           }
                            if (found->second.openPoll != number) {
                                return; // another poll has replaced this one
                            }
@@ -272,6 +276,7 @@
     worker.storedEnd = 0;
     worker.acknowledgedEnd = 0;
     onWorkerCrashed(worker.entry.id, gone);
+    expectLateAcknowledgement(worker);
     worker.incarnation = report.incarnation;
     worker.leasesEndBy =
         std::max(worker.leasesEndBy, lateLeasesEnd(worker, maxLeaseTime(), startedAfter));
--- a/src/fleet/late_orders.cpp
+++ b/src/fleet/late_orders.cpp
@@ -1,6 +1,7 @@
 #include <ibishinge/fleet/late_orders.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace ibishinge::fleet {
 
@@ -19,6 +20,29 @@
     }
 }
 
+void recordUnansweredAcknowledgement(worker_status &worker, std::int64_t incarnation,
+                                     instant sentBy)
+{
+    if (incarnation == worker.incarnation) {
+        worker.acknowledgementUnansweredAt = std::max(worker.acknowledgementUnansweredAt, sentBy);
+    } else {
+        worker.mayForgetEndsUntil = std::max(worker.mayForgetEndsUntil, sentBy + maxOrderDelay);
+    }
+}
+
+void expectLateAcknowledgement(worker_status &worker)
+{
+    const auto sentBy = std::exchange(worker.acknowledgementUnansweredAt, instant {});
+    if (sentBy != instant {}) {
+        worker.mayForgetEndsUntil = std::max(worker.mayForgetEndsUntil, sentBy + maxOrderDelay);
+    }
+}
+
+bool mayForgetUnreadEnds(const worker_status &worker, instant now)
+{
+    return now < worker.mayForgetEndsUntil;
+}
+
 bool mayRunUnreported(const worker_status &worker, const run_key &key, milliseconds maxLease,
                       instant now)
 {
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -1,6 +1,7 @@
 #include <ibishinge/fleet/placement.h>
 
 #include <ibishinge/fleet/crash_isolation.h>
+#include <ibishinge/fleet/late_orders.h>
 #include <ibishinge/fleet/objective.h>
 
 #include <algorithm>
@@ -74,7 +75,7 @@
     });
 }
 
-constexpr std::array<std::pair<start_obstacle, std::string_view>, 11> obstacleNames {{
+constexpr std::array<std::pair<start_obstacle, std::string_view>, 12> obstacleNames {{
     {start_obstacle::unregistered, "unregistered"},
     {start_obstacle::silent, "silent"},
     {start_obstacle::not_on_roster, "not_on_roster"},
@@ -86,6 +87,7 @@
     {start_obstacle::no_ticket, "no_ticket"},
     {start_obstacle::step_limit, "step_limit"},
     {start_obstacle::crash_isolation, "crash_isolation"},
+    {start_obstacle::late_acknowledgement, "late_acknowledgement"},
 }};
 
 /// Returns why a usable worker cannot be given a task now; nothing if it can.
@@ -109,6 +111,10 @@
     if (!permitsStart(tables, worker, name, isSuspected(*where.job, name), now)) {
         return start_obstacle::crash_isolation;
     }
+    // A long-running task is started again however its run has ended.
+    if (!step.longRunning && mayForgetUnreadEnds(worker, now)) {
+        return start_obstacle::late_acknowledgement;
+    }
     return std::nullopt;
 }
 
