Answer waiting callers by one function; share isRejection between tests

The same loop stood twice in the coordinator, and the same predicate in two tests. No change of behaviour: cancelled_before_submission_test (9 cases) and rejected_submission_test (2) pass.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -172,12 +172,10 @@
     [[nodiscard]] bool acceptsSubmissions() const; ///< the store is not stalled
     void submit(const caller_request &request, const queue_config &queue,
                 const std::string &customer, const answer_handler &done);
-    void answerWaiters(const std::string &id, const caller_answer &answer);
     void show(const std::string &id, const answer_handler &done);
     void cancel(const std::string &id, const answer_handler &done);
     /// Cancels an id that no job has, so that a submission that arrives later is rejected.
     void withdraw(const std::string &id, const answer_handler &done);
-    void answerCancellations(const std::string &id, const caller_answer &answer);
     void endJob(job_entry &job, job_state state);
     void markDirty(const std::string &id);
     [[nodiscard]] static write_unit progressUnit(const job_entry &job);
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -72,6 +72,21 @@
     }
 }
 
+/// Answers all callers that wait for the job `id`.
+void answerWaiters(std::map<std::string, std::vector<answer_handler>> &waiters,
+                   const std::string &id, const caller_answer &answer)
+{
+    const auto found = waiters.find(id);
+    if (found == waiters.end()) {
+        return;
+    }
+    const auto handlers = std::move(found->second);
+    waiters.erase(found);
+    for (const auto &done : handlers) {
+        done(answer);
+    }
+}
+
 } // namespace
 
 void coordinator::handle(const caller_request &request, answer_handler done)
@@ -223,13 +238,13 @@
         }
         if (!stored) {
             m_tables.jobs.erase(found);
-            answerWaiters(id, answerToUnstoredSubmission(stored.error().kind));
+            answerWaiters(m_submitWaiters, id, answerToUnstoredSubmission(stored.error().kind));
             return;
         }
         found->second.stored = true;
         m_metrics.observe("ibishinge_store_job_seconds", {}, m_timers.now() - since);
         logEvent(log_level::info, "job_accepted", {{"job", id}});
-        answerWaiters(id, answerOf(answer_kind::accepted));
+        answerWaiters(m_submitWaiters, id, answerOf(answer_kind::accepted));
         openDueOccurrences(found->second, m_timers.wallMs());
         requestSchedulingPass();
     };
@@ -245,24 +260,12 @@
                      {{"job", id},
                       {"store_waiting", m_writer->waiting()},
                       {"store_stalled_ms", m_writer->stalledFor().count()}});
-            answerWaiters(id, answerOf(answer_kind::outcome_unknown, "the store has not answered"));
+            answerWaiters(m_submitWaiters, id,
+                          answerOf(answer_kind::outcome_unknown, "the store has not answered"));
         }
     });
 }
 
-void coordinator::answerWaiters(const std::string &id, const caller_answer &answer)
-{
-    const auto found = m_submitWaiters.find(id);
-    if (found == m_submitWaiters.end()) {
-        return;
-    }
-    const auto handlers = std::move(found->second);
-    m_submitWaiters.erase(found);
-    for (const auto &done : handlers) {
-        done(answer);
-    }
-}
-
 void coordinator::show(const std::string &id, const answer_handler &done)
 {
     auto answer = answerOf(answer_kind::job_found);
@@ -345,25 +348,12 @@
                 answerOf(answer_kind::not_ready, "the store is away", retryAfterUnavailable);
             toSubmission = toCancellation;
         }
-        answerCancellations(id, toCancellation);
-        answerWaiters(id, toSubmission);
+        answerWaiters(m_cancelWaiters, id, toCancellation);
+        answerWaiters(m_submitWaiters, id, toSubmission);
     };
     m_writer->add(id, std::move(unit));
 }
 
-void coordinator::answerCancellations(const std::string &id, const caller_answer &answer)
-{
-    const auto found = m_cancelWaiters.find(id);
-    if (found == m_cancelWaiters.end()) {
-        return;
-    }
-    const auto handlers = std::move(found->second);
-    m_cancelWaiters.erase(found);
-    for (const auto &done : handlers) {
-        done(answer);
-    }
-}
-
 void coordinator::endJob(job_entry &job, job_state state)
 {
     job.ending = true;
@@ -399,7 +389,7 @@
         m_dirtyJobs.erase(id);
         m_tables.jobs.erase(found);
         stopRunsOf(id, "job_ended");
-        answerCancellations(id, answerOf(answer_kind::cancelled));
+        answerWaiters(m_cancelWaiters, id, answerOf(answer_kind::cancelled));
         requestSchedulingPass();
     };
     m_writer->add(job.id, std::move(unit));
--- a/tests/cancelled_before_submission_test.cpp
+++ b/tests/cancelled_before_submission_test.cpp
@@ -18,12 +18,6 @@
 const std::string jobId = "0000000000000001";
 const std::string jobPath = "/pool-a/" + jobId;
 
-bool isRejection(answer_kind kind)
-{
-    return kind == answer_kind::not_ready || kind == answer_kind::overloaded
-           || kind == answer_kind::invalid;
-}
-
 } // namespace
 
 /// Guards against a job that runs although its cancellation was acknowledged: the cancellation
--- a/tests/rejected_submission_test.cpp
+++ b/tests/rejected_submission_test.cpp
@@ -16,12 +16,6 @@
 
 const std::string jobPath = "/pool-a/0000000000000001";
 
-bool isRejection(answer_kind kind)
-{
-    return kind == answer_kind::not_ready || kind == answer_kind::overloaded
-           || kind == answer_kind::invalid;
-}
-
 } // namespace
 
 /// Guards against a submission that is answered as rejected, while its job is stored and runs.
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -260,6 +260,13 @@
     int m_runs = 0;
 };
 
+/// Returns true if the answer promises that the submission's job never runs.
+inline bool isRejection(answer_kind kind)
+{
+    return kind == answer_kind::not_ready || kind == answer_kind::overloaded
+           || kind == answer_kind::invalid;
+}
+
 /// Returns a job with one step of `tasks` tasks.
 inline job_spec simpleJob(int tasks, std::int64_t cpuMillis = 1000)
 {
