Count acknowledgements that are open, and keep workers that owe one

Two holes of the mend for late acknowledgements, each shown by a scratch test of a reviewer ("start after the end"): a restart noticed while the acknowledging poll had neither failed nor an answer, and a worker that left the registry, was forgotten and returned under its id.

--- a/include/ibishinge/fleet/late_orders.h
+++ b/include/ibishinge/fleet/late_orders.h
@@ -24,8 +24,9 @@
 void recordUnansweredAcknowledgement(worker_status &worker, std::int64_t incarnation,
                                      instant sentBy);
 
-/// Records that the process `worker.incarnation` has been replaced by another one. Not thread-safe.
-void expectLateAcknowledgement(worker_status &worker);
+/// Records that the process `worker.incarnation` has been replaced by another one, as was found at
+/// `now`. Acknowledgements that are still open count as unanswered. Not thread-safe.
+void expectLateAcknowledgement(worker_status &worker, instant now);
 
 /// Returns true if the worker may forget an end before it is read: processes number their ends from
 /// 1, and the present one may carry out an acknowledgement meant for an earlier one. Thread-safe
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -219,6 +219,7 @@
     instant leaseSentAt; ///< when a lease was last sent to the worker
     std::map<run_key, unanswered_start> unansweredStarts;
     unanswered_lease unansweredLease; ///< the last one
+    std::set<std::int64_t> openAcknowledgements; ///< numbers of open polls that acknowledge ends
     /// When the last acknowledgement of ends to the present process had no answer; epoch: none.
     instant acknowledgementUnansweredAt;
     /// Until then the present process may carry out an acknowledgement meant for an earlier one.
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -85,6 +85,9 @@
         }
     }
     worker.openPoll = ++m_pollNumber;
+    if (order.acknowledgedEnd > 0) {
+        worker.openAcknowledgements.insert(worker.openPoll);
+    }
     worker.pollSentAt = now;
     m_workerCalls.poll(worker.entry, order,
                        unlessClosed<worker_report>([this, id = worker.entry.id, now, order,
@@ -97,6 +100,7 @@
                            if (!answer && order.leaseUntil > 0) {
                                onLeaseUnanswered(found->second, order.knownIncarnation, now);
                            }
+                           found->second.openAcknowledgements.erase(number);
                            if (!answer && order.acknowledgedEnd > 0) {
                                recordUnansweredAcknowledgement(
                                    found->second, order.knownIncarnation, m_timers.now());
@@ -276,7 +280,7 @@
     worker.storedEnd = 0;
     worker.acknowledgedEnd = 0;
     onWorkerCrashed(worker.entry.id, gone);
-    expectLateAcknowledgement(worker);
+    expectLateAcknowledgement(worker, m_timers.now());
     worker.incarnation = report.incarnation;
     worker.leasesEndBy =
         std::max(worker.leasesEndBy, lateLeasesEnd(worker, maxLeaseTime(), startedAfter));
--- a/src/fleet/late_orders.cpp
+++ b/src/fleet/late_orders.cpp
@@ -30,9 +30,12 @@
     }
 }
 
-void expectLateAcknowledgement(worker_status &worker)
+void expectLateAcknowledgement(worker_status &worker, instant now)
 {
-    const auto sentBy = std::exchange(worker.acknowledgementUnansweredAt, instant {});
+    auto sentBy = std::exchange(worker.acknowledgementUnansweredAt, instant {});
+    if (!worker.openAcknowledgements.empty()) {
+        sentBy = now;
+    }
     if (sentBy != instant {}) {
         worker.mayForgetEndsUntil = std::max(worker.mayForgetEndsUntil, sentBy + maxOrderDelay);
     }
@@ -86,7 +89,10 @@
 bool mayReceiveLateOrders(const worker_status &worker, instant now)
 {
     const auto &lease = worker.unansweredLease;
-    return (lease.sentBy != instant {} && now < lease.sentBy + maxOrderDelay)
+    const auto acknowledged = worker.acknowledgementUnansweredAt;
+    return !worker.openAcknowledgements.empty() || mayForgetUnreadEnds(worker, now)
+           || (acknowledged != instant {} && now < acknowledged + maxOrderDelay)
+           || (lease.sentBy != instant {} && now < lease.sentBy + maxOrderDelay)
            || std::any_of(worker.unansweredStarts.begin(), worker.unansweredStarts.end(),
                           [now](const auto &each) { return now < each.second.possibleUntil; });
 }
