--- a/include/ibishinge/outside/io_loop.h
+++ b/include/ibishinge/outside/io_loop.h
@@ -47,6 +47,9 @@
     [[nodiscard]] std::int64_t wallMs() const override;
     void after(std::chrono::milliseconds delay, std::function<void()> function) override;
 
+    /// Returns a time; input that arrived before it has been handled.
+    [[nodiscard]] instant polledAt() const;
+
     /// Errors passed to `done`: `unavailable` if no connection was made, `outcome_unknown` if the
     /// request may have been received.
     void send(outgoing_request request, response_handler done);
--- a/src/outside/async_http_server.cpp
+++ b/src/outside/async_http_server.cpp
@@ -332,7 +332,8 @@
 
 void async_http_server::impl::sweep()
 {
-    const auto now = loop.now();
+    // What has arrived since then may not have been read, as after a stall of the process.
+    const auto now = loop.polledAt();
     std::vector<exchange_ptr> forgotten;
     for (const auto &[connection, place] : connections) {
         auto *const current = place.current;
@@ -344,8 +345,7 @@
         }
         const bool late = current != nullptr ? now > current->since + options.transferTimeout
                                              : now > place.idleSince + options.keepAliveTimeout;
-        // A request that has arrived in time is read first, also after a stall of the process.
-        if (late && !hasUnreadBytes(place.descriptor)) {
+        if (late) {
             shutdown(place.descriptor, SHUT_RDWR); // the library sees the end and closes it
         }
     }
--- a/src/outside/io_loop.cpp
+++ b/src/outside/io_loop.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <exception>
 #include <map>
 #include <mutex>
@@ -219,6 +220,11 @@
     return boot_clock::now();
 }
 
+instant io_loop::polledAt() const
+{
+    return m_impl->polledAt;
+}
+
 std::int64_t io_loop::wallMs() const
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -433,8 +439,8 @@
         const auto pollingSince = now();
         const int count = epoll_wait(m_impl->epoll, events.data(), static_cast<int>(events.size()),
                                      static_cast<int>(m_impl->waitTime().count()));
-        if (count < 0) {
-            continue; // interrupted, as by a suspension of the process: nothing has been read
+        if (count < 0 && errno == EINTR) {
+            continue; // as after a suspension of the process: nothing has been read
         }
         for (int i = 0; i < count; ++i) {
             m_impl->handleEvent(events[static_cast<std::size_t>(i)]);
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(openRequestsAreAnsweredAtTheEnd);
     CPPUNIT_TEST(requestIsOpenUntilItsResponseIsWritten);
     CPPUNIT_TEST(requestThatArrivedDuringAStallIsAnswered);
+    CPPUNIT_TEST(callerThatSendsAndDoesNotReadIsDisconnected);
     CPPUNIT_TEST(pathAndQueryAreKeptAsSent);
     CPPUNIT_TEST_SUITE_END();
 
@@ -71,6 +72,8 @@
         ++m_calls;
         if (request.path == "/wait") {
             m_waiting.push_back(respond);
+        } else if (request.path == "/long") {
+            respond({200, {}, std::string(64'000'000, 'x')});
         } else if (request.path == "/throw") {
             throw std::runtime_error("unexpected");
         } else {
@@ -350,6 +353,16 @@
         CPPUNIT_ASSERT_EQUAL(200, statusOf(*response));
     }
 
+    /// Guards against connections that stay open for ever because more bytes wait to be read.
+    void callerThatSendsAndDoesNotReadIsDisconnected()
+    {
+        raw_socket client(m_where);
+        client.write("GET /long HTTP/1.1\r\nHost: a\r\n\r\n");
+        waitForCalls(1);
+        client.write("GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+        waitForOpenRequests(0);
+    }
+
     void pathAndQueryAreKeptAsSent()
     {
         raw_socket client(m_where);
