--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -35,7 +35,8 @@
 constexpr std::size_t maxPrunedAtOnce = 200;
 
 /// Maximum number of ids without a job whose cancellation is remembered.
-constexpr std::size_t maxWithdrawnIds = 20'000;
+/// A coordinator reads them when it takes over, in pages of some 500.
+constexpr std::size_t maxWithdrawnIds = 5'000;
 constexpr milliseconds retryAfterTooManyWithdrawn {10'000};
 constexpr std::string_view withdrawnMessage = "the job was cancelled before it was submitted";
 
@@ -308,32 +309,34 @@
 
 void coordinator::withdraw(const std::string &id, const answer_handler &done)
 {
+    const auto wallMs = m_timers.wallMs();
     const auto known = m_tables.withdrawn.find(id);
     if (known != m_tables.withdrawn.end()) {
-        if (known->second.stored) {
-            done(answerOf(answer_kind::no_such_job));
-        } else {
+        if (!known->second.stored) {
             m_cancelWaiters[id].push_back(done);
+            return;
+        }
+        if (wallMs - known->second.wallMs < endedRetentionMs / 2) {
+            done(answerOf(answer_kind::no_such_job));
+            return;
         }
-        return;
     }
     if (!acceptsSubmissions()) {
         done(answerOf(answer_kind::not_ready, "the store is away", retryAfterUnavailable));
         return;
     }
-    if (m_tables.withdrawn.size() >= maxWithdrawnIds) {
+    if (known == m_tables.withdrawn.end() && m_tables.withdrawn.size() >= maxWithdrawnIds) {
         done(answerOf(answer_kind::overloaded, "too many cancellations of unknown jobs",
                       retryAfterTooManyWithdrawn));
         return;
     }
-    const auto wallMs = m_timers.wallMs();
-    m_tables.withdrawn[id] = {wallMs, false};
+    const auto before = std::exchange(m_tables.withdrawn[id], {wallMs, false});
     m_cancelWaiters[id].push_back(done);
     write_unit unit;
     unit.changes.push_back(
         {std::string(endedPrefix) + id, encodeEnded({job_state::cancelled, wallMs, false})});
     unit.droppable = true;
-    unit.done = [this, id](const result<void> &stored) {
+    unit.done = [this, id, before](const result<void> &stored) {
         if (m_closed) {
             return;
         }
@@ -343,15 +346,28 @@
             m_tables.withdrawn.at(id).stored = true;
             logEvent(log_level::info, "job_withdrawn", {{"job", id}});
         } else {
-            m_tables.withdrawn.erase(id);
             toCancellation =
                 answerOf(answer_kind::not_ready, "the store is away", retryAfterUnavailable);
-            toSubmission = toCancellation;
+            if (before.stored) {
+                m_tables.withdrawn.at(id) = before;
+            } else {
+                m_tables.withdrawn.erase(id);
+                toSubmission = toCancellation;
+            }
         }
         answerWaiters(m_cancelWaiters, id, toCancellation);
         answerWaiters(m_submitWaiters, id, toSubmission);
     };
     m_writer->add(id, std::move(unit));
+    callAfter(storeTimeout, [this, id] {
+        const auto found = m_tables.withdrawn.find(id);
+        if (found != m_tables.withdrawn.end() && !found->second.stored) {
+            const auto answer =
+                answerOf(answer_kind::outcome_unknown, "the store has not answered");
+            answerWaiters(m_cancelWaiters, id, answer);
+            answerWaiters(m_submitWaiters, id, answer);
+        }
+    });
 }
 
 void coordinator::endJob(job_entry &job, job_state state)
@@ -485,8 +501,8 @@
 {
     m_nextPruneAt = m_timers.now() + pruneInterval;
     const auto oldest = m_timers.wallMs() - endedRetentionMs;
-    std::size_t pruned = 0;
     const auto prune = [&](auto &entries, const auto &isOld) {
+        std::size_t pruned = 0;
         for (auto entry = entries.begin(); entry != entries.end() && pruned < maxPrunedAtOnce;) {
             if (!isOld(entry->second)) {
                 ++entry;
