Soak: callers that give up, and cancellations of ordinary jobs

Some callers leave while their submission may be unanswered, cancel the job through random processes until that is acknowledged, and hand it in no more; others cancel ordinary jobs that were accepted. No task of such a job may start later than cancel_ms (3 s) after the acknowledgement, and none may run at the end. A cancellation that nobody acknowledges within 30 s of the load's end is a break now; before, the soak waited for it without end. Cancellations that a process ends without an answer count as lost requests as submissions do. The callers move to a module of their own.

--- a/tests/process/fleet_soak.py
+++ b/tests/process/fleet_soak.py
@@ -23,13 +23,15 @@
 sys.path.insert(0, str(ROOT / "review/standins"))
 
 import lab as stand  # noqa: E402
+from soak_callers import (Caller, CallerWhoGivesUp, CancellingCaller,  # noqa: E402
+                          LastingCaller)
 
 WORKERS_PER_PROCESS = 3
 JOBS_PER_S = 2.7  # for each process
 LASTING_SHARE = 0.06  # of the jobs
-TRIES = 4
-CALLER_DEADLINE_MS = 3000
-REJECTED = {429, 503}  # answers that promise that the job never runs
+GIVE_UP_SHARE = 0.12  # of the other jobs: callers who leave before the answer, and cancel
+CANCEL_SHARE = 0.12  # of the other jobs: callers who cancel what was accepted
+CANCEL_S = 3.0  # cancel_ms: from the acknowledgement of a cancellation until no task starts
 SETTLE_S = 14  # from the last fault until all accepted jobs have to be complete
 DRAIN_S = 3.0  # a process that is stopped answers requests that come within this time
 PROBES = 40  # jobs handed in after the last fault
@@ -72,57 +74,6 @@
         self.record.write("store_back")
 
 
-class Caller:
-    """Hands one job in, with retries, and remembers each answer."""
-
-    def __init__(self, soak, job):
-        self.soak, self.job = soak, job
-        self.statuses = []
-
-    @property
-    def accepted(self):
-        return any(200 <= status < 300 for status in self.statuses)
-
-    @property
-    def rejected(self):
-        return bool(self.statuses) and all(status in REJECTED for status in self.statuses)
-
-    async def run(self):
-        lab, rng = self.soak.lab, self.soak.rng
-        document = lab.jobs[self.job]
-        for _ in range(TRIES):
-            process = rng.choice(lab.processes)
-            sent_at = time.monotonic()
-            status, _ = await lab.call("POST", process, "/q/" + self.job, document,
-                                       CALLER_DEADLINE_MS)
-            self.statuses.append(status)
-            if status == 0 and not self.soak.may_break_off(process, sent_at):
-                lab.violate(f"LOST: {process.name} ended the request {self.job} without an answer")
-            if self.accepted:
-                return
-            await asyncio.sleep(rng.uniform(0.2, 1.0))
-
-
-class LastingCaller(Caller):
-    """Hands in a job whose tasks run until it is cancelled, and cancels some of these jobs."""
-
-    def __init__(self, soak, job, cancels_after_s):
-        super().__init__(soak, job)
-        self.cancels_after_s = cancels_after_s  # None: it keeps the job
-        self.cancelled = False  # acknowledged
-
-    async def run(self):
-        await super().run()
-        if not self.accepted or self.cancels_after_s is None:
-            return
-        await asyncio.sleep(self.cancels_after_s)
-        while not self.cancelled:
-            process = self.soak.rng.choice(self.soak.lab.processes)
-            status, _ = await self.soak.lab.call("DELETE", process, "/q/" + self.job)
-            self.cancelled = 200 <= status < 300 or status == 410
-            await asyncio.sleep(0.3)
-
-
 class Soak:
     """One run: load, faults and checks, all drawn from the seed."""
 
@@ -130,6 +81,7 @@
         self.lab, self.processes, self.seconds = lab, processes, seconds
         self.rng = random.Random(seed)
         self.faults = [getattr(self, name) for name in faults]
+        self.until = 0.0  # when the load ends
         self.callers = {}
         self.started = set()  # jobs of which a task was started
         self.restarting = set()  # processes that a fault is about to start again
@@ -149,6 +101,11 @@
         job = task.split(".")[0]
         if job not in self.callers:
             self.lab.violate(f"UNASKED: {task} was started, and nobody handed its job in")
+        elif self.callers[job].cancelled_at is not None:
+            late_s = time.monotonic() - self.callers[job].cancelled_at
+            if late_s > CANCEL_S:
+                self.lab.violate(f"UNASKED: run {run} of {task} starts {late_s:.1f} s after the "
+                                 "cancellation was acknowledged")
         for other in self.lab.minions:
             if other is not worker and other.up and task in other.running:
                 self.lab.violate(f"TWICE: run {run} of {task} starts on {worker.id} while it runs "
@@ -266,21 +223,31 @@
         self.callers[job] = LastingCaller(self, job, cancels_after_s)
         return asyncio.create_task(self.callers[job].run())
 
-    def hand_in(self):
+    def hand_in(self, make_caller=Caller):
         job = self.lab.new_id()
         steps = [{"count": self.rng.randint(1, 3), "cpu": 2000, "mem-mb": 500, "estimate-ms": 500}]
         if self.rng.random() < 0.4:
             steps.append(dict(steps[0], after=[0]))
         self.lab.jobs[job] = {"spec": "work", "steps": steps}
-        caller = Caller(self, job)
-        self.callers[job] = caller
-        return asyncio.create_task(caller.run())
+        self.callers[job] = make_caller(self, job)
+        return asyncio.create_task(self.callers[job].run())
+
+    def hand_in_some_kind(self):
+        if self.rng.random() < LASTING_SHARE:
+            return self.hand_in_lasting()
+        kind = self.rng.random()
+        if kind < GIVE_UP_SHARE:
+            leaves_after_s = self.rng.choice([0.02, 0.3, 3.0]) * self.rng.random()
+            return self.hand_in(lambda soak, job: CallerWhoGivesUp(soak, job, leaves_after_s))
+        if kind < GIVE_UP_SHARE + CANCEL_SHARE:
+            cancels_after_s = self.rng.uniform(0.0, 2.0)
+            return self.hand_in(lambda soak, job: CancellingCaller(soak, job, cancels_after_s))
+        return self.hand_in()
 
     async def load(self, until):
         pending = []
         while time.monotonic() < until:
-            lasting = self.rng.random() < LASTING_SHARE
-            pending.append(self.hand_in_lasting() if lasting else self.hand_in())
+            pending.append(self.hand_in_some_kind())
             await asyncio.sleep(self.rng.expovariate(JOBS_PER_S * self.processes))
         await asyncio.gather(*pending)
 
@@ -301,23 +268,29 @@
         lab.add_minions(WORKERS_PER_PROCESS * self.processes, self.run_time)
         await lab.begin(self.processes, links=True)
         await asyncio.sleep(2)
-        until = time.monotonic() + self.seconds
-        await asyncio.gather(self.load(until), self.disturb(until))
+        self.until = time.monotonic() + self.seconds
+        await asyncio.gather(self.load(self.until), self.disturb(self.until))
         await asyncio.sleep(SETTLE_S)
         await self.check()
 
     def run_time(self, _task, spec):
         return None if spec == "lasting" else self.rng.uniform(0.2, 1.0)
 
+    def runs_of(self, job):
+        return [task for worker in self.lab.minions if worker.up for task in worker.running
+                if task.startswith(job)]
+
     def check_lasting(self, caller):
-        runs = [task for worker in self.lab.minions if worker.up for task in worker.running
-                if task.startswith(caller.job)]
-        if caller.cancelled and runs:
-            self.lab.violate(f"UNASKED: {runs} run on, although the cancellation was acknowledged")
+        runs = self.runs_of(caller.job)
         wanted = self.lab.jobs[caller.job]["steps"][0]["count"]
         if caller.cancels_after_s is None and len(runs) != wanted:
             self.lab.violate(f"LOST: of the tasks of {caller.job} only {runs} run")
 
+    def check_cancelled(self, job):
+        runs = self.runs_of(job)
+        if runs:
+            self.lab.violate(f"UNASKED: {runs} run on, although the cancellation was acknowledged")
+
     async def check(self):
         lab = self.lab
         for job, caller in self.callers.items():
@@ -325,7 +298,9 @@
             if caller.rejected and job in self.started:
                 lab.violate(f"REFUSED: job {job} ran, and all attempts to hand it in were "
                             f"rejected: {caller.statuses}")
-            if caller.accepted and isinstance(caller, LastingCaller):
+            if caller.cancelled_at is not None:
+                self.check_cancelled(job)
+            elif caller.accepted and isinstance(caller, LastingCaller):
                 self.check_lasting(caller)
             elif caller.accepted:
                 await self.check_complete(job)
@@ -338,7 +313,9 @@
                         "last fault")
         lab.record.write("result", jobs=len(self.callers),
                          accepted=sum(c.accepted for c in self.callers.values()),
-                         rejected=sum(c.rejected for c in self.callers.values()))
+                         rejected=sum(c.rejected for c in self.callers.values()),
+                         cancelled=sum(c.cancelled_at is not None
+                                       for c in self.callers.values()))
 
     async def check_complete(self, job):
         for _ in range(6):
