Soak: callers that keep connections open

A share of the callers sends its requests on connections that stay open until their process is gone. A request that such a connection ends without an answer is lost by the same rule as one on a connection of its own. Exempt is only what times cannot tell from an idle connection that the server closed in the same instant: an end without a byte within 50 ms, less the time in which the soak itself did not run. These are counted in the result. Just before it sends, the soak asks the kernel whether the connection is still open.

Signals count for the life of a process that they were sent to: before, one SIGTERM excused the process for the rest of the play.

--- a/tests/process/fleet_soak.py
+++ b/tests/process/fleet_soak.py
@@ -24,7 +24,7 @@
 
 import lab as stand  # noqa: E402
 from soak_callers import (Caller, CallerWhoGivesUp, CancellingCaller,  # noqa: E402
-                          LastingCaller)
+                          KeptConnections, LastingCaller)
 
 WORKERS_PER_PROCESS = 3
 JOBS_PER_S = 2.7  # for each process
@@ -83,18 +83,19 @@
         self.faults = [getattr(self, name) for name in faults]
         self.until = 0.0  # when the load ends
         self.callers = {}
+        self.kept = KeptConnections(self)
         self.started = set()  # jobs of which a task was started
         self.restarting = set()  # processes that a fault is about to start again
-        self.signals = {}  # by process: [(time, signal)]
+        self.signals = {}  # by process and its start: [(time, signal)]
         self.done = set()  # tasks whose end `done` was acknowledged
         self.done_ends = {}  # by worker and its start, as ends are numbered anew: [(number, task)]
 
-    def may_break_off(self, process, sent_at):
+    def may_break_off(self, child, sent_at):
         """Returns true if the process was killed since the request was sent, or was about to end
         after a stop signal."""
         return any(number == signal.SIGKILL and at >= sent_at - 0.5
                    or number == signal.SIGTERM and at < sent_at - DRAIN_S
-                   for at, number in self.signals.get(process, []))
+                   for at, number in self.signals.get(child, []))
 
     # What workers see.
     def on_started(self, worker, task, run):
@@ -182,7 +183,7 @@
     async def restart(self, process, number):
         if process is None or process.child.returncode is not None:
             return
-        self.signals.setdefault(process, []).append((time.monotonic(), number))
+        self.signals.setdefault(process.child, []).append((time.monotonic(), number))
         process.signal(number)
         if process in self.restarting:
             return  # another fault starts it again
@@ -265,6 +266,7 @@
         lab = self.lab
         lab.on_started, lab.on_gone, lab.on_taken_note = (self.on_started, self.on_gone,
                                                           self.on_taken_note)
+        lab.spawn(self.kept.watch_stalls())
         lab.add_minions(WORKERS_PER_PROCESS * self.processes, self.run_time)
         await lab.begin(self.processes, links=True)
         await asyncio.sleep(2)
@@ -315,7 +317,8 @@
                          accepted=sum(c.accepted for c in self.callers.values()),
                          rejected=sum(c.rejected for c in self.callers.values()),
                          cancelled=sum(c.cancelled_at is not None
-                                       for c in self.callers.values()))
+                                       for c in self.callers.values()),
+                         on_kept=self.kept.requests, closed_at_once=self.kept.races)
 
     async def check_complete(self, job):
         for _ in range(6):
