Soak: suspend any process, also one that drains, and signal two at once

Three more kinds of faults: any process is suspended (before, only the one in office); a process gets SIGTERM and is suspended and woken while it drains; two processes get SIGTERM, SIGKILL or SIGSTOP (and later SIGCONT) at once.

--- a/tests/process/fleet_soak.py
+++ b/tests/process/fleet_soak.py
@@ -29,7 +29,7 @@
 WORKERS_PER_PROCESS = 3
 JOBS_PER_S = 2.7  # for each process
 LASTING_SHARE = 0.06  # of the jobs
-GIVE_UP_SHARE = 0.12  # of the other jobs: callers who leave before the answer, and cancel
+GIVE_UP_SHARE = 0.2  # of the other jobs: callers who leave before the answer, and cancel
 CANCEL_SHARE = 0.12  # of the other jobs: callers who cancel what was accepted
 CANCEL_S = 3.0  # cancel_ms: from the acknowledgement of a cancellation until no task starts
 SETTLE_S = 14  # from the last fault until all accepted jobs have to be complete
@@ -193,15 +193,41 @@
         self.restarting.discard(process)
         await process.begin()
 
-    async def leader_frozen(self):
-        leader = self.lab.leader()
-        if leader and leader.child.returncode is None:
-            child = leader.child
-            leader.signal(signal.SIGSTOP)
-            await asyncio.sleep(self.rng.uniform(0.5, 5.0))
+    async def freeze(self, process, seconds):
+        if process and process.child.returncode is None:
+            child = process.child
+            process.signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
             if child.returncode is None:
+                self.lab.record.write("signal", name=process.name, number=int(signal.SIGCONT))
                 child.send_signal(signal.SIGCONT)
 
+    async def leader_frozen(self):
+        await self.freeze(self.lab.leader(), self.rng.uniform(0.5, 5.0))
+
+    async def process_frozen(self):
+        await self.freeze(self.rng.choice(self.lab.processes), self.rng.uniform(0.5, 5.0))
+
+    async def draining_process_frozen(self):
+        process = self.rng.choice(self.lab.processes)
+        await asyncio.gather(self.restart(process, signal.SIGTERM),
+                             self.freeze_later(process, self.rng.uniform(0.0, 3.0)))
+
+    async def freeze_later(self, process, after_s):
+        child = process.child
+        await asyncio.sleep(after_s)
+        if process.child is child:
+            await self.freeze(process, self.rng.uniform(0.3, 4.0))
+
+    async def two_processes_signalled(self):
+        """Two signals at once, to two processes: each is stopped, killed or suspended."""
+        pair = self.rng.sample(self.lab.processes, min(2, len(self.lab.processes)))
+        numbers = [self.rng.choice([signal.SIGTERM, signal.SIGKILL, signal.SIGSTOP])
+                   for _ in pair]
+        await asyncio.gather(*[
+            self.freeze(process, self.rng.uniform(0.5, 5.0)) if number == signal.SIGSTOP
+            else self.restart(process, number) for process, number in zip(pair, numbers)])
+
     async def worker_crashes(self):
         worker = self.rng.choice(self.lab.minions)
         if worker.up and not worker.silent:
@@ -335,7 +361,8 @@
 FAULTS = ["store_busy", "store_silent", "store_answers_lost", "store_answers_late",
           "store_answer_lost_then_busy", "leader_cut_from_store", "leader_killed",
           "process_stopped", "leader_frozen", "worker_crashes", "worker_cut_off",
-          "all_processes_killed", "power_lost"]
+          "all_processes_killed", "power_lost", "process_frozen", "draining_process_frozen",
+          "two_processes_signalled"]
 
 
 async def play(seed, processes, seconds, faults, logs):
