Soak: links between processes, cut, with late and with lost answers

A process reads another leader's address as that of a link in front of it. The link can be cut (what was sent arrives afterwards, also if its sender has given up), lose answers to requests that were carried out, and delay answers.

--- a/tests/process/fleet_soak.py
+++ b/tests/process/fleet_soak.py
@@ -1,11 +1,13 @@
-"""A seeded fault soak of `ibishinge-fleet`: real processes on loopback, beside stand-ins of the platform.
+"""A seeded fault soak of `ibishinge-fleet`: real processes on loopback, beside stand-ins.
 
-    fleet_soak.py --binaries FOLDER [--seeds 1,2,3 | --count 50] [--processes 3] [--seconds 40] [--faults NAME,...]
-                  [--logs FOLDER]
+    fleet_soak.py --binaries FOLDER [--seeds 1,2,3 | --count 50] [--processes 3] [--seconds 40]
+                  [--faults NAME,...] [--logs FOLDER]
 
-Callers hand jobs in through all processes and try again as the platform's callers do; meanwhile faults come in
-series and overlap. What callers are answered and what workers start and end is checked against the promises. The
-exit status is 1 if one was broken. `--logs` keeps the record and the logs of the processes of each seed.
+Callers hand jobs in through all processes and try again as the platform's callers do; meanwhile
+faults come in series and overlap. What callers are answered and what workers start and end is
+checked against the promises. The exit status is 1 if one was broken. Without `--faults`, links
+between the processes fail too if the seed is even. `--logs` keeps the record and the logs of the
+processes of each seed.
 """
 
 import argparse
@@ -25,6 +27,7 @@
 import lab as stand  # noqa: E402
 from soak_callers import (Caller, CallerWhoGivesUp, CancellingCaller,  # noqa: E402
                           KeptConnections, LastingCaller)
+from soak_links import LinkedProcess  # noqa: E402
 
 WORKERS_PER_PROCESS = 3
 JOBS_PER_S = 2.7  # for each process
@@ -161,6 +164,35 @@
             await asyncio.sleep(self.rng.uniform(0.5, 4.0))
             leader.links["store"].heal()
 
+    def peer_link(self):
+        """Returns the way to a process from the others, mostly to the leader; None: no links."""
+        leader = self.lab.leader()
+        if leader is None or self.rng.random() < 0.2:
+            leader = self.rng.choice(self.lab.processes)
+        return leader.links.get("peers")
+
+    async def peers_cut(self):
+        """What was sent in the meantime arrives afterwards, also if its sender has given up."""
+        link = self.peer_link()
+        if link:
+            link.cut()
+            await asyncio.sleep(self.rng.uniform(0.3, 4.0))
+            link.heal()
+
+    async def peer_answers_lost(self):
+        link = self.peer_link()
+        if link:
+            link.answers_lost = True
+            await asyncio.sleep(self.rng.uniform(0.3, 3.0))
+            link.answers_lost = False
+
+    async def peer_answers_late(self):
+        link = self.peer_link()
+        if link:
+            link.answers_late_s = self.rng.uniform(0.1, 3.0)
+            await asyncio.sleep(self.rng.uniform(0.3, 3.0))
+            link.answers_late_s = 0.0
+
     async def leader_killed(self):
         await self.restart(self.lab.leader(), signal.SIGKILL)
 
@@ -344,7 +376,9 @@
                          rejected=sum(c.rejected for c in self.callers.values()),
                          cancelled=sum(c.cancelled_at is not None
                                        for c in self.callers.values()),
-                         on_kept=self.kept.requests, closed_at_once=self.kept.races)
+                         on_kept=self.kept.requests, closed_at_once=self.kept.races,
+                         over_links=sum(process.links["peers"].carried for process in lab.processes
+                                        if "peers" in process.links))
 
     async def check_complete(self, job):
         for _ in range(6):
@@ -363,12 +397,18 @@
           "process_stopped", "leader_frozen", "worker_crashes", "worker_cut_off",
           "all_processes_killed", "power_lost", "process_frozen", "draining_process_frozen",
           "two_processes_signalled"]
+FAULTS_OF_LINKS = ["peers_cut", "peer_answers_lost", "peer_answers_late"]
 
 
 async def play(seed, processes, seconds, faults, logs):
     """Plays a seed and ends this process with the exit status: tasks of connections may be left."""
     folder = Path(logs or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
     folder.mkdir(parents=True, exist_ok=True)
+    if faults is None:
+        # Not in all plays: a link hides that a process that has ended refuses connections.
+        faults = FAULTS + FAULTS_OF_LINKS if seed % 2 == 0 else FAULTS
+    if set(faults) & set(FAULTS_OF_LINKS):
+        stand.Process = LinkedProcess
     lab = stand.Lab(folder / "record.txt")
     os.rmdir(lab.folder)
     lab.folder = str(folder)
@@ -396,7 +436,7 @@
     parser.add_argument("--count", type=int, default=1, help="seeds 1 to COUNT, without --seeds")
     parser.add_argument("--processes", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=40)
-    parser.add_argument("--faults", default=",".join(FAULTS))
+    parser.add_argument("--faults", help="by default all that the seed allows")
     parser.add_argument("--logs")
     arguments = parser.parse_args()
     stand.PROGRAM = str(arguments.binaries.resolve() / "ibishinge-fleet")
@@ -404,7 +444,8 @@
              else range(1, arguments.count + 1))
     if len(seeds) == 1:
         asyncio.run(play(seeds[0], arguments.processes, arguments.seconds,
-                         arguments.faults.split(","), arguments.logs))
+                         arguments.faults.split(",") if arguments.faults else None,
+                         arguments.logs))
     statuses = [subprocess.run([sys.executable, *sys.argv, "--seeds", str(seed)],
                                check=False).returncode for seed in seeds]
     return max(statuses)
--- a/tests/process/fleet_soak_test.py
+++ b/tests/process/fleet_soak_test.py
@@ -1,4 +1,4 @@
-"""Short seeded soaks of `ibishinge-fleet` under faults. `fleet_soak.py` plays longer ones by hand."""
+"""Short seeded soaks of `ibishinge-fleet` under faults. `fleet_soak.py` plays longer ones."""
 
 import subprocess
 import sys
