--- a/tests/process/fleet_soak.py
+++ b/tests/process/fleet_soak.py
@@ -1,11 +1,13 @@
-"""A seeded fault soak of `ibishinge-fleet`: real processes on loopback, beside stand-ins of the platform.
+"""A seeded fault soak of `ibishinge-fleet`: real processes on loopback, beside stand-ins.
 
-    fleet_soak.py --binaries FOLDER [--seeds 1,2,3 | --count 50] [--processes 3] [--seconds 40] [--faults NAME,...]
-                  [--logs FOLDER]
+    fleet_soak.py --binaries FOLDER [--seeds 1,2,3 | --count 50] [--processes 3] [--seconds 40]
+                  [--faults NAME,...] [--logs FOLDER]
 
-Callers hand jobs in through all processes and try again as the platform's callers do; meanwhile faults come in
-series and overlap. What callers are answered and what workers start and end is checked against the promises. The
-exit status is 1 if one was broken. `--logs` keeps the record and the logs of the processes of each seed.
+Callers hand jobs in through all processes and try again as the platform's callers do; meanwhile
+faults come in series and overlap. What callers are answered and what workers start and end is
+checked against the promises. The exit status is 1 if one was broken. Without `--faults`, links
+between the processes fail too if the seed is even. `--logs` keeps the record and the logs of the
+processes of each seed.
 """
 
 import argparse
@@ -23,13 +25,16 @@
 sys.path.insert(0, str(ROOT / "review/standins"))
 
 import lab as stand  # noqa: E402
+from soak_callers import (Caller, CallerWhoGivesUp, CancellingCaller,  # noqa: E402
+                          KeptConnections, LastingCaller)
+from soak_links import LinkedProcess  # noqa: E402
 
 WORKERS_PER_PROCESS = 3
 JOBS_PER_S = 2.7  # for each process
 LASTING_SHARE = 0.06  # of the jobs
-TRIES = 4
-CALLER_DEADLINE_MS = 3000
-REJECTED = {429, 503}  # answers that promise that the job never runs
+GIVE_UP_SHARE = 0.2  # of the other jobs: callers who leave before the answer, and cancel
+CANCEL_SHARE = 0.12  # of the other jobs: callers who cancel what was accepted
+CANCEL_S = 3.0  # cancel_ms: from the acknowledgement of a cancellation until no task starts
 SETTLE_S = 14  # from the last fault until all accepted jobs have to be complete
 DRAIN_S = 3.0  # a process that is stopped answers requests that come within this time
 PROBES = 40  # jobs handed in after the last fault
@@ -72,57 +77,6 @@
         self.record.write("store_back")
 
 
-class Caller:
-    """Hands one job in, with retries, and remembers each answer."""
-
-    def __init__(self, soak, job):
-        self.soak, self.job = soak, job
-        self.statuses = []
-
-    @property
-    def accepted(self):
-        return any(200 <= status < 300 for status in self.statuses)
-
-    @property
-    def rejected(self):
-        return bool(self.statuses) and all(status in REJECTED for status in self.statuses)
-
-    async def run(self):
-        lab, rng = self.soak.lab, self.soak.rng
-        document = lab.jobs[self.job]
-        for _ in range(TRIES):
-            process = rng.choice(lab.processes)
-            sent_at = time.monotonic()
-            status, _ = await lab.call("POST", process, "/q/" + self.job, document,
-                                       CALLER_DEADLINE_MS)
-            self.statuses.append(status)
-            if status == 0 and not self.soak.may_break_off(process, sent_at):
-                lab.violate(f"LOST: {process.name} ended the request {self.job} without an answer")
-            if self.accepted:
-                return
-            await asyncio.sleep(rng.uniform(0.2, 1.0))
-
-
-class LastingCaller(Caller):
-    """Hands in a job whose tasks run until it is cancelled, and cancels some of these jobs."""
-
-    def __init__(self, soak, job, cancels_after_s):
-        super().__init__(soak, job)
-        self.cancels_after_s = cancels_after_s  # None: it keeps the job
-        self.cancelled = False  # acknowledged
-
-    async def run(self):
-        await super().run()
-        if not self.accepted or self.cancels_after_s is None:
-            return
-        await asyncio.sleep(self.cancels_after_s)
-        while not self.cancelled:
-            process = self.soak.rng.choice(self.soak.lab.processes)
-            status, _ = await self.soak.lab.call("DELETE", process, "/q/" + self.job)
-            self.cancelled = 200 <= status < 300 or status == 410
-            await asyncio.sleep(0.3)
-
-
 class Soak:
     """One run: load, faults and checks, all drawn from the seed."""
 
@@ -130,25 +84,32 @@
         self.lab, self.processes, self.seconds = lab, processes, seconds
         self.rng = random.Random(seed)
         self.faults = [getattr(self, name) for name in faults]
+        self.until = 0.0  # when the load ends
         self.callers = {}
+        self.kept = KeptConnections(self)
         self.started = set()  # jobs of which a task was started
         self.restarting = set()  # processes that a fault is about to start again
-        self.signals = {}  # by process: [(time, signal)]
+        self.signals = {}  # by process and its start: [(time, signal)]
         self.done = set()  # tasks whose end `done` was acknowledged
         self.done_ends = {}  # by worker and its start, as ends are numbered anew: [(number, task)]
 
-    def may_break_off(self, process, sent_at):
+    def may_break_off(self, child, sent_at):
         """Returns true if the process was killed since the request was sent, or was about to end
         after a stop signal."""
         return any(number == signal.SIGKILL and at >= sent_at - 0.5
                    or number == signal.SIGTERM and at < sent_at - DRAIN_S
-                   for at, number in self.signals.get(process, []))
+                   for at, number in self.signals.get(child, []))
 
     # What workers see.
     def on_started(self, worker, task, run):
         job = task.split(".")[0]
         if job not in self.callers:
             self.lab.violate(f"UNASKED: {task} was started, and nobody handed its job in")
+        elif self.callers[job].cancelled_at is not None:
+            late_s = time.monotonic() - self.callers[job].cancelled_at
+            if late_s > CANCEL_S:
+                self.lab.violate(f"UNASKED: run {run} of {task} starts {late_s:.1f} s after the "
+                                 "cancellation was acknowledged")
         for other in self.lab.minions:
             if other is not worker and other.up and task in other.running:
                 self.lab.violate(f"TWICE: run {run} of {task} starts on {worker.id} while it runs "
@@ -203,6 +164,35 @@
             await asyncio.sleep(self.rng.uniform(0.5, 4.0))
             leader.links["store"].heal()
 
+    def peer_link(self):
+        """Returns the way to a process from the others, mostly to the leader; None: no links."""
+        leader = self.lab.leader()
+        if leader is None or self.rng.random() < 0.2:
+            leader = self.rng.choice(self.lab.processes)
+        return leader.links.get("peers")
+
+    async def peers_cut(self):
+        """What was sent in the meantime arrives afterwards, also if its sender has given up."""
+        link = self.peer_link()
+        if link:
+            link.cut()
+            await asyncio.sleep(self.rng.uniform(0.3, 4.0))
+            link.heal()
+
+    async def peer_answers_lost(self):
+        link = self.peer_link()
+        if link:
+            link.answers_lost = True
+            await asyncio.sleep(self.rng.uniform(0.3, 3.0))
+            link.answers_lost = False
+
+    async def peer_answers_late(self):
+        link = self.peer_link()
+        if link:
+            link.answers_late_s = self.rng.uniform(0.1, 3.0)
+            await asyncio.sleep(self.rng.uniform(0.3, 3.0))
+            link.answers_late_s = 0.0
+
     async def leader_killed(self):
         await self.restart(self.lab.leader(), signal.SIGKILL)
 
@@ -225,7 +215,7 @@
     async def restart(self, process, number):
         if process is None or process.child.returncode is not None:
             return
-        self.signals.setdefault(process, []).append((time.monotonic(), number))
+        self.signals.setdefault(process.child, []).append((time.monotonic(), number))
         process.signal(number)
         if process in self.restarting:
             return  # another fault starts it again
@@ -235,15 +225,41 @@
         self.restarting.discard(process)
         await process.begin()
 
-    async def leader_frozen(self):
-        leader = self.lab.leader()
-        if leader and leader.child.returncode is None:
-            child = leader.child
-            leader.signal(signal.SIGSTOP)
-            await asyncio.sleep(self.rng.uniform(0.5, 5.0))
+    async def freeze(self, process, seconds):
+        if process and process.child.returncode is None:
+            child = process.child
+            process.signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
             if child.returncode is None:
+                self.lab.record.write("signal", name=process.name, number=int(signal.SIGCONT))
                 child.send_signal(signal.SIGCONT)
 
+    async def leader_frozen(self):
+        await self.freeze(self.lab.leader(), self.rng.uniform(0.5, 5.0))
+
+    async def process_frozen(self):
+        await self.freeze(self.rng.choice(self.lab.processes), self.rng.uniform(0.5, 5.0))
+
+    async def draining_process_frozen(self):
+        process = self.rng.choice(self.lab.processes)
+        await asyncio.gather(self.restart(process, signal.SIGTERM),
+                             self.freeze_later(process, self.rng.uniform(0.0, 3.0)))
+
+    async def freeze_later(self, process, after_s):
+        child = process.child
+        await asyncio.sleep(after_s)
+        if process.child is child:
+            await self.freeze(process, self.rng.uniform(0.3, 4.0))
+
+    async def two_processes_signalled(self):
+        """Two signals at once, to two processes: each is stopped, killed or suspended."""
+        pair = self.rng.sample(self.lab.processes, min(2, len(self.lab.processes)))
+        numbers = [self.rng.choice([signal.SIGTERM, signal.SIGKILL, signal.SIGSTOP])
+                   for _ in pair]
+        await asyncio.gather(*[
+            self.freeze(process, self.rng.uniform(0.5, 5.0)) if number == signal.SIGSTOP
+            else self.restart(process, number) for process, number in zip(pair, numbers)])
+
     async def worker_crashes(self):
         worker = self.rng.choice(self.lab.minions)
         if worker.up and not worker.silent:
@@ -266,21 +282,31 @@
         self.callers[job] = LastingCaller(self, job, cancels_after_s)
         return asyncio.create_task(self.callers[job].run())
 
-    def hand_in(self):
+    def hand_in(self, make_caller=Caller):
         job = self.lab.new_id()
         steps = [{"count": self.rng.randint(1, 3), "cpu": 2000, "mem-mb": 500, "estimate-ms": 500}]
         if self.rng.random() < 0.4:
             steps.append(dict(steps[0], after=[0]))
         self.lab.jobs[job] = {"spec": "work", "steps": steps}
-        caller = Caller(self, job)
-        self.callers[job] = caller
-        return asyncio.create_task(caller.run())
+        self.callers[job] = make_caller(self, job)
+        return asyncio.create_task(self.callers[job].run())
+
+    def hand_in_some_kind(self):
+        if self.rng.random() < LASTING_SHARE:
+            return self.hand_in_lasting()
+        kind = self.rng.random()
+        if kind < GIVE_UP_SHARE:
+            leaves_after_s = self.rng.choice([0.02, 0.3, 3.0]) * self.rng.random()
+            return self.hand_in(lambda soak, job: CallerWhoGivesUp(soak, job, leaves_after_s))
+        if kind < GIVE_UP_SHARE + CANCEL_SHARE:
+            cancels_after_s = self.rng.uniform(0.0, 2.0)
+            return self.hand_in(lambda soak, job: CancellingCaller(soak, job, cancels_after_s))
+        return self.hand_in()
 
     async def load(self, until):
         pending = []
         while time.monotonic() < until:
-            lasting = self.rng.random() < LASTING_SHARE
-            pending.append(self.hand_in_lasting() if lasting else self.hand_in())
+            pending.append(self.hand_in_some_kind())
             await asyncio.sleep(self.rng.expovariate(JOBS_PER_S * self.processes))
         await asyncio.gather(*pending)
 
@@ -298,26 +324,33 @@
         lab = self.lab
         lab.on_started, lab.on_gone, lab.on_taken_note = (self.on_started, self.on_gone,
                                                           self.on_taken_note)
+        lab.spawn(self.kept.watch_stalls())
         lab.add_minions(WORKERS_PER_PROCESS * self.processes, self.run_time)
         await lab.begin(self.processes, links=True)
         await asyncio.sleep(2)
-        until = time.monotonic() + self.seconds
-        await asyncio.gather(self.load(until), self.disturb(until))
+        self.until = time.monotonic() + self.seconds
+        await asyncio.gather(self.load(self.until), self.disturb(self.until))
         await asyncio.sleep(SETTLE_S)
         await self.check()
 
     def run_time(self, _task, spec):
         return None if spec == "lasting" else self.rng.uniform(0.2, 1.0)
 
+    def runs_of(self, job):
+        return [task for worker in self.lab.minions if worker.up for task in worker.running
+                if task.startswith(job)]
+
     def check_lasting(self, caller):
-        runs = [task for worker in self.lab.minions if worker.up for task in worker.running
-                if task.startswith(caller.job)]
-        if caller.cancelled and runs:
-            self.lab.violate(f"UNASKED: {runs} run on, although the cancellation was acknowledged")
+        runs = self.runs_of(caller.job)
         wanted = self.lab.jobs[caller.job]["steps"][0]["count"]
         if caller.cancels_after_s is None and len(runs) != wanted:
             self.lab.violate(f"LOST: of the tasks of {caller.job} only {runs} run")
 
+    def check_cancelled(self, job):
+        runs = self.runs_of(job)
+        if runs:
+            self.lab.violate(f"UNASKED: {runs} run on, although the cancellation was acknowledged")
+
     async def check(self):
         lab = self.lab
         for job, caller in self.callers.items():
@@ -325,7 +358,9 @@
             if caller.rejected and job in self.started:
                 lab.violate(f"REFUSED: job {job} ran, and all attempts to hand it in were "
                             f"rejected: {caller.statuses}")
-            if caller.accepted and isinstance(caller, LastingCaller):
+            if caller.cancelled_at is not None:
+                self.check_cancelled(job)
+            elif caller.accepted and isinstance(caller, LastingCaller):
                 self.check_lasting(caller)
             elif caller.accepted:
                 await self.check_complete(job)
@@ -338,7 +373,12 @@
                         "last fault")
         lab.record.write("result", jobs=len(self.callers),
                          accepted=sum(c.accepted for c in self.callers.values()),
-                         rejected=sum(c.rejected for c in self.callers.values()))
+                         rejected=sum(c.rejected for c in self.callers.values()),
+                         cancelled=sum(c.cancelled_at is not None
+                                       for c in self.callers.values()),
+                         on_kept=self.kept.requests, closed_at_once=self.kept.races,
+                         over_links=sum(process.links["peers"].carried for process in lab.processes
+                                        if "peers" in process.links))
 
     async def check_complete(self, job):
         for _ in range(6):
@@ -355,13 +395,20 @@
 FAULTS = ["store_busy", "store_silent", "store_answers_lost", "store_answers_late",
           "store_answer_lost_then_busy", "leader_cut_from_store", "leader_killed",
           "process_stopped", "leader_frozen", "worker_crashes", "worker_cut_off",
-          "all_processes_killed", "power_lost"]
+          "all_processes_killed", "power_lost", "process_frozen", "draining_process_frozen",
+          "two_processes_signalled"]
+FAULTS_OF_LINKS = ["peers_cut", "peer_answers_lost", "peer_answers_late"]
 
 
 async def play(seed, processes, seconds, faults, logs):
     """Plays a seed and ends this process with the exit status: tasks of connections may be left."""
     folder = Path(logs or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
     folder.mkdir(parents=True, exist_ok=True)
+    if faults is None:
+        # Not in all plays: a link hides that a process that has ended refuses connections.
+        faults = FAULTS + FAULTS_OF_LINKS if seed % 2 == 0 else FAULTS
+    if set(faults) & set(FAULTS_OF_LINKS):
+        stand.Process = LinkedProcess
     lab = stand.Lab(folder / "record.txt")
     os.rmdir(lab.folder)
     lab.folder = str(folder)
@@ -389,7 +436,7 @@
     parser.add_argument("--count", type=int, default=1, help="seeds 1 to COUNT, without --seeds")
     parser.add_argument("--processes", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=40)
-    parser.add_argument("--faults", default=",".join(FAULTS))
+    parser.add_argument("--faults", help="by default all that the seed allows")
     parser.add_argument("--logs")
     arguments = parser.parse_args()
     stand.PROGRAM = str(arguments.binaries.resolve() / "ibishinge-fleet")
@@ -397,7 +444,8 @@
              else range(1, arguments.count + 1))
     if len(seeds) == 1:
         asyncio.run(play(seeds[0], arguments.processes, arguments.seconds,
-                         arguments.faults.split(","), arguments.logs))
+                         arguments.faults.split(",") if arguments.faults else None,
+                         arguments.logs))
     statuses = [subprocess.run([sys.executable, *sys.argv, "--seeds", str(seed)],
                                check=False).returncode for seed in seeds]
     return max(statuses)
