--- a/tests/process/fleet_soak_test.py
+++ b/tests/process/fleet_soak_test.py
@@ -31,6 +31,13 @@
         request was sent again on another connection, and the outcome of the copy was believed."""
         self.soak([1, 2, 4], 20, ["store_answer_lost_then_busy", "leader_killed"])
 
+    def test_promises_hold_when_links_fail_and_processes_are_suspended(self):
+        """Guards against tasks of cancelled jobs that start, and requests that are closed unread
+        by a process that wakes."""
+        self.soak([36, 40], 30, ["peers_cut", "peer_answers_late", "peer_answers_lost",
+                                 "process_frozen", "draining_process_frozen",
+                                 "two_processes_signalled"])
+
     def test_promises_hold_under_all_faults(self):
         self.soak([11, 12], 25)
 
