--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -73,7 +73,11 @@
         if (request.path == "/wait") {
             m_waiting.push_back(respond);
         } else if (request.path == "/long") {
-            respond({200, {}, std::string(64'000'000, 'x')});
+            std::string body; // more than socket buffers hold
+            while (body.size() < 64'000'000) {
+                body.append(1'000'000, 'x');
+            }
+            respond({200, {}, body});
         } else if (request.path == "/throw") {
             throw std::runtime_error("unexpected");
         } else {
