Test that fails: a take-over over a narrow link never ends

On real processes: about 1,000 stored jobs with payloads of 1 to 4 KB, all processes killed, and the process that is back first, and elected, has a link of 10 Mbit/s to the store. The store's pages have up to 1 MB, as the platform's.

The link is a loopback proxy (`NarrowLink`) that carries so many bytes a second in each direction. A second case has 2 Mbit/s for all processes, 300 jobs, and a queue in which small answers wait behind a page.

--- a/tests/process/soak_links.py
+++ b/tests/process/soak_links.py
@@ -11,6 +11,54 @@
 import lab as stand
 
 LEADER_KEY = "fleet/leader"
+SEGMENT = 1500  # bytes
+BITS = 8
+
+
+class NarrowLink(stand.Proxy):
+    """A link that carries a limited number of bytes a second in each direction, which all of its
+    connections share. A connection has up to `window` bytes on its way, and those of the others
+    wait behind them."""
+
+    def __init__(self, target_port):
+        super().__init__(target_port)
+        self.bytes_per_s = None  # None: no limit
+        self.window = SEGMENT
+        self.turns = {True: asyncio.Lock(), False: asyncio.Lock()}  # by direction, True: to target
+        self.free_at = {True: 0.0, False: 0.0}
+
+    def limit(self, mbit_per_s, window=SEGMENT):
+        self.bytes_per_s = mbit_per_s * 1e6 / BITS
+        self.window = window
+
+    async def pump(self, reader, writer):
+        upwards = writer.get_extra_info("peername")[1] == self.target
+        while True:
+            data = await reader.read(self.window)
+            await self.open_link.wait()
+            if reader.exception():
+                writer.transport.abort()
+                return
+            if not data:
+                writer.write_eof()
+                return
+            async with self.turns[upwards]:
+                for begin in range(0, len(data), SEGMENT):
+                    part = data[begin:begin + SEGMENT]
+                    await self.pass_time(upwards, len(part))
+                    if writer.is_closing():
+                        return
+                    writer.write(part)
+            await writer.drain()
+
+    async def pass_time(self, upwards, size):
+        if self.bytes_per_s is None:
+            return
+        now = asyncio.get_running_loop().time()
+        # Lateness of timers is made up for, so that the rate is kept.
+        self.free_at[upwards] = (max(self.free_at[upwards], now - 0.005)
+                                 + size / self.bytes_per_s)
+        await asyncio.sleep(self.free_at[upwards] - now)
 
 
 class PeerLink(stand.Proxy):
