Count time-outs of transfers from the last byte

Cause: each call to the store had 800 ms as a whole. A page of the store, of up to 500 items or 1 MB, takes longer over such a link, and each repetition starts from its first byte. Watches, items, answers to transactions with conflicts, lists of hosts and reports of workers had the same limit.

--- a/include/ibishinge/fleet/peer_link.h
+++ b/include/ibishinge/fleet/peer_link.h
@@ -22,7 +22,8 @@
     /// true if the process accepts. Errors: as `forward`.
     virtual void offerLeadership(const std::string &address, std::int64_t revision,
                                  reply<bool> done) = 0;
-    /// Sends encoded calls to workers to a relay and receives encoded results. Errors: as
+    /// Sends encoded calls to workers to a relay and receives encoded results. A relay that is
+    /// silent for `timeout` has failed; one that is sending has twice as long. Errors: as
     /// `forward`.
     virtual void exchangeWorkerCalls(const std::string &address, const std::string &calls,
                                      milliseconds timeout, reply<std::string> done) = 0;
--- a/include/ibishinge/outside/io_loop.h
+++ b/include/ibishinge/outside/io_loop.h
@@ -20,6 +20,9 @@
     std::vector<http_header> headers;
     std::string body;
     std::chrono::milliseconds timeout {1000}; ///< for the whole exchange
+    /// Longest time in which no byte of the request is sent and none of the response arrives, for
+    /// exchanges whose duration depends on the bandwidth; 0: only `timeout` applies.
+    std::chrono::milliseconds stallTimeout {0};
 };
 
 using response_handler = std::function<void(result<http_response>)>;
--- a/src/fleet/http_peer_link.cpp
+++ b/src/fleet/http_peer_link.cpp
@@ -112,7 +112,7 @@
                                          milliseconds timeout, reply<std::string> done)
 {
     m_loop.send(
-        {"POST", address, callsPath, {cborContent}, calls, timeout},
+        {"POST", address, callsPath, {cborContent}, calls, 2 * timeout, timeout},
         [address, done = std::move(done)](const result<http_response> &response) {
             if (!response) {
                 done(tl::unexpected(response.error()));
--- a/src/outside/io_loop.cpp
+++ b/src/outside/io_loop.cpp
@@ -46,18 +46,16 @@
 /// Largest wait of the loop without a timer.
 constexpr milliseconds longestWait {1000};
 
-std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *target)
-{
-    static_cast<std::string *>(target)->append(data, size * count);
-    return size * count;
-}
-
 using deadlines = std::multimap<instant, CURL *>;
 
 struct exchange
 {
     CURL *handle = nullptr;
     deadlines::iterator deadline;
+    instant endsBy; ///< end of `outgoing_request::timeout`
+    milliseconds stallTimeout {0};
+    instant progressAt; ///< when bytes were last sent or received
+    curl_off_t sentBytes = 0; ///< of the body
     curl_slist *headers = nullptr;
     std::string address;
     std::string requestBody;
@@ -67,6 +65,35 @@
     response_handler done;
 };
 
+/// Returns when the exchange times out if no more bytes are sent or received.
+instant deadlineOf(const exchange &call)
+{
+    return call.stallTimeout.count() > 0
+               ? std::min(call.endsBy, call.progressAt + call.stallTimeout)
+               : call.endsBy;
+}
+
+/// Called by libcurl with each part of a response's body.
+std::size_t onBody(char *data, std::size_t size, std::size_t count, void *call)
+{
+    auto &each = *static_cast<exchange *>(call);
+    each.responseBody.append(data, size * count);
+    each.progressAt = boot_clock::now();
+    return size * count;
+}
+
+/// Called by libcurl often while it sends a request.
+int onProgress(void *call, curl_off_t /*toReceive*/, curl_off_t /*received*/, curl_off_t /*toSend*/,
+               curl_off_t sent)
+{
+    auto &each = *static_cast<exchange *>(call);
+    if (sent > each.sentBytes) {
+        each.sentBytes = sent;
+        each.progressAt = boot_clock::now();
+    }
+    return 0;
+}
+
 /// Called by libcurl before it sends a request, also when it sends one again because a reused
 /// connection was closed without a response. The first copy may have been carried out, so that the
 /// response to the second does not tell what became of the request.
@@ -101,8 +128,9 @@
     std::optional<instant> curlTimer;
     std::vector<CURL *> idleHandles;
     std::map<CURL *, std::unique_ptr<exchange>> exchanges;
-    /// Ends of the timeouts of `exchanges`. libcurl would compare its own with the present time
-    /// before it reads a response that has arrived.
+    /// Ends of the timeouts of `exchanges`, without the progress made since they were entered.
+    /// libcurl would compare its own with the present time before it reads a response that has
+    /// arrived.
     deadlines timeouts;
     /// Input that arrived before this has been handled. Timers and timeouts are due by this time:
     /// after a stall of the process, those that ran out meanwhile wait until it has been read.
@@ -251,6 +279,9 @@
     call->requestBody = std::move(request.body);
     call->resendable = request.method == "GET";
     call->done = std::move(done);
+    call->progressAt = now();
+    call->endsBy = call->progressAt + request.timeout;
+    call->stallTimeout = request.stallTimeout;
 
     const std::string url = "http://" + request.address + request.target;
     curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
@@ -259,8 +290,8 @@
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(std::min(request.timeout, connectTimeout).count()));
     curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, idleConnectionSeconds);
-    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, appendBody);
-    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &call->responseBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, onBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, call.get());
     curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, beforeSending);
     curl_easy_setopt(handle, CURLOPT_PREREQDATA, call.get());
     const auto fresh = m_impl->freshUntil.find(request.address);
@@ -278,6 +309,11 @@
             call->headers = curl_slist_append(call->headers, "Content-Type: application/json");
         }
         call->headers = curl_slist_append(call->headers, "Expect:");
+        if (request.stallTimeout.count() > 0) {
+            curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
+            curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, onProgress);
+            curl_easy_setopt(handle, CURLOPT_XFERINFODATA, call.get());
+        }
     }
     for (const auto &header : request.headers) {
         call->headers =
@@ -285,7 +321,7 @@
     }
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, call->headers);
     curl_multi_add_handle(m_impl->multi, handle);
-    call->deadline = m_impl->timeouts.emplace(now() + request.timeout, handle);
+    call->deadline = m_impl->timeouts.emplace(deadlineOf(*call), handle);
     m_impl->exchanges.emplace(handle, std::move(call));
 }
 
@@ -350,7 +386,15 @@
 void io_loop::impl::runTimeouts()
 {
     while (!timeouts.empty() && timeouts.begin()->first <= polledAt) {
-        finish(timeouts.begin()->second, CURLE_OPERATION_TIMEDOUT);
+        CURL *const handle = timeouts.begin()->second;
+        auto &call = *exchanges.at(handle);
+        const auto deadline = deadlineOf(call);
+        if (deadline <= polledAt) {
+            finish(handle, CURLE_OPERATION_TIMEDOUT);
+        } else {
+            timeouts.erase(call.deadline);
+            call.deadline = timeouts.emplace(deadline, handle);
+        }
     }
 }
 
--- a/tests/io_loop_test.cpp
+++ b/tests/io_loop_test.cpp
@@ -37,6 +37,10 @@
     CPPUNIT_TEST(timersRunInOrder);
     CPPUNIT_TEST(postedFunctionsRunOnTheLoop);
     CPPUNIT_TEST(bodyAndHeadersArrive);
+    CPPUNIT_TEST(responseThatKeepsArrivingIsReceivedWhole);
+    CPPUNIT_TEST(responseThatStopsArrivingTimesOut);
+    CPPUNIT_TEST(responseThatTricklesForEverTimesOut);
+    CPPUNIT_TEST(requestThatKeepsBeingReadIsSentWhole);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<io_loop> m_loop;
@@ -100,6 +104,47 @@
         return outcome;
     }
 
+    struct timed_outcome
+    {
+        result<http_response> response;
+        std::chrono::milliseconds duration {0};
+    };
+
+    /// Sends a request to a server on a thread of its own, which runs `serve` with the connection.
+    timed_outcome exchangeWith(outgoing_request request,
+                               const std::function<void(raw_socket &)> &serve)
+    {
+        const bound_socket listener;
+        CPPUNIT_ASSERT_EQUAL(0, listen(listener.descriptor(), 16));
+        std::thread server([&] {
+            raw_socket peer(accept(listener.descriptor(), nullptr, nullptr));
+            serve(peer);
+            while (!peer.read(5s).value_or("").empty()) { }
+        });
+        request.address = addressOf(listener);
+        const auto begin = m_loop->now();
+        std::optional<timed_outcome> outcome;
+        m_loop->send(request, [&](const result<http_response> &response) {
+            outcome = timed_outcome {response, m_loop->now() - begin};
+        });
+        const bool ended = runUntil([&] { return outcome.has_value(); }, 20s);
+        m_loop.reset();
+        server.join();
+        CPPUNIT_ASSERT(ended);
+        return *outcome;
+    }
+
+    /// Responds with a body of `announced` bytes, of which `sent` are sent, one each `pause`.
+    static void respondSlowly(raw_socket &peer, int announced, int sent,
+                              std::chrono::milliseconds pause)
+    {
+        static_cast<void>(peer.read(5s));
+        peer.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(announced) + "\r\n\r\n");
+        for (int i = 0; i < sent && peer.write("x"); ++i) {
+            std::this_thread::sleep_for(pause);
+        }
+    }
+
     static std::unique_ptr<http_server> serve(http_handler handler)
     {
         http_server_options options;
@@ -273,6 +318,74 @@
         CPPUNIT_ASSERT_EQUAL(200, answer->status);
         CPPUNIT_ASSERT_EQUAL(std::string("{}"), answer->body);
     }
+
+    /// Guards against a response that a narrow link can never deliver, because its size, not a
+    /// silent peer, takes longer than the timeout.
+    void responseThatKeepsArrivingIsReceivedWhole()
+    {
+        outgoing_request request;
+        request.timeout = 15s;
+        request.stallTimeout = 400ms;
+        const auto outcome =
+            exchangeWith(request, [](raw_socket &peer) { respondSlowly(peer, 40, 40, 30ms); });
+        CPPUNIT_ASSERT(outcome.response.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string(40, 'x'), outcome.response->body);
+        CPPUNIT_ASSERT(outcome.duration >= 3 * request.stallTimeout / 2);
+    }
+
+    void responseThatStopsArrivingTimesOut()
+    {
+        outgoing_request request;
+        request.timeout = 15s;
+        request.stallTimeout = 400ms;
+        const auto outcome =
+            exchangeWith(request, [](raw_socket &peer) { respondSlowly(peer, 40, 20, 10ms); });
+        CPPUNIT_ASSERT(!outcome.response.has_value());
+        CPPUNIT_ASSERT(outcome.response.error().kind == error_kind::outcome_unknown);
+        CPPUNIT_ASSERT(outcome.duration >= request.stallTimeout);
+        CPPUNIT_ASSERT(outcome.duration < 5s);
+    }
+
+    /// Guards against a peer that holds a call for ever with a byte now and then.
+    void responseThatTricklesForEverTimesOut()
+    {
+        outgoing_request request;
+        request.timeout = 1s;
+        request.stallTimeout = 400ms;
+        const auto outcome = exchangeWith(
+            request, [](raw_socket &peer) { respondSlowly(peer, 1000000, 1000, 10ms); });
+        CPPUNIT_ASSERT(!outcome.response.has_value());
+        CPPUNIT_ASSERT(outcome.response.error().kind == error_kind::outcome_unknown);
+        CPPUNIT_ASSERT(outcome.duration >= request.timeout);
+        CPPUNIT_ASSERT(outcome.duration < 5s);
+    }
+
+    /// As for a response: a large transaction takes its time on a narrow link.
+    void requestThatKeepsBeingReadIsSentWhole()
+    {
+        constexpr std::size_t size = std::size_t {24} << 20U; // more than the system buffers
+        outgoing_request request;
+        request.method = "POST";
+        request.body = std::string(size, 'x');
+        request.timeout = 15s;
+        request.stallTimeout = 400ms;
+        const auto outcome = exchangeWith(request, [&](raw_socket &peer) {
+            std::size_t received = 0;
+            for (int pause = 0; received < size; ++pause) {
+                const auto part = peer.read(5s).value_or("");
+                if (part.empty()) {
+                    return;
+                }
+                received += part.size();
+                if (received * 12 / size != (received - part.size()) * 12 / size) {
+                    std::this_thread::sleep_for(100ms);
+                }
+            }
+            peer.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        });
+        CPPUNIT_ASSERT(outcome.response.has_value());
+        CPPUNIT_ASSERT(outcome.duration >= 3 * request.stallTimeout / 2);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(io_loop_test);
--- /dev/null
+++ b/tests/platform_client_test.cpp
@@ -0,0 +1,236 @@
+#include "platform/platform_client.h"
+#include "tests/support/raw_socket.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <functional>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace ibishinge;
+using namespace ibishinge::fleet;
+using namespace ibishinge::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Server for one connection at a time that sends each response in pieces, as a narrow link
+/// delivers it.
+class slow_server
+{
+public:
+    slow_server(int status, std::string body, int pieces, std::chrono::milliseconds pause)
+        : m_status(status)
+        , m_body(std::move(body))
+        , m_pieces(pieces)
+        , m_pause(pause)
+    {
+        CPPUNIT_ASSERT_EQUAL(0, listen(m_listener.descriptor(), 16));
+        m_thread = std::thread([this] { run(); });
+    }
+    ~slow_server()
+    {
+        m_stopping = true;
+        const raw_socket wakesAccept(m_listener.where());
+        m_thread.join();
+    }
+    slow_server(const slow_server &) = delete;
+    slow_server &operator=(const slow_server &) = delete;
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_listener.where().port);
+    }
+    [[nodiscard]] int requests() const
+    {
+        return m_requests;
+    }
+
+private:
+    void run()
+    {
+        while (!m_stopping) {
+            raw_socket peer(accept(m_listener.descriptor(), nullptr, nullptr));
+            if (!m_stopping && !peer.read(5s).value_or("").empty()) {
+                ++m_requests;
+                respond(peer);
+            }
+        }
+    }
+
+    void respond(raw_socket &peer) const
+    {
+        peer.write("HTTP/1.1 " + std::to_string(m_status)
+                   + " Status\r\nConnection: close\r\nContent-Length: "
+                   + std::to_string(m_body.size()) + "\r\n\r\n");
+        const auto size = m_body.size() / static_cast<std::size_t>(m_pieces) + 1;
+        for (std::size_t at = 0; at < m_body.size(); at += size) {
+            std::this_thread::sleep_for(m_pause);
+            if (!peer.write(m_body.substr(at, size))) {
+                return;
+            }
+        }
+    }
+
+    const int m_status;
+    const std::string m_body;
+    const int m_pieces;
+    const std::chrono::milliseconds m_pause;
+    bound_socket m_listener;
+    std::atomic<bool> m_stopping = false;
+    std::atomic<int> m_requests = 0;
+    std::thread m_thread;
+};
+
+/// Returns a page of a store or events of a watch: 500 items with values of 1.5 KB.
+std::string pageOf(const std::string &list)
+{
+    nlohmann::json items = nlohmann::json::array();
+    for (int i = 0; i < 500; ++i) {
+        const auto number = std::to_string(i);
+        items.push_back({{"key", "fleet/job/" + std::string(16 - number.size(), '0') + number},
+                         {"value", std::string(2000, 'A')},
+                         {"revision", 100 + i}});
+    }
+    return nlohmann::json({{list, items}, {"current-rev", 1000}, {"more-pages", true}}).dump();
+}
+
+} // namespace
+
+/// Guards against calls that a narrow link can never complete: a response that keeps arriving for
+/// longer than a silent store is waited for was given up, and repeated from its beginning.
+class platform_client_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(platform_client_test);
+    CPPUNIT_TEST(pageThatArrivesSlowlyIsRead);
+    CPPUNIT_TEST(eventsThatArriveSlowlyAreRead);
+    CPPUNIT_TEST(itemThatArrivesSlowlyIsRead);
+    CPPUNIT_TEST(hostsThatArriveSlowlyAreRead);
+    CPPUNIT_TEST(conflictThatArrivesSlowlyIsRead);
+    CPPUNIT_TEST(reportThatArrivesSlowlyIsRead);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// A response of so many pieces arrives within 2.4 s, three times as long as a silent store is
+    /// waited for.
+    static constexpr int pieces = 24;
+    static constexpr std::chrono::milliseconds pause {100};
+    /// For reports, which are small.
+    static constexpr std::chrono::milliseconds shortPause {30};
+
+    /// Makes a call to a server whose every response is `body`. Returns its result, after checking
+    /// that one request was sent.
+    template <class T>
+    static result<T>
+    call(const std::string &body,
+         const std::function<void(platform_client &, const std::string &, reply<T>)> &send,
+         int status = 200, std::chrono::milliseconds between = pause)
+    {
+        const slow_server server(status, body, pieces, between);
+        auto loop = io_loop::make();
+        CPPUNIT_ASSERT(loop.has_value());
+        const auto address = server.address();
+        platform_client client(**loop, {address, address, address, "holder"});
+        std::optional<result<T>> outcome;
+        (*loop)->after(0ms, [&] {
+            send(client, address, [&](result<T> value) {
+                outcome = std::move(value);
+                (*loop)->stop();
+            });
+        });
+        (*loop)->run();
+        loop->reset();
+        CPPUNIT_ASSERT_EQUAL(1, server.requests());
+        return *outcome;
+    }
+
+public:
+    void pageThatArrivesSlowlyIsRead()
+    {
+        const auto page =
+            call<store_page>(pageOf("items"), [](auto &client, const auto &, auto done) {
+                client.readRange("fleet/job/", "", done);
+            });
+        CPPUNIT_ASSERT_MESSAGE(page ? "" : describe(page.error()), page.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {500}, page->items.size());
+        CPPUNIT_ASSERT(page->more);
+    }
+
+    void eventsThatArriveSlowlyAreRead()
+    {
+        const auto page =
+            call<store_page>(pageOf("events"), [](auto &client, const auto &, auto done) {
+                client.watch("fleet/job/", 5, 500ms, done);
+            });
+        CPPUNIT_ASSERT_MESSAGE(page ? "" : describe(page.error()), page.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {500}, page->items.size());
+    }
+
+    void itemThatArrivesSlowlyIsRead()
+    {
+        const nlohmann::json body = {
+            {"key", "op/config"}, {"value", std::string(400000, 'A')}, {"revision", 7}};
+        const auto item = call<store_item>(body.dump(), [](auto &client, const auto &, auto done) {
+            client.readItem("op/config", done);
+        });
+        CPPUNIT_ASSERT_MESSAGE(item ? "" : describe(item.error()), item.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t {7}, item->revision);
+    }
+
+    void hostsThatArriveSlowlyAreRead()
+    {
+        nlohmann::json hosts = nlohmann::json::array();
+        for (int i = 0; i < 2000; ++i) {
+            hosts.push_back({{"machine", "host-" + std::to_string(i)},
+                             {"pool", "pool-a"},
+                             {"state", "up"},
+                             {"capacity", {{"cpu", 8000}, {"mem-mb", 1000}, {"gpu", 0}}},
+                             {"labels", {"a"}},
+                             {"id", ""}});
+        }
+        const auto listed = call<std::vector<host_entry>>(
+            nlohmann::json({{"machines", hosts}}).dump(),
+            [](auto &client, const auto &, auto done) { client.listHosts(done); });
+        CPPUNIT_ASSERT_MESSAGE(listed ? "" : describe(listed.error()), listed.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2000}, listed->size());
+    }
+
+    /// The response to a transaction that was not applied contains the items of its conditions.
+    void conflictThatArrivesSlowlyIsRead()
+    {
+        const auto answer = call<transaction_reply>(
+            pageOf("items"), [](auto &client, const auto &, auto done) { client.commit({}, done); },
+            412);
+        CPPUNIT_ASSERT_MESSAGE(answer ? "" : describe(answer.error()), answer.has_value());
+        CPPUNIT_ASSERT(!answer->applied);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {500}, answer->current.size());
+    }
+
+    void reportThatArrivesSlowlyIsRead()
+    {
+        nlohmann::json ended = nlohmann::json::array();
+        for (int i = 1; i <= 500; ++i) {
+            ended.push_back({i, "5c0e7a21d94b36f8.0.1." + std::to_string(i), 1, "done", ""});
+        }
+        const nlohmann::json body = {{"clock-ms", 482113},
+                                     {"born", 7},
+                                     {"running", nlohmann::json::array()},
+                                     {"ended", ended}};
+        const auto report = call<worker_report>(
+            body.dump(),
+            [](auto &client, const auto &address, auto done) {
+                worker_entry worker;
+                worker.id = "worker";
+                worker.address = address;
+                client.poll(worker, {}, done);
+            },
+            200, shortPause);
+        CPPUNIT_ASSERT_MESSAGE(report ? "" : describe(report.error()), report.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {500}, report->ended.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_client_test);
