Log and measure what a take-over waits for

Operators could not tell from the log what a coordinator did between `leading` and `coordinator_loaded`, or when the first inherited task began.

Change: `takeover_waits` once a second names the stage with pages, bytes and failed reads so far; `takeover_first_start` and two histograms give the time of the take-over and to the first start. The virtual platform delivers pages by their size, with the client's time-out.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -10,6 +10,7 @@
 #include <ibishinge/fleet/pool_sizing.h>
 #include <ibishinge/fleet/record_writer.h>
 #include <ibishinge/fleet/tables.h>
+#include <ibishinge/fleet/takeover_progress.h>
 
 #include <nlohmann/json.hpp>
 
@@ -146,9 +147,17 @@
                      const std::function<void(const store_item &)> &apply,
                      const std::function<void()> &next);
     void loadRecords();
+    /// Counts a page for the log.
+    void countPage(const store_page &page);
+    /// Logs what the take-over waits for, once a second until it is complete.
+    void logTakeover();
+    /// Logs the first start of a task of an inherited job.
+    void onTaskStarted(const run_key &key);
     /// Deletes the remaining records of a job whose final state is stored.
     void deleteRecordsOfEndedJob(const std::string &id);
     void readRegistry(const std::string &after);
+    /// Called once, when the records and the registry are read.
+    void beginServing();
     void watchRegistry();
     void onRegistryItem(const store_item &item);
     /// Returns the worker with this id. One that is not known yet may have runs that hold leases of
@@ -329,6 +338,7 @@
     bool m_recordsRead = false;
     bool m_loaded = false; ///< the records and the registry are read
     instant m_startedAt;
+    takeover_progress m_takeover;
     instant m_leadershipProvenUntil;
     std::int64_t m_registryRevision = 0;
     std::set<std::string> m_listedWorkers; ///< workers seen by the registry read in progress
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -168,6 +168,7 @@
     double work = 0; ///< estimated work of all tasks, in core-milliseconds
     job_state state = job_state::queued;
     bool stored = false; ///< the job is accepted: its record is in the store
+    bool fromRecord = false; ///< accepted by an earlier coordinator
     bool inherited = false; ///< tasks may still run under leases of an earlier coordinator
     bool begun = false; ///< the start of at least one task has been requested
     bool ending = false; ///< the final state is being stored; no more tasks are started
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -175,6 +175,7 @@
     m_longestTickDelay = std::max(m_longestTickDelay, delay);
     m_tickDueAt = now + tickInterval;
     callAfter(tickInterval, [this] { tick(); });
+    logTakeover();
     if (!mayIssueOrders() || processStalled) {
         pauseSizing(m_sizing, now);
     }
--- a/src/fleet/coordinator_orders.cpp
+++ b/src/fleet/coordinator_orders.cpp
@@ -387,6 +387,7 @@
                 run.beganAt = now;
             }
             m_metrics.observe("ibishinge_run_ordered_to_running_seconds", {}, now - run.orderedAt);
+            onTaskStarted(key);
         }
         pollIfDue(worker);
         return;
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -15,6 +15,9 @@
 /// Delay before a failed read is repeated.
 constexpr milliseconds readRetryDelay {80};
 
+/// Interval of the log lines that tell what a take-over waits for.
+constexpr milliseconds takeoverLogInterval {1000};
+
 /// Timeout of one watch call. A watch whose connection is lost unnoticed hides changes for this
 /// long.
 constexpr milliseconds watchTimeout {1000};
@@ -44,6 +47,7 @@
                          unlessClosed<store_page>([this, prefix, after, apply,
                                                    next](const result<store_page> &page) {
                              if (!page) {
+                                 ++m_takeover.failedReads;
                                  logEvent(log_level::warning, "read_failed",
                                           {{"prefix", prefix}, {"error", describe(page.error())}});
                                  callAfter(readRetryDelay, [this, prefix, after, apply, next] {
@@ -51,6 +55,7 @@
                                  });
                                  return;
                              }
+                             countPage(*page);
                              for (const auto &item : page->items) {
                                  m_writer->setKnownRevision(ownerOf(item.key), item.key,
                                                             item.revision);
@@ -90,6 +95,7 @@
         job->submittedAt =
             m_timers.now()
             - milliseconds(std::max<std::int64_t>(0, m_timers.wallMs() - job->acceptedWallMs));
+        job->fromRecord = true;
         job->inherited = true;
         estimateJob(m_tables, *job);
         openDueOccurrences(*job, m_timers.wallMs());
@@ -131,13 +137,19 @@
             m_sizing.settled = true;
         }
     };
+    m_takeover.stageSince = m_startedAt;
+    m_takeover.nextLogAt = m_startedAt + takeoverLogInterval;
     readRecords(std::string(baselinesKey), "", applyBaselines, [] {});
     readRecords(std::string(rosterPrefix), "", applyRoster, [=, this] {
+        enterStage(m_takeover, takeover_stage::jobs, m_timers.now());
         readRecords(std::string(jobPrefix), "", applyJob, [=, this] {
+            enterStage(m_takeover, takeover_stage::progress, m_timers.now());
             readRecords(std::string(progressPrefix), "", applyProgressItem, [=, this] {
+                enterStage(m_takeover, takeover_stage::ended, m_timers.now());
                 readRecords(std::string(endedPrefix), "", applyEnded, [this] {
                     addStoredSuspectRuns();
                     m_recordsRead = true;
+                    enterStage(m_takeover, takeover_stage::registry, m_timers.now());
                     readRegistry("");
                 });
             });
@@ -145,6 +157,57 @@
     });
 }
 
+void coordinator::countPage(const store_page &page)
+{
+    ++m_takeover.pages;
+    for (const auto &item : page.items) {
+        m_takeover.bytes += item.key.size() + item.value.size();
+    }
+}
+
+void coordinator::logTakeover()
+{
+    const auto now = m_timers.now();
+    if (m_takeover.stage == takeover_stage::complete || now < m_takeover.nextLogAt) {
+        return;
+    }
+    m_takeover.nextLogAt = now + takeoverLogInterval;
+    const auto jobs = std::count_if(m_tables.jobs.begin(), m_tables.jobs.end(),
+                                    [](const auto &job) { return job.second.inherited; });
+    const auto silent =
+        std::count_if(m_tables.workers.begin(), m_tables.workers.end(), [now](const auto &worker) {
+            return !worker.second.contacted && worker.second.leasesEndBy > now;
+        });
+    if (m_takeover.stage == takeover_stage::reports && (jobs == 0 || now >= inheritedLeasesEnd())) {
+        enterStage(m_takeover, takeover_stage::complete, now);
+        return;
+    }
+    logEvent(log_level::info, "takeover_waits",
+             {{"stage", nameOf(m_takeover.stage)},
+              {"stage_ms", since(m_takeover.stageSince, now).count()},
+              {"elapsed_ms", since(m_startedAt, now).count()},
+              {"pages", m_takeover.pages},
+              {"bytes", m_takeover.bytes},
+              {"failed_reads", m_takeover.failedReads},
+              {"jobs", jobs},
+              {"workers_unheard", silent}});
+}
+
+void coordinator::onTaskStarted(const run_key &key)
+{
+    const auto job = m_tables.jobs.find(key.task.job);
+    if (m_takeover.hasStarted || job == m_tables.jobs.end() || !job->second.fromRecord) {
+        return;
+    }
+    m_takeover.hasStarted = true;
+    const auto now = m_timers.now();
+    m_metrics.observe("ibishinge_takeover_first_start_seconds", {}, now - m_startedAt);
+    auto line = describeRun(key);
+    line["after_ms"] = since(m_startedAt, now).count();
+    line["inherited"] = job->second.inherited;
+    logEvent(log_level::info, "takeover_first_start", line);
+}
+
 void coordinator::deleteRecordsOfEndedJob(const std::string &id)
 {
     logEvent(log_level::warning, "job_record_after_its_end", {{"job", id}});
@@ -159,49 +222,62 @@
     if (after.empty()) {
         m_listedWorkers.clear();
     }
-    m_platform.readRange(
-        m_platform.workerPrefix(), after,
-        unlessClosed<store_page>([this, after](const result<store_page> &page) {
-            if (!page) {
-                logEvent(log_level::warning, "registry_read_failed",
-                         {{"error", describe(page.error())}});
-                callAfter(readRetryDelay, [this, after] { readRegistry(after); });
-                return;
-            }
-            if (after.empty()) {
-                m_registryRevision = page->revision;
-            }
-            for (const auto &item : page->items) {
-                onRegistryItem(item);
-                m_listedWorkers.insert(item.key.substr(m_platform.workerPrefix().size()));
-            }
-            if (page->more && !page->items.empty()) {
-                readRegistry(page->items.back().key);
-                return;
-            }
-            unregisterMissingWorkers();
-            watchRegistry();
-            if (!m_loaded) {
-                m_loaded = true;
-                for (auto &[id, worker] : m_tables.workers) {
-                    pollIfDue(worker);
-                }
-                for (auto &[id, job] : m_tables.jobs) {
-                    delayInheritedTasks(job);
-                }
-                logEvent(log_level::info, "coordinator_loaded",
-                         {{"term", m_leadership.term},
-                          {"token", m_leadership.fencingToken},
-                          {"jobs", m_tables.jobs.size()},
-                          {"ended", m_tables.ended.size()},
-                          {"workers", m_tables.workers.size()},
-                          {"took_ms", since(m_startedAt, m_timers.now()).count()}});
-                releaseInheritedTasks();
-            }
-            refreshHosts();
-            writeRoster();
-            requestSchedulingPass();
-        }));
+    m_platform.readRange(m_platform.workerPrefix(), after,
+                         unlessClosed<store_page>([this, after](const result<store_page> &page) {
+                             if (!page) {
+                                 ++m_takeover.failedReads;
+                                 logEvent(log_level::warning, "registry_read_failed",
+                                          {{"error", describe(page.error())}});
+                                 callAfter(readRetryDelay, [this, after] { readRegistry(after); });
+                                 return;
+                             }
+                             countPage(*page);
+                             if (after.empty()) {
+                                 m_registryRevision = page->revision;
+                             }
+                             for (const auto &item : page->items) {
+                                 onRegistryItem(item);
+                                 m_listedWorkers.insert(
+                                     item.key.substr(m_platform.workerPrefix().size()));
+                             }
+                             if (page->more && !page->items.empty()) {
+                                 readRegistry(page->items.back().key);
+                                 return;
+                             }
+                             unregisterMissingWorkers();
+                             watchRegistry();
+                             if (!m_loaded) {
+                                 beginServing();
+                             }
+                             refreshHosts();
+                             writeRoster();
+                             requestSchedulingPass();
+                         }));
+}
+
+void coordinator::beginServing()
+{
+    m_loaded = true;
+    for (auto &[id, worker] : m_tables.workers) {
+        pollIfDue(worker);
+    }
+    for (auto &[id, job] : m_tables.jobs) {
+        delayInheritedTasks(job);
+    }
+    const auto now = m_timers.now();
+    enterStage(m_takeover, takeover_stage::reports, now);
+    m_metrics.observe("ibishinge_takeover_seconds", {}, now - m_startedAt);
+    logEvent(log_level::info, "coordinator_loaded",
+             {{"term", m_leadership.term},
+              {"token", m_leadership.fencingToken},
+              {"jobs", m_tables.jobs.size()},
+              {"ended", m_tables.ended.size()},
+              {"workers", m_tables.workers.size()},
+              {"pages", m_takeover.pages},
+              {"bytes", m_takeover.bytes},
+              {"failed_reads", m_takeover.failedReads},
+              {"took_ms", since(m_startedAt, now).count()}});
+    releaseInheritedTasks();
 }
 
 worker_status &coordinator::findOrAddWorker(const std::string &id)
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -410,6 +410,11 @@
     milliseconds pollTime {2}; ///< until a look is answered
     milliseconds storeTime {5}; ///< until the store answers
     std::size_t pageSize = 500; ///< items in one answer of the store
+    milliseconds itemTime {0}; ///< for which each item of a page holds the link of the process
+    /// Time-out of a page that is arriving, as of the client.
+    milliseconds pageTimeout {20800};
+    int breakPages = 0; ///< so many full pages break off half-way
+    std::vector<std::string> pagesRead; ///< prefix and last key before, of each page that arrived
     milliseconds silence {300}; ///< until a call without an answer is given up
     int refuseStarts = 0; ///< so many starts find no connection
     int loseStartAnswers = 0; ///< so many starts are carried out without an answer
@@ -436,20 +441,12 @@
     void readRange(const std::string &prefix, const std::string &after,
                    reply<store_page> done) override
     {
-        atStore<store_page>(done, [this, prefix, after]() -> result<store_page> {
-            store_page page;
-            for (const auto &[key, item] : m_world.items) {
-                if (!key.starts_with(prefix) || key <= after) {
-                    continue;
-                }
-                if (page.items.size() == pageSize) {
-                    page.more = true;
-                    break;
-                }
-                page.items.push_back(item);
-            }
-            page.revision = m_world.revision;
-            return page;
+        if (storeCut) {
+            fail<store_page>(std::move(done), error_kind::outcome_unknown);
+            return;
+        }
+        m_world.loop.after(storeTime, [this, prefix, after, done = std::move(done)] {
+            transferPage(prefix + after, pageAt(prefix, after), done);
         });
     }
 
@@ -725,6 +722,44 @@
     static constexpr milliseconds downTime {1500};
     static constexpr milliseconds hostOrderTimeout {1000};
 
+    [[nodiscard]] store_page pageAt(const std::string &prefix, const std::string &after) const
+    {
+        store_page page;
+        for (const auto &[key, item] : m_world.items) {
+            if (!key.starts_with(prefix) || key <= after) {
+                continue;
+            }
+            if (page.items.size() == pageSize) {
+                page.more = true;
+                break;
+            }
+            page.items.push_back(item);
+        }
+        page.revision = m_world.revision;
+        return page;
+    }
+
+    /// Delivers a page when its items have passed the link.
+    void transferPage(const std::string &name, const store_page &page,
+                      const reply<store_page> &done)
+    {
+        const auto duration = itemTime * static_cast<std::int64_t>(page.items.size());
+        const bool breaks = page.more && breakPages > 0;
+        breakPages -= breaks ? 1 : 0;
+        if (breaks || duration > pageTimeout) {
+            m_world.loop.after(breaks ? duration / 2 : pageTimeout, [this, done] {
+                deliver([done] {
+                    done(makeError(error_kind::outcome_unknown, "virtual platform", "broke off"));
+                });
+            });
+            return;
+        }
+        m_world.loop.after(duration, [this, name, page, done] {
+            pagesRead.push_back(name);
+            deliver([done, page] { done(page); });
+        });
+    }
+
     void deliver(std::function<void()> reply)
     {
         if (m_frozen) {
