Tell a lost store from an own overload; hand over while loading

What callers saw: coordinators that followed each other every few seconds on full links, none of which got to serve; and a weak process that kept the leadership for 40 s without serving.

Cause: a renewal without an answer for 600 ms counted as a lost store, also when the coordinator's own link or loop held the answer up, as the pages of a take-over do. A hand-over to a stronger process needed a coordinator that serves, and asked a process that had declined never again in the term.

Change: while the store is silent, up to three processes are asked over the new call /v1/fleet/successor-probe whether they read the store and the leader's record in its revision. The leadership is offered only to those that say so within 300 ms, beside a renewal without an answer, and not within 300 ms of a pause of the own loop. Log line store_silence, metric ibishinge_store_silences_total. A process with twice the processor share is asked in the same way, at once while the records are read, again after 5 s, and is offered the place if it would take it. The two go together, as the second uses the probe of the first.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -96,10 +96,16 @@
     /// Returns true while requests are handled: the records are loaded, and the leader's record is
     /// proven to be held.
     [[nodiscard]] bool isServing() const;
+    /// Returns true once the records and the registry have been read.
+    [[nodiscard]] bool isLoaded() const noexcept
+    {
+        return m_loaded;
+    }
 
     /// Returns the longest time that any pending write has been without success.
     [[nodiscard]] milliseconds storeStalledFor() const;
-    /// Returns when the store last answered a write; the epoch if it never did.
+    /// Returns when the store last answered a write or a read of the records; the epoch if it never
+    /// did.
     [[nodiscard]] instant storeAnsweredAt() const;
 
     /// Handles a caller's request and passes the answer to `done`, at once or when the store has
@@ -330,6 +336,7 @@
     bool m_loaded = false; ///< the records and the registry are read
     instant m_startedAt;
     instant m_leadershipProvenUntil;
+    instant m_pageReadAt; ///< when the last page of the records or the registry arrived
     std::int64_t m_registryRevision = 0;
     std::set<std::string> m_listedWorkers; ///< workers seen by the registry read in progress
     std::set<std::string> m_changedRosterKeys; ///< keys of the roster records to write
--- a/include/ibishinge/fleet/http_peer_link.h
+++ b/include/ibishinge/fleet/http_peer_link.h
@@ -32,6 +32,8 @@
                  reply<std::string> done) override;
     void offerLeadership(const std::string &address, std::int64_t revision,
                          reply<bool> done) override;
+    void probeSuccessor(const std::string &address, std::int64_t revision, milliseconds timeout,
+                        reply<bool> done) override;
     void exchangeWorkerCalls(const std::string &address, const std::string &calls,
                              milliseconds timeout, reply<std::string> done) override;
 
--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -17,6 +17,8 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace ibishinge::fleet {
 
@@ -80,6 +82,10 @@
     /// and neither coordinates nor campaigns. Calls it with false otherwise.
     void acceptLeadership(std::int64_t revision, const std::function<void(bool)> &done);
 
+    /// Calls `done` with true if this process would accept the leader record that has the revision
+    /// `revision`, see `acceptLeadership`. Reads the store for it.
+    void answerSuccessorProbe(std::int64_t revision, const std::function<void(bool)> &done);
+
     /// Makes calls to workers on behalf of the coordinator, see `relay_service::handle`.
     void handleWorkerCalls(const std::string &calls, instant readAt,
                            std::function<void(std::string)> done);
@@ -96,6 +102,25 @@
         std::int64_t revision = 0; ///< revision of the leader record that is offered
         std::size_t open = 0; ///< processes that have not answered the offer
     };
+    /// Probes sent at the same time to processes that may replace this one.
+    struct successor_probes
+    {
+        instant sentAt;
+        std::size_t open = 0; ///< processes that have not answered
+        std::vector<std::string> able; ///< addresses of those that would accept, without delay
+        milliseconds fastest {-1}; ///< time to the first such answer; -1: none
+    };
+
+    /// What is known of a store that does not answer this process.
+    struct store_silence
+    {
+        instant answeredAt; ///< when the store last answered
+        std::shared_ptr<successor_probes> probes; ///< the last ones; null: none
+        std::set<std::string> probed; ///< addresses of the processes asked
+        milliseconds loopDelay {0}; ///< longest delay of the event loop
+        std::string_view decision; ///< the last one that was logged
+    };
+
     struct peer_state
     {
         instant lastRequestAt; ///< when the process last forwarded a request to this one
@@ -141,16 +166,34 @@
     void stopLeading(std::string_view reason);
     void releaseLease(std::int64_t lease);
     /// Offers the leader record to other processes if the store has not answered for
-    /// `storeLossDelay`. Precondition: the renewal sent at `renewalSentAt` has no answer or failed.
-    void offerLeadershipIfStoreLost(instant renewalSentAt);
+    /// `storeLossDelay`, and they show that it answers them.
+    void offerLeadershipIfStoreLost();
+    /// Asks processes that may replace this one whether they would, unless they have been asked.
+    void probeSuccessors(store_silence &silence);
+    void onSuccessorProbeAnswered(const std::string &address, const result<bool> &able,
+                                  successor_probes &probes);
+    /// Returns the processes to which this one would not hand over from another of them.
+    [[nodiscard]] std::vector<std::string>
+    withoutWeakPeers(const std::vector<std::string> &addresses) const;
+    /// Records, once in a row, what was decided about a store that does not answer.
+    void recordSilenceDecision(store_silence &silence, std::string_view decision);
+    /// Asks processes with a multiple of this one's processor share whether they would replace it,
+    /// and offers the leader record to the first that would.
     void offerLeadershipToStrongerPeer();
+    /// Passes true to `done` if this process reads the store and may replace the leader record that
+    /// has the revision `revision`.
+    void checkSuccession(std::int64_t revision, std::function<void(bool)> done);
     void updateRelays();
     void readRelays();
     void writeRelays(const std::vector<relay_peer> &relays);
-    [[nodiscard]] std::vector<std::string> successorCandidates() const;
+    /// Returns the processes that are most likely to be able to replace this one, the best first,
+    /// without those in `excluded`.
+    [[nodiscard]] std::vector<std::string>
+    successorCandidates(const std::set<std::string> &excluded) const;
     void offerLeadershipTo(const std::vector<std::string> &successors, std::string_view reason);
     void onOfferAnswered(const std::string &successor, const result<bool> &accepted,
                          leadership_offer &offer);
+    [[nodiscard]] instant storeAnsweredAt() const;
     [[nodiscard]] milliseconds timeSinceStoreAnswer() const;
     [[nodiscard]] std::string coordinatorAddress() const;
     void tryRequest(const std::shared_ptr<pending_request> &request);
@@ -196,15 +239,21 @@
     std::shared_ptr<coordinator> m_coordinator;
     std::int64_t m_lease = 0;
     std::optional<instant> m_renewalSentAt; ///< when the unanswered lease renewal was sent
+    instant m_lastRenewalSentAt;
+    /// When the first of the renewals since the last success was sent.
+    std::optional<instant> m_unansweredSince;
+    bool m_renewalRefused = false; ///< the last renewal with an outcome has failed without delay
+    std::optional<store_silence> m_silence; ///< while the store does not answer
     instant m_nextRenewal;
     instant m_renewCheckDue;
+    instant m_pausedUntil; ///< end of the last pause of this process
     /// When every process that was offered the leader record had declined or was not reached.
     instant m_declinedAt;
     instant m_leadingSince;
     std::map<std::string, peer_state> m_knownPeers; ///< by address ("ip:port")
     std::map<std::string, forward_failures> m_forwardFailures; ///< by address
-    /// Addresses of the processes that declined the last offer or were not reached.
-    std::set<std::string> m_declinedBy;
+    /// When stronger processes were asked in this term whether they would lead, by address.
+    std::map<std::string, instant> m_strongerAskedAt;
     bool m_offeringLeadership = false;
     bool m_campaigning = false;
     /// Revision of the leader record that the campaign replaces; 0: none.
--- a/include/ibishinge/fleet/peer_link.h
+++ b/include/ibishinge/fleet/peer_link.h
@@ -22,6 +22,10 @@
     /// true if the process accepts. Errors: as `forward`.
     virtual void offerLeadership(const std::string &address, std::int64_t revision,
                                  reply<bool> done) = 0;
+    /// Asks a process whether it would accept an offer of the leader record that has the revision
+    /// `revision`: it reads the store for its answer, and starts no campaign. Errors: as `forward`.
+    virtual void probeSuccessor(const std::string &address, std::int64_t revision,
+                                milliseconds timeout, reply<bool> done) = 0;
     /// Sends encoded calls to workers to a relay and receives encoded results. Errors: as
     /// `forward`.
     virtual void exchangeWorkerCalls(const std::string &address, const std::string &calls,
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -131,7 +131,7 @@
 
 instant coordinator::storeAnsweredAt() const
 {
-    return m_writer->answeredAt();
+    return std::max(m_writer->answeredAt(), m_pageReadAt);
 }
 
 void coordinator::callAfter(milliseconds delay, std::function<void()> function)
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -51,6 +51,7 @@
                                  });
                                  return;
                              }
+                             m_pageReadAt = m_timers.now();
                              for (const auto &item : page->items) {
                                  m_writer->setKnownRevision(ownerOf(item.key), item.key,
                                                             item.revision);
@@ -168,6 +169,7 @@
                 callAfter(readRetryDelay, [this, after] { readRegistry(after); });
                 return;
             }
+            m_pageReadAt = m_timers.now();
             if (after.empty()) {
                 m_registryRevision = page->revision;
             }
--- a/src/fleet/http_peer_link.cpp
+++ b/src/fleet/http_peer_link.cpp
@@ -16,6 +16,7 @@
 
 constexpr const char *requestsPath = "/v1/fleet/requests";
 constexpr const char *leadershipPath = "/v1/fleet/leadership";
+constexpr const char *successorProbePath = "/v1/fleet/successor-probe";
 constexpr const char *callsPath = "/v1/fleet/worker-calls";
 
 /// Time-out of an offer; the other process reads the store before it answers.
@@ -108,6 +109,21 @@
                 });
 }
 
+void http_peer_link::probeSuccessor(const std::string &address, std::int64_t revision,
+                                    milliseconds timeout, reply<bool> done)
+{
+    m_loop.send({"POST", address, successorProbePath, {}, std::to_string(revision), timeout},
+                [done = std::move(done)](const result<http_response> &response) {
+                    if (response) {
+                        // A process of an earlier version does not know the path. Its answer shows
+                        // that the link works, and it reads the store before it accepts an offer.
+                        done(response->status == 200 || response->status == 404);
+                    } else {
+                        done(tl::unexpected(response.error()));
+                    }
+                });
+}
+
 void http_peer_link::exchangeWorkerCalls(const std::string &address, const std::string &calls,
                                          milliseconds timeout, reply<std::string> done)
 {
@@ -186,6 +202,13 @@
         });
         return true;
     }
+    if (request.path == successorProbePath) {
+        const auto revision = std::strtoll(request.body.c_str(), nullptr, 10);
+        node.answerSuccessorProbe(revision, [respond](bool able) {
+            respond({able ? 200 : 409, {}, ""});
+        });
+        return true;
+    }
     if (request.path == callsPath) {
         node.handleWorkerCalls(request.body, timers.now(), [respond](std::string text) {
             respond(jsonResponse(200, std::move(text)));
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -41,6 +41,12 @@
 /// A leader without an answer from the store for this long offers its leader record to processes
 /// that may reach the store.
 constexpr milliseconds storeLossDelay {600};
+/// Silence of the store after which such processes are asked whether the store answers them.
+constexpr milliseconds storeProbeDelay {300};
+/// An answer to such a probe that takes longer does not show that this process gets answers in
+/// time.
+constexpr milliseconds maxProbeTime {300};
+constexpr milliseconds probeTimeout {1000};
 /// Maximum number of processes that get an offer at the same time; some of them may be cut off from
 /// the store as well.
 constexpr std::size_t maxSuccessorOffers = 3;
@@ -59,9 +65,12 @@
 constexpr double weakPeerDelayMs = 150;
 
 /// A coordinator offers the leader record to a process with at least this many times its own
-/// processor share, once it is serving and has led for `strongerPeerDelay`.
+/// processor share: at once while it reads the records, otherwise when it has led for
+/// `strongerPeerDelay`.
 constexpr double strongerPeerFactor = 2;
 constexpr milliseconds strongerPeerDelay {2000};
+/// A process is asked again after this time whether it would take the leader record.
+constexpr milliseconds strongerPeerRetry {5000};
 
 /// Number of consecutive refused connections after which the leader's process is taken to have
 /// ended.
@@ -396,6 +405,10 @@
 {
     m_lease = lease.id;
     m_renewalSentAt.reset();
+    m_unansweredSince.reset();
+    m_renewalRefused = false;
+    m_silence.reset();
+    m_strongerAskedAt.clear();
     m_nextRenewal = m_timers.now() + renewInterval;
     m_leadingSince = sentAt;
     m_leaderRevision = revision;
@@ -421,19 +434,22 @@
 void fleet_node::renewIfDue()
 {
     const auto now = m_timers.now();
-    // After a pause of this process, answers of the store may have arrived that it has not read
-    // yet.
-    const bool wasPaused = now - m_renewCheckDue > processPauseThreshold;
+    const auto loopDelay = std::max(since(m_renewCheckDue, now), milliseconds(0));
     const auto pause = m_coordinator ? renewCheckInterval : renewInterval;
     m_renewCheckDue = now + pause;
     later(pause, [this] { renewIfDue(); });
     if (!m_coordinator) {
         return;
     }
-    if (m_renewalSentAt) {
-        if (since(*m_renewalSentAt, now) >= storeLossDelay && !wasPaused) {
-            offerLeadershipIfStoreLost(*m_renewalSentAt);
-        }
+    if (loopDelay > processPauseThreshold) {
+        m_pausedUntil = now;
+    }
+    if (m_silence) {
+        m_silence->loopDelay = std::max(m_silence->loopDelay, loopDelay);
+    }
+    offerLeadershipIfStoreLost();
+    offerLeadershipToStrongerPeer();
+    if (!m_coordinator || m_renewalSentAt) {
         return;
     }
     // A stalled write may be the first sign that the store cannot be reached; the renewal shows
@@ -449,6 +465,8 @@
 {
     const auto sentAt = m_timers.now();
     m_renewalSentAt = sentAt;
+    m_lastRenewalSentAt = sentAt;
+    m_unansweredSince = m_unansweredSince.value_or(sentAt);
     m_platform.renewLease(
         m_lease, whileAlive<store_lease>(
                      [this, sentAt, renewed = m_lease](const result<store_lease> &lease) {
@@ -458,9 +476,10 @@
                          m_renewalSentAt.reset();
                          m_nextRenewal = m_timers.now() + (lease ? renewInterval : renewRetry);
                          if (lease) {
+                             m_unansweredSince.reset();
+                             m_renewalRefused = false;
                              m_storeAnsweredAt = m_timers.now();
                              m_coordinator->extendLeadership(sentAt + lease->ttl - leaseMargin);
-                             offerLeadershipToStrongerPeer();
                              updateRelays();
                          } else if (lease.error().kind == error_kind::unknown_entity) {
                              stopLeading("lease_ended");
@@ -470,35 +489,157 @@
                          } else {
                              logEvent(log_level::warning, "lease_not_renewed",
                                       {{"error", describe(lease.error())}});
-                             offerLeadershipIfStoreLost(sentAt);
+                             m_renewalRefused = since(sentAt, m_timers.now()) <= maxProbeTime;
+                             if (!m_renewalRefused && m_silence) {
+                                 // The answer may have been about to arrive: only a probe beside
+                                 // another renewal shows more.
+                                 m_silence->probes.reset();
+                                 m_silence->probed.clear();
+                             }
+                             offerLeadershipIfStoreLost();
                          }
                      }));
 }
 
-void fleet_node::offerLeadershipIfStoreLost(instant renewalSentAt)
+void fleet_node::offerLeadershipIfStoreLost()
 {
     // After an offer was declined, the store may be reachable again for all processes: only a
     // renewal sent since then may lead to another offer.
-    if (m_offeringLeadership || renewalSentAt <= m_declinedAt
-        || timeSinceStoreAnswer() < storeLossDelay) {
+    if (m_offeringLeadership || m_lastRenewalSentAt <= m_declinedAt) {
         return;
     }
-    const auto successors = successorCandidates();
+    const auto now = m_timers.now();
+    const auto unansweredFor = m_renewalRefused    ? milliseconds::max()
+                               : m_unansweredSince ? since(*m_unansweredSince, now)
+                                                   : milliseconds(0);
+    const auto silentFor = std::min(unansweredFor, timeSinceStoreAnswer());
+    if (silentFor < storeProbeDelay) {
+        m_silence.reset();
+        return;
+    }
+    if (!m_silence || m_silence->answeredAt != storeAnsweredAt()) {
+        store_silence begun;
+        begun.answeredAt = storeAnsweredAt();
+        m_silence = std::move(begun);
+    }
+    auto &silence = *m_silence;
+    const bool lost = silentFor >= storeLossDelay;
+    if (since(m_pausedUntil, now) < storeProbeDelay) {
+        // Answers may have arrived that this process has not read yet.
+        if (lost) {
+            recordSilenceDecision(silence, "process_stalled");
+        }
+        silence.probes.reset();
+        silence.probed.clear();
+        return;
+    }
+    // On a full link or a busy loop, answers arrive late but in the order in which they were sent:
+    // that to a probe, which was sent after a renewal, arrives after that to the renewal.
+    const auto probes = silence.probes;
+    const bool probesOver =
+        !probes || since(probes->sentAt, now) >= storeLossDelay
+        || (probes->able.empty()
+            && (probes->open == 0 || since(probes->sentAt, now) > maxProbeTime));
+    if (lost && !probesOver && !probes->able.empty()) {
+        recordSilenceDecision(silence, "hand_over");
+        offerLeadershipTo(withoutWeakPeers(probes->able), "store_away");
+        return;
+    }
+    if (probesOver) {
+        if (lost && probes) {
+            recordSilenceDecision(silence, "no_successor_answers");
+        }
+        probeSuccessors(silence);
+        if (lost && !silence.probes) {
+            recordSilenceDecision(silence, "no_successor_known");
+        }
+    }
+}
+
+void fleet_node::probeSuccessors(store_silence &silence)
+{
+    const auto now = m_timers.now();
+    const auto successors = successorCandidates(silence.probed);
     if (successors.empty()) {
-        m_declinedBy.clear();
+        // All have been asked. They are asked again, but not at each check.
+        if (silence.probes && since(silence.probes->sentAt, now) > maxProbeTime) {
+            silence.probed.clear();
+        }
         return;
     }
-    offerLeadershipTo(successors, "store_away");
+    if (!m_renewalSentAt) {
+        renew();
+    }
+    const auto probes = std::make_shared<successor_probes>();
+    probes->sentAt = now;
+    probes->open = successors.size();
+    silence.probes = probes;
+    for (const auto &address : successors) {
+        silence.probed.insert(address);
+        m_peers.probeSuccessor(address, m_leaderRevision, probeTimeout,
+                               whileAlive<bool>([this, address, probes](const result<bool> &able) {
+                                   onSuccessorProbeAnswered(address, able, *probes);
+                               }));
+    }
 }
 
-std::vector<std::string> fleet_node::successorCandidates() const
+void fleet_node::onSuccessorProbeAnswered(const std::string &address, const result<bool> &able,
+                                          successor_probes &probes)
+{
+    --probes.open;
+    if (!able && able.error().systemError == ECONNREFUSED) {
+        m_knownPeers.erase(address);
+    }
+    const auto took = since(probes.sentAt, m_timers.now());
+    if (able && *able && took <= maxProbeTime) {
+        probes.able.push_back(address);
+        probes.fastest = probes.able.size() == 1 ? took : probes.fastest;
+    }
+}
+
+std::vector<std::string>
+fleet_node::withoutWeakPeers(const std::vector<std::string> &addresses) const
+{
+    const auto shareOf = [this](const std::string &address) {
+        const auto peer = m_knownPeers.find(address);
+        return peer == m_knownPeers.end() ? 0 : peer->second.processorShare;
+    };
+    double largest = 0;
+    for (const auto &address : addresses) {
+        largest = std::max(largest, shareOf(address));
+    }
+    std::vector<std::string> strong;
+    for (const auto &address : addresses) {
+        if (shareOf(address) * strongerPeerFactor > largest || largest == 0) {
+            strong.push_back(address);
+        }
+    }
+    return strong;
+}
+
+void fleet_node::recordSilenceDecision(store_silence &silence, std::string_view decision)
+{
+    if (silence.decision == decision) {
+        return;
+    }
+    silence.decision = decision;
+    logEvent(log_level::warning, "store_silence",
+             {{"decision", decision},
+              {"store_silent_ms", timeSinceStoreAnswer().count()},
+              {"probe_ms", silence.probes ? silence.probes->fastest.count() : -1},
+              {"loop_delay_ms", silence.loopDelay.count()}});
+    m_metrics.add("ibishinge_store_silences_total", {{"decision", std::string(decision)}});
+}
+
+std::vector<std::string>
+fleet_node::successorCandidates(const std::set<std::string> &excluded) const
 {
     // Processes with a recent request are the most likely to work. Among them the ones with the
     // largest processor share are preferred, because they read the records fastest.
     const auto now = m_timers.now();
     std::vector<std::pair<std::tuple<bool, double, instant>, std::string>> ranked;
     for (const auto &[address, peer] : m_knownPeers) {
-        if (since(peer.lastRequestAt, now) < maxPeerAge && m_declinedBy.count(address) == 0) {
+        if (since(peer.lastRequestAt, now) < maxPeerAge && excluded.count(address) == 0) {
             const bool recent = since(peer.lastRequestAt, now) < recentPeerAge;
             ranked.push_back(
                 {{recent, recent ? peer.processorShare : 0, peer.lastRequestAt}, address});
@@ -517,21 +658,35 @@
 void fleet_node::offerLeadershipToStrongerPeer()
 {
     const auto now = m_timers.now();
-    if (m_offeringLeadership || !m_coordinator->isServing()
-        || since(m_leadingSince, now) < strongerPeerDelay) {
+    // While the records are being read, no caller is served, and a hand-over costs least.
+    if (!m_coordinator || m_offeringLeadership
+        || (m_coordinator->isLoaded() && since(m_leadingSince, now) < strongerPeerDelay)) {
         return;
     }
-    std::string successor;
-    double share = m_settings.processorShare * strongerPeerFactor;
+    std::vector<std::pair<double, std::string>> stronger;
     for (const auto &[address, peer] : m_knownPeers) {
-        if (since(peer.lastRequestAt, now) < maxPeerAge && peer.processorShare >= share
-            && m_declinedBy.count(address) == 0) {
-            successor = address;
-            share = peer.processorShare;
+        const auto asked = m_strongerAskedAt.find(address);
+        const bool askedRecently =
+            asked != m_strongerAskedAt.end() && since(asked->second, now) < strongerPeerRetry;
+        if (since(peer.lastRequestAt, now) < maxPeerAge && !askedRecently
+            && peer.processorShare >= m_settings.processorShare * strongerPeerFactor) {
+            stronger.emplace_back(peer.processorShare, address);
         }
     }
-    if (!successor.empty()) {
-        offerLeadershipTo({successor}, "stronger_peer");
+    std::sort(stronger.rbegin(), stronger.rend());
+    stronger.resize(std::min(stronger.size(), maxSuccessorOffers));
+    for (const auto &[share, address] : stronger) {
+        m_strongerAskedAt[address] = now;
+        m_peers.probeSuccessor(address, m_leaderRevision, m_settings.leaderTtl,
+                               whileAlive<bool>([this, to = address, revision = m_leaderRevision](
+                                                    const result<bool> &able) {
+                                   const bool outOfDate = !m_coordinator
+                                                          || m_leaderRevision != revision
+                                                          || m_offeringLeadership;
+                                   if (able && *able && !outOfDate) {
+                                       offerLeadershipTo({to}, "stronger_peer");
+                                   }
+                               }));
     }
 }
 
@@ -607,7 +762,6 @@
                                    std::string_view reason)
 {
     m_offeringLeadership = true;
-    m_declinedBy.clear();
     // No orders are sent from here on, because a process that accepts may lead before its answer
     // arrives.
     m_coordinator->suspend();
@@ -642,41 +796,57 @@
         m_leaderReportedByPeers = accepted ? successor : std::string();
         return;
     }
-    m_declinedBy.insert(successor);
     if (notReached) {
         m_knownPeers.erase(successor);
     }
     if (offer.open == 0) {
         m_offeringLeadership = false;
         m_declinedAt = m_timers.now();
+        m_unansweredSince.reset();
+        m_renewalRefused = false;
+        m_silence.reset();
         m_coordinator->resume();
     }
 }
 
+instant fleet_node::storeAnsweredAt() const
+{
+    return m_coordinator ? std::max(m_storeAnsweredAt, m_coordinator->storeAnsweredAt())
+                         : m_storeAnsweredAt;
+}
+
 milliseconds fleet_node::timeSinceStoreAnswer() const
 {
-    const auto answeredAt = m_coordinator
-                                ? std::max(m_storeAnsweredAt, m_coordinator->storeAnsweredAt())
-                                : m_storeAnsweredAt;
-    return since(answeredAt, m_timers.now());
+    return since(storeAnsweredAt(), m_timers.now());
 }
 
-void fleet_node::acceptLeadership(std::int64_t revision, const std::function<void(bool)> &done)
+void fleet_node::checkSuccession(std::int64_t revision, std::function<void(bool)> done)
 {
     // The store may be unreachable for all processes. Only an answer to a read made now shows that
     // this process reaches it.
-    m_platform.readItem(
-        std::string(leaderKey),
-        whileAlive<store_item>([this, revision, done](const result<store_item> &item) {
-            const bool wanted = item && item->revision == revision && !m_resigned && !m_coordinator
-                                && !m_campaigning && m_config && m_leaderRevision == revision;
-            logEvent(log_level::info, "leadership_offered",
-                     {{"revision", revision}, {"accepted", wanted}});
-            done(wanted);
-            if (wanted) {
-                campaign();
-            }
-        }));
+    m_platform.readItem(std::string(leaderKey),
+                        whileAlive<store_item>([this, revision, done = std::move(done)](
+                                                   const result<store_item> &item) {
+                            done(item && item->revision == revision && !m_resigned && !m_coordinator
+                                 && !m_campaigning && m_config && m_leaderRevision == revision);
+                        }));
+}
+
+void fleet_node::answerSuccessorProbe(std::int64_t revision, const std::function<void(bool)> &done)
+{
+    checkSuccession(revision, done);
+}
+
+void fleet_node::acceptLeadership(std::int64_t revision, const std::function<void(bool)> &done)
+{
+    checkSuccession(revision, [this, revision, done](bool wanted) {
+        logEvent(log_level::info, "leadership_offered",
+                 {{"revision", revision}, {"accepted", wanted}});
+        done(wanted);
+        if (wanted) {
+            campaign();
+        }
+    });
 }
 
 void fleet_node::releaseLease(std::int64_t lease)
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -410,6 +411,10 @@
     milliseconds pollTime {2}; ///< until a look is answered
     milliseconds storeTime {5}; ///< until the store answers
     std::size_t pageSize = 500; ///< items in one answer of the store
+    /// Time that one item of a page takes on the link of this process. Answers arrive in the order
+    /// in which they were sent, so that those after a page wait for it.
+    milliseconds itemTime {0};
+    std::set<std::string> unansweredPages; ///< prefixes of which no page arrives
     milliseconds silence {300}; ///< until a call without an answer is given up
     int refuseStarts = 0; ///< so many starts find no connection
     int loseStartAnswers = 0; ///< so many starts are carried out without an answer
@@ -425,6 +430,14 @@
     /// Unless 0, orders of maintenance have no answer and are carried out so much later.
     milliseconds lateMaintenance {0};
 
+    /// Returns when an answer that is sent now, and takes `transfer` on the link of this process,
+    /// has arrived.
+    instant receive(milliseconds transfer)
+    {
+        m_linkFreeAt = std::max(m_linkFreeAt, m_world.loop.now()) + transfer;
+        return m_linkFreeAt;
+    }
+
     void readItem(const std::string &key, reply<store_item> done) override
     {
         atStore<store_item>(done, [this, key]() -> result<store_item> {
@@ -436,6 +449,10 @@
     void readRange(const std::string &prefix, const std::string &after,
                    reply<store_page> done) override
     {
+        if (unansweredPages.count(prefix) > 0) {
+            fail<store_page>(std::move(done), error_kind::outcome_unknown);
+            return;
+        }
         atStore<store_page>(done, [this, prefix, after]() -> result<store_page> {
             store_page page;
             for (const auto &[key, item] : m_world.items) {
@@ -749,8 +766,32 @@
             fail<T>(done, error_kind::outcome_unknown);
             return;
         }
-        m_world.loop.after(storeTime,
-                           [this, done, act] { deliver([done, value = act()] { done(value); }); });
+        m_world.loop.after(storeTime, [this, done, act] {
+            const auto value = act();
+            arrive(transferTime(value),
+                   [this, done, value] { deliver([done, value] { done(value); }); });
+        });
+    }
+
+    /// Calls `read` when an answer that is sent now has arrived.
+    void arrive(milliseconds transfer, std::function<void()> read)
+    {
+        const auto arrival = receive(transfer);
+        if (arrival > m_world.loop.now()) {
+            m_world.loop.after(arrival - m_world.loop.now(), std::move(read));
+        } else {
+            read();
+        }
+    }
+
+    template <class T>
+    [[nodiscard]] milliseconds transferTime(const result<T> &answer) const
+    {
+        if constexpr (std::is_same_v<T, store_page>) {
+            return answer ? itemTime * static_cast<int>(answer->items.size()) : milliseconds(0);
+        } else {
+            return milliseconds(0);
+        }
     }
 
     bool connect(const std::string &id)
@@ -819,7 +860,9 @@
             }
         }
         if (!page.items.empty() || m_world.loop.now() >= until) {
-            m_world.loop.after(storeTime, [done, page] { done(page); });
+            m_world.loop.after(storeTime, [this, done, page] {
+                arrive(milliseconds(0), [done, page] { done(page); });
+            });
             return;
         }
         const auto woken = std::make_shared<bool>(false);
@@ -877,6 +920,7 @@
     virtual_world &m_world;
     std::map<std::string, int> m_openCalls; ///< by worker
     milliseconds m_ttl {3000};
+    instant m_linkFreeAt; ///< when all answers on their way to this process have arrived
     bool m_frozen = false;
     std::vector<std::function<void()>> m_heldReplies;
 };
--- a/tests/encoding_compatibility_test.cpp
+++ b/tests/encoding_compatibility_test.cpp
@@ -108,6 +108,10 @@
     void offerLeadership(const std::string &, std::int64_t, fleet::reply<bool>) override
     {
     }
+    void probeSuccessor(const std::string &, std::int64_t, fleet::milliseconds,
+                        fleet::reply<bool>) override
+    {
+    }
     void exchangeWorkerCalls(const std::string &, const std::string &calls, milliseconds,
                              fleet::reply<std::string> done) override
     {
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -64,7 +64,7 @@
         auto &each = processes[name];
         each.name = name;
         each.platform = std::make_unique<virtual_platform>(world);
-        each.peers = std::make_unique<direct_link>(*this);
+        each.peers = std::make_unique<direct_link>(*this, each);
         startNode(each);
         return each;
     }
@@ -147,13 +147,16 @@
     std::set<std::string> frozen; ///< names of processes that answer no forwarded request
     /// Processor share by process name, in cores; 1 if not set.
     std::map<std::string, double> shares;
+    /// Time by which other processes' answers reach a process late, by its name.
+    std::map<std::string, milliseconds> peerAnswerDelay;
 
 private:
     class direct_link final : public peer_link
     {
     public:
-        explicit direct_link(fleet_world &fleet)
+        direct_link(fleet_world &fleet, process &owner)
             : m_fleet(fleet)
+            , m_owner(owner)
         {
         }
 
@@ -175,7 +178,7 @@
                 node->handleForwarded(
                     *decodeRequest(request), [this, done](const caller_answer &answer) {
                         const auto text = encodeAnswer(answer);
-                        m_fleet.loop.after(networkDelay, [done, text] { done(text); });
+                        m_fleet.loop.after(answerDelay(), [done, text] { done(text); });
                     });
             });
         }
@@ -189,7 +192,34 @@
                     done(tl::unexpected(refused()));
                     return;
                 }
-                node->acceptLeadership(revision, [done](bool accepted) { done(accepted); });
+                node->acceptLeadership(revision, [this, done](bool accepted) {
+                    m_fleet.loop.after(answerDelay() - networkDelay,
+                                       [done, accepted] { done(accepted); });
+                });
+            });
+        }
+
+        void probeSuccessor(const std::string &address, std::int64_t revision, milliseconds timeout,
+                            reply<bool> done) override
+        {
+            const auto answered = std::make_shared<bool>(false);
+            const auto once = [answered, done](const result<bool> &answer) {
+                if (!std::exchange(*answered, true)) {
+                    done(answer);
+                }
+            };
+            m_fleet.loop.after(timeout, [once, address] {
+                once(makeError(error_kind::outcome_unknown, address, "no answer"));
+            });
+            m_fleet.loop.after(networkDelay, [this, address, revision, once] {
+                auto *node = m_fleet.nodeAt(address);
+                if (node == nullptr) {
+                    once(tl::unexpected(refused()));
+                    return;
+                }
+                node->answerSuccessorProbe(revision, [this, once](bool able) {
+                    m_fleet.loop.after(answerDelay(), [once, able] { once(able); });
+                });
             });
         }
 
@@ -214,7 +244,7 @@
                 ++m_fleet.exchanges;
                 node->handleWorkerCalls(
                     calls, m_fleet.loop.now(), [this, once](const std::string &text) {
-                        m_fleet.loop.after(networkDelay, [once, text] { once(text); });
+                        m_fleet.loop.after(answerDelay(), [once, text] { once(text); });
                     });
             });
         }
@@ -230,7 +260,18 @@
             return failure;
         }
 
+        /// Returns the time until an answer that is sent now has reached this process.
+        [[nodiscard]] milliseconds answerDelay() const
+        {
+            const auto late = m_fleet.peerAnswerDelay.find(m_owner.name);
+            const auto extra =
+                late == m_fleet.peerAnswerDelay.end() ? milliseconds(0) : late->second;
+            const auto arrival = m_owner.platform->receive(milliseconds(0));
+            return std::max(networkDelay, since(m_fleet.loop.now(), arrival)) + extra;
+        }
+
         fleet_world &m_fleet;
+        process &m_owner;
     };
 
     static std::string nameAt(const std::string &address)
--- a/tests/worker_relay_test.cpp
+++ b/tests/worker_relay_test.cpp
@@ -66,6 +66,9 @@
     void offerLeadership(const std::string &, std::int64_t, reply<bool>) override
     {
     }
+    void probeSuccessor(const std::string &, std::int64_t, milliseconds, reply<bool>) override
+    {
+    }
     void exchangeWorkerCalls(const std::string &, const std::string &calls, milliseconds,
                              reply<std::string> done) override
     {
