--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -160,6 +160,7 @@
 void coordinator::countPage(const store_page &page)
 {
     ++m_takeover.pages;
+    m_pageReadAt = m_timers.now();
     for (const auto &item : page.items) {
         m_takeover.bytes += item.key.size() + item.value.size();
     }
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -410,10 +410,13 @@
     milliseconds pollTime {2}; ///< until a look is answered
     milliseconds storeTime {5}; ///< until the store answers
     std::size_t pageSize = 500; ///< items in one answer of the store
-    milliseconds itemTime {0}; ///< for which each item of a page holds the link of the process
+    /// Time that one item of a page takes on the link of this process. Answers arrive in the order
+    /// in which they were sent, so that those after a page wait for it.
+    milliseconds itemTime {0};
     /// Time-out of a page that is arriving, as of the client.
     milliseconds pageTimeout {20800};
     int breakPages = 0; ///< so many full pages break off half-way
+    std::set<std::string> unansweredPages; ///< prefixes of which no page arrives
     std::vector<std::string> pagesRead; ///< prefix and last key before, of each page that arrived
     milliseconds silence {300}; ///< until a call without an answer is given up
     int refuseStarts = 0; ///< so many starts find no connection
@@ -430,6 +433,14 @@
     /// Unless 0, orders of maintenance have no answer and are carried out so much later.
     milliseconds lateMaintenance {0};
 
+    /// Returns when an answer that is sent now, and takes `transfer` on the link of this process,
+    /// has arrived.
+    instant receive(milliseconds transfer)
+    {
+        m_linkFreeAt = std::max(m_linkFreeAt, m_world.loop.now()) + transfer;
+        return m_linkFreeAt;
+    }
+
     void readItem(const std::string &key, reply<store_item> done) override
     {
         atStore<store_item>(done, [this, key]() -> result<store_item> {
@@ -441,7 +452,7 @@
     void readRange(const std::string &prefix, const std::string &after,
                    reply<store_page> done) override
     {
-        if (storeCut) {
+        if (storeCut || unansweredPages.count(prefix) > 0) {
             fail<store_page>(std::move(done), error_kind::outcome_unknown);
             return;
         }
@@ -754,7 +765,7 @@
             });
             return;
         }
-        m_world.loop.after(duration, [this, name, page, done] {
+        arrive(duration, [this, name, page, done] {
             pagesRead.push_back(name);
             deliver([done, page] { done(page); });
         });
@@ -784,8 +795,21 @@
             fail<T>(done, error_kind::outcome_unknown);
             return;
         }
-        m_world.loop.after(storeTime,
-                           [this, done, act] { deliver([done, value = act()] { done(value); }); });
+        m_world.loop.after(storeTime, [this, done, act] {
+            arrive(milliseconds(0),
+                   [this, done, value = act()] { deliver([done, value] { done(value); }); });
+        });
+    }
+
+    /// Calls `read` when an answer that is sent now has arrived.
+    void arrive(milliseconds transfer, std::function<void()> read)
+    {
+        const auto arrival = receive(transfer);
+        if (arrival > m_world.loop.now()) {
+            m_world.loop.after(arrival - m_world.loop.now(), std::move(read));
+        } else {
+            read();
+        }
     }
 
     bool connect(const std::string &id)
@@ -854,7 +878,9 @@
             }
         }
         if (!page.items.empty() || m_world.loop.now() >= until) {
-            m_world.loop.after(storeTime, [done, page] { done(page); });
+            m_world.loop.after(storeTime, [this, done, page] {
+                arrive(milliseconds(0), [done, page] { done(page); });
+            });
             return;
         }
         const auto woken = std::make_shared<bool>(false);
@@ -912,6 +938,7 @@
     virtual_world &m_world;
     std::map<std::string, int> m_openCalls; ///< by worker
     milliseconds m_ttl {3000};
+    instant m_linkFreeAt; ///< when all answers on their way to this process have arrived
     bool m_frozen = false;
     std::vector<std::function<void()>> m_heldReplies;
 };
