Forward requests in order of importance, and repeat few of them

Callers of an overloaded or loading coordinator saw three things. A lookup waited for the slowest submission of the calls before it and of its own call. A submission was answered 504 although the coordinator was at work on it, and up to three copies of it were handled, some after the caller had given up. While a new coordinator loaded, each open request of each process asked it every 40 ms.

Cause: requests to a coordinator were sent in the order of their arrival in mixed calls, which are answered when all their requests are; a call was given up after 1.1 s and its requests were sent again; requests had no time of their own; each request asked for itself.

Change: - Requests wait by kind: lookups, cancellations, submissions that a coordinator may have received, new submissions, counts. Those whose answers wait for the store have their own calls, two of the three to a process. - A call without an answer for 1.1 s no longer holds its place, but it is still answered. It fails if a later one has been answered; an empty call on a new connection shows whether the process answers. Requests that were not sent within 1.1 s are given back as not sent. - A request is sent to the same coordinator again only within an allowance of a tenth of the first copies and 10 at once, after delays that double. Another coordinator is asked after 1.1 s. - A forwarded request tells how much time is left for it and when it was sent by the sender's clock. The coordinator takes the lowest difference of the clocks for the time of no delay, and does not admit a new submission whose time is over. Processes of an earlier version send neither. - While no coordinator serves, requests wait and one probe asks for all. A process that is about to serve holds the answer for up to 250 ms.

--- a/include/ibishinge/fleet/caller.h
+++ b/include/ibishinge/fleet/caller.h
@@ -21,13 +21,24 @@
     std::string path;
     std::string key; ///< secret key of a customer; may be empty
     std::optional<job_spec> spec; ///< set for a submission
-    milliseconds callerTimeout {0}; ///< time until the caller stops waiting; 0: not told
+    /// Time until the caller stops waiting, counted from `sentAtMs` in a forwarded request; 0: not
+    /// told.
+    milliseconds callerTimeout {0};
     std::string sender; ///< address of the process that forwards the request; empty: not forwarded
+    /// When the sender forwarded the request, in ms of its own monotonic clock; 0: not told. Only
+    /// differences between values with the same `senderIncarnation` mean anything.
+    std::int64_t sentAtMs = 0;
+    std::string senderIncarnation;
+    /// How long a process that is about to coordinate may hold the answer until it does.
+    milliseconds maxHold {0};
     /// Processor share of the sender, in cores; 0: it is shutting down.
     double senderProcessorShare = 0;
     std::string senderDataCentre;
     /// Newest configuration version on which an answer of the sender was based.
     std::int64_t servedConfigVersion = 0;
+    /// When the caller stops waiting, as far as the process that handles the request knows; not
+    /// part of the encoding.
+    std::optional<instant> validUntil;
 };
 
 /// Outcome of a caller's request.
@@ -62,6 +73,8 @@
     /// Address of the coordinating process as known to a process that does not coordinate itself;
     /// may be empty.
     std::string coordinator {};
+    /// The coordinator rejects new submissions of any kind until `retryAfter` has passed.
+    bool coordinatorOverloaded = false;
 };
 
 /// Receives the answer to a request, on the thread of the event loop.
--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -4,6 +4,7 @@
 #include <ibishinge/base/scheduler.h>
 #include <ibishinge/fleet/caller.h>
 #include <ibishinge/fleet/coordinator.h>
+#include <ibishinge/fleet/forward_delay.h>
 #include <ibishinge/fleet/peer_link.h>
 #include <ibishinge/fleet/platform_api.h>
 #include <ibishinge/fleet/record_codec.h>
@@ -17,6 +18,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace ibishinge::fleet {
 
@@ -71,8 +73,10 @@
     void handle(const caller_request &request, answer_handler done);
 
     /// Handles a request that another process forwarded. Answers `not_ready` with version 0 if this
-    /// process does not coordinate, is not serving yet or its configuration is out of date.
-    void handleForwarded(const caller_request &request, answer_handler done);
+    /// process does not coordinate, is not serving yet or its configuration is out of date; if the
+    /// sender allows it, only after it has waited for that to change. A submission that is older
+    /// than its caller's time-out is not accepted.
+    void handleForwarded(caller_request request, answer_handler done);
 
     /// Handles the offer of another process to replace its leader record, which has the revision
     /// `revision`. Calls `done` with true and starts a campaign if this process can read the store,
@@ -103,6 +107,31 @@
         std::string dataCentre;
     };
 
+    /// The question of this process whether a coordinator serves.
+    struct coordinator_probe
+    {
+        std::string address;
+        int open = 0; ///< sent and neither answered nor failed
+        instant nextAt; ///< when it may be asked again
+        milliseconds pause {0}; ///< after the next answer that it does not serve
+    };
+
+    /// A probe of another process that is answered when this process coordinates.
+    struct held_probe
+    {
+        caller_request request;
+        answer_handler done;
+        instant until;
+    };
+
+    /// Bounds the requests that are sent to a coordinator again by a share of those sent once.
+    struct repeat_allowance
+    {
+        std::string address;
+        std::int64_t revision = 0; ///< of the leader record
+        double left = 0;
+    };
+
     /// Failed forwards to one address, as far as they are logged.
     struct forward_failures
     {
@@ -153,10 +182,34 @@
                          leadership_offer &offer);
     [[nodiscard]] milliseconds timeSinceStoreAnswer() const;
     [[nodiscard]] std::string coordinatorAddress() const;
+    /// Returns true if requests can be handled by the coordinator of this process.
+    [[nodiscard]] bool canServe() const;
+    /// Returns true if requests can be forwarded to the coordinator, as far as this process knows.
+    [[nodiscard]] bool canForward() const;
+    /// Answers the probes of other processes that wait until this process coordinates.
+    void answerHeldProbes();
+    [[nodiscard]] static forward_kind kindOf(const pending_request &request);
+    void fillIn(caller_request &request, milliseconds timeLeft) const;
     void tryRequest(const std::shared_ptr<pending_request> &request);
+    void forward(const std::shared_ptr<pending_request> &request, const std::string &address);
+    /// Sends requests that have no answer yet to the next coordinator, if there is one.
+    void checkForwards();
+    /// Lets a request wait until a coordinator serves.
+    void waitForCoordinator(const std::shared_ptr<pending_request> &request);
+    void checkWaiting();
+    /// Asks the coordinator on behalf of all requests that wait whether it serves.
+    void probeCoordinator();
+    void onProbeAnswered(const std::string &address, const caller_answer &answer);
+    void noteNotCoordinating(const std::string &address, const caller_answer &answer);
+    /// Returns true if the request was last forwarded to the present coordinator.
+    [[nodiscard]] bool isWith(const pending_request &request, const std::string &address) const;
+    /// Returns true, and counts it, if a request may be sent to the coordinator again.
+    [[nodiscard]] bool mayRepeat(const std::string &address);
+    [[nodiscard]] bool giveUpIfLate(const std::shared_ptr<pending_request> &request,
+                                    milliseconds delay);
     void onForwardAnswered(const std::shared_ptr<pending_request> &request,
                            const std::string &address, const caller_answer &answer);
-    void retryRequest(const std::shared_ptr<pending_request> &request, milliseconds delay);
+    void retryRequest(const std::shared_ptr<pending_request> &request);
     void answerAsShuttingDown(const std::shared_ptr<pending_request> &each);
     void finishRequest(const std::shared_ptr<pending_request> &request, caller_answer answer);
     void onForwardFailed(const std::string &address, const error &failure);
@@ -178,6 +231,7 @@
 
     std::optional<leader_record> m_leader;
     std::int64_t m_leaderRevision = 0; ///< 0: no leader record exists
+    std::string m_lastLeader; ///< incarnation in the last leader record that was read; may be empty
     /// Address of the coordinator as reported by other processes; may be empty. Used until the
     /// store returns a leader record, because a process that gets no answers from the store would
     /// not learn of a new coordinator otherwise.
@@ -213,6 +267,16 @@
     bool m_resigned = false;
     std::set<std::shared_ptr<pending_request>> m_openRequests; ///< callers' requests
     instant m_answerAllBy = instant::max();
+    /// No coordinator serves as far as this process knows. Requests are forwarded again once a
+    /// probe shows that one does.
+    bool m_coordinatorMissing = false;
+    instant m_coordinatorAnsweredAt; ///< when a coordinator last answered a request
+    coordinator_probe m_probe;
+    bool m_waitCheckScheduled = false;
+    bool m_forwardCheckScheduled = false;
+    std::vector<held_probe> m_heldProbes;
+    repeat_allowance m_repeats;
+    forward_delay m_forwardDelay;
 };
 
 } // namespace ibishinge::fleet
--- a/include/ibishinge/fleet/peer_link.h
+++ b/include/ibishinge/fleet/peer_link.h
@@ -2,10 +2,23 @@
 
 #include <ibishinge/fleet/worker_calls.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 
 namespace ibishinge::fleet {
 
+/// Kinds of forwarded requests in order of importance: while calls to a process are scarce, those
+/// of a kind named earlier are sent first.
+enum class forward_kind : std::uint8_t {
+    lookup, ///< of one job
+    cancellation,
+    repeated_submission, ///< a coordinator may have received an earlier copy
+    submission,
+    count,
+};
+inline constexpr std::size_t forwardKinds = 5;
+
 /// Calls to other processes of the system; an interface, so that tests need no network. Replies
 /// arrive exactly once, on the thread of the event loop. Not thread-safe: all calls must be made on
 /// that thread.
@@ -15,8 +28,9 @@
     virtual ~peer_link() = default;
     /// Forwards a caller's request, encoded by `encodeRequest`; the reply is an encoded answer.
     /// Errors: `unavailable` if no connection was made, with the system's error code if the
-    /// connection was refused; `outcome_unknown` if the request may have been received.
-    virtual void forward(const std::string &address, const std::string &request,
+    /// connection was refused; `overloaded` if it was not sent because too many others wait for the
+    /// process; `outcome_unknown` if the request may have been received.
+    virtual void forward(const std::string &address, const std::string &request, forward_kind kind,
                          milliseconds timeout, reply<std::string> done) = 0;
     /// Asks a process to replace the leader record that has the revision `revision`. The reply is
     /// true if the process accepts. Errors: as `forward`.
--- a/include/ibishinge/outside/io_loop.h
+++ b/include/ibishinge/outside/io_loop.h
@@ -20,6 +20,8 @@
     std::vector<http_header> headers;
     std::string body;
     std::chrono::milliseconds timeout {1000}; ///< for the whole exchange
+    /// Use no connection of earlier requests, for example because one of them may have gone silent.
+    bool freshConnection = false;
 };
 
 using response_handler = std::function<void(result<http_response>)>;
--- a/src/fleet/caller.cpp
+++ b/src/fleet/caller.cpp
@@ -13,6 +13,7 @@
 using nlohmann::json;
 
 constexpr integer_range patienceRange {0, 3'600'000}; ///< milliseconds
+constexpr integer_range clockRange {0, std::int64_t {1} << 52U}; ///< milliseconds
 
 constexpr std::array<std::pair<answer_kind, std::string_view>, 11> answerNames {{
     {answer_kind::accepted, "accepted"},
@@ -48,6 +49,13 @@
                 {"sender_share", request.senderProcessorShare},
                 {"sender_data_centre", request.senderDataCentre},
                 {"version", request.servedConfigVersion}};
+    if (request.sentAtMs > 0) {
+        out["sent_at"] = request.sentAtMs;
+        out["sender_incarnation"] = request.senderIncarnation;
+    }
+    if (request.maxHold.count() > 0) {
+        out["max_hold"] = request.maxHold.count();
+    }
     if (request.spec) {
         out["spec"] = encodeSpec(*request.spec);
     }
@@ -73,6 +81,14 @@
         request.sender = in.value("sender", std::string());
         request.senderDataCentre = in.value("sender_data_centre", std::string());
         request.servedConfigVersion = in.at("version").get<std::int64_t>();
+        // Processes of an earlier version send none of these.
+        if (in.contains("sent_at")) {
+            request.sentAtMs = integerFrom(in.at("sent_at"), clockRange);
+        }
+        if (in.contains("max_hold")) {
+            request.maxHold = milliseconds(integerFrom(in.at("max_hold"), patienceRange));
+        }
+        request.senderIncarnation = in.value("sender_incarnation", std::string());
         if (in.contains("spec")) {
             auto spec = decodeSpec(in.at("spec"));
             if (!spec) {
@@ -104,6 +120,9 @@
     if (!answer.coordinator.empty()) {
         out["coordinator"] = answer.coordinator;
     }
+    if (answer.coordinatorOverloaded) {
+        out["coordinator_overloaded"] = true;
+    }
     return encodeCbor(out);
 }
 
@@ -132,6 +151,7 @@
         answer.retryAfter = milliseconds(in.value("retry_after", std::int64_t {0}));
         answer.version = in.value("version", std::int64_t {0});
         answer.coordinator = in.value("coordinator", std::string());
+        answer.coordinatorOverloaded = in.value("coordinator_overloaded", false);
         return answer;
     } catch (const json::exception &problem) {
         return makeError(error_kind::invalid_request, "answer", problem.what());
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -38,6 +38,7 @@
 /// A coordinator reads them when it takes over, in pages of some 500.
 constexpr std::size_t maxWithdrawnIds = 5'000;
 constexpr milliseconds retryAfterTooManyWithdrawn {10'000};
+constexpr std::string_view tooLateMessage = "the submission arrived after its caller's time-out";
 constexpr std::string_view withdrawnMessage = "the job was cancelled before it was submitted";
 
 /// Length of a job's id in hexadecimal digits, set by the callers' protocol.
@@ -175,6 +176,13 @@
         }
         return;
     }
+    if (request.validUntil && m_timers.now() >= *request.validUntil) {
+        // Nobody waits for the answer any more, and the caller has been told that the outcome is
+        // unknown.
+        m_metrics.add("ibishinge_jobs_refused_total", {{"reason", std::string(tooLateMessage)}});
+        done(answerOf(answer_kind::not_ready, std::string(tooLateMessage), retryAfterUnavailable));
+        return;
+    }
     if (!request.spec) {
         done(answerOf(answer_kind::invalid, "a submission needs a description of the job"));
         return;
--- a/src/fleet/http_peer_link.cpp
+++ b/src/fleet/http_peer_link.cpp
@@ -21,80 +21,207 @@
 /// Time-out of an offer; the other process reads the store before it answers.
 constexpr milliseconds offerTimeout {1000};
 
+/// Requests that could not be sent for this long are given back.
+constexpr milliseconds maxWaitingTime {silentCallTime};
+
+/// Bounds the number of silent calls to one process.
+constexpr milliseconds maxCallTime {3000};
+
 /// Maximum number of requests in one call. A call is answered when all its requests are.
 constexpr std::size_t maxRequestsPerCall = 32;
 
+/// A silent call fails if a call that was sent at least this much later has been answered.
+constexpr milliseconds clearlyLater {silentCallTime / 2};
+
+constexpr milliseconds probeTimeout {1000};
+/// Pause after a probe that failed.
+constexpr milliseconds probePause {500};
+
 error allCallsInUse(const std::string &address)
 {
     error failure;
-    failure.kind = error_kind::unavailable;
+    failure.kind = error_kind::overloaded;
     failure.place = address;
     failure.message = "timed out while all calls to the process were in use";
     return failure;
 }
 
+bool waitsForStore(forward_kind kind)
+{
+    return kind != forward_kind::lookup && kind != forward_kind::count;
+}
+
 } // namespace
 
 void http_peer_link::forward(const std::string &address, const std::string &request,
-                             milliseconds timeout, reply<std::string> done)
+                             forward_kind kind, milliseconds timeout, reply<std::string> done)
 {
-    auto &to = m_peers[address];
-    to.waiting.push_back({request, m_loop.now() + timeout, std::move(done)});
-    sendBatch(address);
+    auto &queue = m_peers[address].waiting.at(static_cast<std::size_t>(kind));
+    const auto now = m_loop.now();
+    queue.push_back(
+        {request, now + std::min(timeout, maxWaitingTime), now + timeout, std::move(done)});
+    sendWaiting(address);
 }
 
-void http_peer_link::sendBatch(const std::string &address)
+std::vector<forward_kind> http_peer_link::kindsToSend(const peer &to)
 {
-    auto &to = m_peers[address];
-    if (to.calls >= maxCallsPerPeer || to.waiting.empty()) {
-        return;
+    const auto isWaiting = [&to](forward_kind kind) {
+        return !to.waiting.at(static_cast<std::size_t>(kind)).empty();
+    };
+    std::vector<forward_kind> atOnce {forward_kind::lookup, forward_kind::count};
+    std::vector<forward_kind> stored {forward_kind::cancellation, forward_kind::repeated_submission,
+                                      forward_kind::submission};
+    if (to.calls >= maxCallsPerPeer) {
+        return {};
+    }
+    if (isWaiting(forward_kind::lookup)) {
+        return atOnce;
     }
+    if (to.storeCalls < maxStoreCallsPerPeer
+        && std::any_of(stored.begin(), stored.end(), isWaiting)) {
+        return stored;
+    }
+    return isWaiting(forward_kind::count) ? atOnce : std::vector<forward_kind> {};
+}
+
+void http_peer_link::sendWaiting(const std::string &address)
+{
+    auto &to = m_peers[address];
     const auto now = m_loop.now();
-    auto batch = std::make_shared<std::vector<waiting_request>>();
     std::vector<waiting_request> expired;
-    json texts = json::array();
-    milliseconds timeout {0};
-    while (!to.waiting.empty() && batch->size() < maxRequestsPerCall) {
-        auto each = std::move(to.waiting.front());
-        to.waiting.pop_front();
-        if (each.until <= now) {
-            expired.push_back(std::move(each));
-            continue;
+    for (auto kinds = kindsToSend(to); !kinds.empty(); kinds = kindsToSend(to)) {
+        const auto next = std::make_shared<call>();
+        next->waitsForStore = waitsForStore(kinds.front());
+        for (const auto kind : kinds) {
+            auto &queue = to.waiting.at(static_cast<std::size_t>(kind));
+            while (!queue.empty() && next->batch.size() < maxRequestsPerCall) {
+                auto &target = queue.front().sendBy <= now ? expired : next->batch;
+                target.push_back(std::move(queue.front()));
+                queue.pop_front();
+            }
+        }
+        if (!next->batch.empty()) {
+            send(address, next);
         }
-        timeout = std::max(timeout, each.until - now);
-        texts.push_back(each.text);
-        batch->push_back(std::move(each));
-    }
-    if (!batch->empty()) {
-        ++to.calls;
-        m_loop.send({"POST", address, requestsPath, {}, texts.dump(), timeout},
-                    [this, address, batch](const result<http_response> &response) {
-                        --m_peers[address].calls;
-                        json answers;
-                        if (response && response->status == 200) {
-                            answers = decodeCbor(response->body).value_or(json());
-                        }
-                        const bool complete = answers.is_array() && answers.size() == batch->size();
-                        for (std::size_t i = 0; i < batch->size(); ++i) {
-                            auto &done = (*batch)[i].done;
-                            if (complete && answers[i].is_string()) {
-                                done(answers[i].get<std::string>());
-                            } else if (!response) {
-                                done(tl::unexpected(response.error()));
-                            } else {
-                                done(makeError(error_kind::outcome_unknown, address,
-                                               "answered with HTTP status "
-                                                   + std::to_string(response->status)));
-                            }
-                        }
-                        sendBatch(address);
-                    });
     }
     for (const auto &each : expired) {
         each.done(tl::unexpected(allCallsInUse(address)));
     }
 }
 
+void http_peer_link::send(const std::string &address, const std::shared_ptr<call> &sent)
+{
+    auto &to = m_peers[address];
+    ++to.calls;
+    to.storeCalls += sent->waitsForStore ? 1 : 0;
+    sent->sentAt = m_loop.now();
+    json texts = json::array();
+    milliseconds timeout {0};
+    for (const auto &each : sent->batch) {
+        texts.push_back(each.text);
+        timeout = std::max(timeout, each.until - sent->sentAt);
+    }
+    outgoing_request request {"POST", address,      requestsPath,
+                              {},     texts.dump(), std::min(timeout, maxCallTime)};
+    request.freshConnection = !to.silentCalls.empty();
+    m_loop.send(std::move(request), [this, address, sent](const result<http_response> &response) {
+        onAnswered(address, sent, response);
+    });
+    m_loop.after(silentCallTime, [this, address, sent] { markSilent(address, sent); });
+}
+
+void http_peer_link::onAnswered(const std::string &address, const std::shared_ptr<call> &sent,
+                                const result<http_response> &response)
+{
+    if (response) {
+        failSilentCalls(address, sent->sentAt);
+    }
+    if (std::exchange(sent->ended, true)) {
+        return;
+    }
+    releaseSlot(address, *sent);
+    json answers;
+    if (response && response->status == 200) {
+        answers = decodeCbor(response->body).value_or(json());
+    }
+    const auto batch = std::move(sent->batch);
+    const bool complete = answers.is_array() && answers.size() == batch.size();
+    for (std::size_t i = 0; i < batch.size(); ++i) {
+        const auto &done = batch[i].done;
+        if (complete && answers[i].is_string()) {
+            done(answers[i].get<std::string>());
+        } else if (!response) {
+            done(tl::unexpected(response.error()));
+        } else {
+            done(makeError(error_kind::outcome_unknown, address,
+                           "answered with HTTP status " + std::to_string(response->status)));
+        }
+    }
+    sendWaiting(address);
+}
+
+void http_peer_link::releaseSlot(const std::string &address, const call &sent)
+{
+    auto &to = m_peers[address];
+    if (sent.silent) {
+        const auto found = std::find_if(to.silentCalls.begin(), to.silentCalls.end(),
+                                        [&sent](const auto &each) { return each.get() == &sent; });
+        if (found != to.silentCalls.end()) {
+            to.silentCalls.erase(found);
+        }
+        return;
+    }
+    --to.calls;
+    to.storeCalls -= sent.waitsForStore ? 1 : 0;
+}
+
+void http_peer_link::markSilent(const std::string &address, const std::shared_ptr<call> &sent)
+{
+    if (sent->ended) {
+        return;
+    }
+    releaseSlot(address, *sent);
+    sent->silent = true;
+    m_peers[address].silentCalls.push_back(sent);
+    probe(address);
+    sendWaiting(address);
+}
+
+void http_peer_link::probe(const std::string &address)
+{
+    auto &to = m_peers[address];
+    if (to.silentCalls.empty() || std::exchange(to.probing, true)) {
+        return;
+    }
+    outgoing_request request {"POST", address, requestsPath, {}, "[]", probeTimeout};
+    request.freshConnection = true;
+    m_loop.send(std::move(request),
+                [this, address, sentAt = m_loop.now()](const result<http_response> &response) {
+                    m_peers[address].probing = false;
+                    if (response) {
+                        failSilentCalls(address, sentAt);
+                    }
+                    if (!m_peers[address].silentCalls.empty()) {
+                        m_loop.after(probePause, [this, address] { probe(address); });
+                    }
+                });
+}
+
+void http_peer_link::failSilentCalls(const std::string &address, instant answeredSentAt)
+{
+    for (const auto &each : std::vector(m_peers[address].silentCalls)) {
+        if (each->ended || answeredSentAt - each->sentAt < clearlyLater) {
+            continue;
+        }
+        each->ended = true;
+        releaseSlot(address, *each);
+        for (const auto &request : std::exchange(each->batch, {})) {
+            request.done(makeError(error_kind::outcome_unknown, address,
+                                   "no answer, while later calls to the process are answered"));
+        }
+    }
+}
+
 void http_peer_link::offerLeadership(const std::string &address, std::int64_t revision,
                                      reply<bool> done)
 {
@@ -160,11 +287,12 @@
         return;
     }
     for (std::size_t i = 0; i < requests.size(); ++i) {
-        const auto call =
+        auto call =
             decodeRequest(requests[i].is_string() ? requests[i].get<std::string>() : std::string());
         if (call) {
-            node.handleForwarded(
-                *call, [answers, i](const caller_answer &answer) { answers->set(i, answer); });
+            node.handleForwarded(std::move(*call), [answers, i](const caller_answer &answer) {
+                answers->set(i, answer);
+            });
         } else {
             caller_answer invalid;
             invalid.kind = answer_kind::invalid;
--- a/src/outside/io_loop.cpp
+++ b/src/outside/io_loop.cpp
@@ -264,7 +264,7 @@
     curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, beforeSending);
     curl_easy_setopt(handle, CURLOPT_PREREQDATA, call.get());
     const auto fresh = m_impl->freshUntil.find(request.address);
-    if (fresh != m_impl->freshUntil.end() && now() < fresh->second) {
+    if (request.freshConnection || (fresh != m_impl->freshUntil.end() && now() < fresh->second)) {
         curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
     }
     if (request.method != "GET") {
--- a/tests/encoding_compatibility_test.cpp
+++ b/tests/encoding_compatibility_test.cpp
@@ -101,7 +101,7 @@
     std::string message;
     fleet::reply<std::string> answer;
 
-    void forward(const std::string &, const std::string &, milliseconds,
+    void forward(const std::string &, const std::string &, fleet::forward_kind, milliseconds,
                  fleet::reply<std::string>) override
     {
     }
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ibishinge::fleet {
@@ -145,6 +146,11 @@
     std::map<std::string, process> processes;
     int exchanges = 0; ///< messages that relays have received
     std::set<std::string> frozen; ///< names of processes that answer no forwarded request
+    /// Names of processes whose answers to forwarded requests are lost, which the senders notice.
+    std::set<std::string> losesAnswers;
+    /// Time by process name for which forwarded requests wait before the process handles them.
+    std::map<std::string, milliseconds> backlogOf;
+    std::vector<caller_request> forwarded; ///< requests that processes received from others
     /// Processor share by process name, in cores; 1 if not set.
     std::map<std::string, double> shares;
 
@@ -157,26 +163,39 @@
         {
         }
 
-        void forward(const std::string &address, const std::string &request, milliseconds timeout,
-                     reply<std::string> done) override
+        void forward(const std::string &address, const std::string &request, forward_kind /*kind*/,
+                     milliseconds timeout, reply<std::string> done) override
         {
+            const auto answered = std::make_shared<bool>(false);
+            const auto once = [answered, done](result<std::string> answer) {
+                if (!std::exchange(*answered, true)) {
+                    done(std::move(answer));
+                }
+            };
+            m_fleet.loop.after(timeout, [once, address] {
+                once(makeError(error_kind::outcome_unknown, address, "no answer"));
+            });
             if (m_fleet.frozen.count(nameAt(address)) > 0) {
-                m_fleet.loop.after(timeout, [done, address] {
-                    done(makeError(error_kind::outcome_unknown, address, "no answer"));
-                });
                 return;
             }
-            m_fleet.loop.after(networkDelay, [this, address, request, done] {
+            const auto delay = networkDelay + m_fleet.backlogOf[nameAt(address)];
+            m_fleet.loop.after(delay, [this, address, request, once] {
                 auto *node = m_fleet.nodeAt(address);
                 if (node == nullptr) {
-                    done(tl::unexpected(refused()));
+                    once(tl::unexpected(refused()));
                     return;
                 }
-                node->handleForwarded(
-                    *decodeRequest(request), [this, done](const caller_answer &answer) {
-                        const auto text = encodeAnswer(answer);
-                        m_fleet.loop.after(networkDelay, [done, text] { done(text); });
-                    });
+                const auto call = decodeRequest(request);
+                m_fleet.forwarded.push_back(*call);
+                const bool lost = m_fleet.losesAnswers.count(nameAt(address)) > 0;
+                node->handleForwarded(*call, [this, once, lost](const caller_answer &answer) {
+                    if (lost) {
+                        once(makeError(error_kind::outcome_unknown, "", "connection reset"));
+                        return;
+                    }
+                    const auto text = encodeAnswer(answer);
+                    m_fleet.loop.after(networkDelay, [once, text] { once(text); });
+                });
             });
         }
 
--- a/tests/worker_relay_test.cpp
+++ b/tests/worker_relay_test.cpp
@@ -59,7 +59,7 @@
         , m_loop(loop)
     {
     }
-    void forward(const std::string &, const std::string &, milliseconds,
+    void forward(const std::string &, const std::string &, forward_kind, milliseconds,
                  reply<std::string>) override
     {
     }
