--- a/include/ibishinge/outside/io_loop.h
+++ b/include/ibishinge/outside/io_loop.h
@@ -23,6 +23,8 @@
     /// Longest time in which no byte of the request is sent and none of the response arrives, for
     /// exchanges whose duration depends on the bandwidth; 0: only `timeout` applies.
     std::chrono::milliseconds stallTimeout {0};
+    /// Use no connection of earlier requests, for example because one of them may have gone silent.
+    bool freshConnection = false;
 };
 
 using response_handler = std::function<void(result<http_response>)>;
