Limit new submissions while the coordinator is behind

Callers of a coordinator whose processor is full saw their accepted jobs start tens of seconds late and lookups without an answer: each submission was accepted at once, so that all kinds of work stood behind each other.

Cause: nothing measured whether the process could carry what it accepted.

The coordinator measures how late the timers of its event loop run. While that lag has stayed above a target, new submissions beyond a limit are rejected at once with a Retry-After. The limit begins at the rate of starts and follows the lag, so that the process stays in use; it ends two seconds after the last rejection. Lookups, cancellations and submissions of known ids are never limited, and a full pool limits nothing.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -5,6 +5,7 @@
 #include <ibishinge/base/scheduler.h>
 #include <ibishinge/fleet/caller.h>
 #include <ibishinge/fleet/host_maintenance.h>
+#include <ibishinge/fleet/load_control.h>
 #include <ibishinge/fleet/placement.h>
 #include <ibishinge/fleet/platform_api.h>
 #include <ibishinge/fleet/pool_sizing.h>
@@ -273,6 +274,8 @@
     bool ensurePoolStored(job_entry &job, const std::string &pool);
     bool ensureTickets(job_entry &job, const queue_config &queue, int occurrence, int step);
     void tick();
+    /// Records how late a timer runs that is due at `due`, and of others from then on.
+    void measureLag(instant due);
     /// Returns true, and records the time, if the next tick is overdue because the process or its
     /// host was stalled.
     bool detectProcessStall();
@@ -349,6 +352,8 @@
     instant m_tickDueAt;
     instant m_lastProcessStallAt; ///< end of the last stall; epoch: none
     milliseconds m_longestTickDelay {0}; ///< since the last summary
+    load_control m_load;
+    int m_rejectedForLag = 0; ///< submissions since the last summary
     int m_unansweredStarts = 0; ///< since the last summary
     std::int64_t m_pollNumber = 0; ///< number of the last poll of any worker
     std::int64_t m_reportNumber = 0; ///< number of the report being applied
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -15,6 +15,10 @@
 namespace {
 
 constexpr milliseconds tickInterval {100};
+/// Interval of the timers that show how late the event loop runs, and the number of those that are
+/// pending: a loop that is far behind would run a single one too seldom.
+constexpr milliseconds lagProbeInterval {25};
+constexpr int lagProbes = 20;
 /// A tick that is later than this shows that the process or its host was stalled.
 constexpr milliseconds processStallThreshold {500};
 
@@ -82,6 +86,19 @@
     loadRecords();
     m_tickDueAt = m_timers.now() + tickInterval;
     callAfter(tickInterval, [this] { tick(); });
+    for (int i = 1; i <= lagProbes; ++i) {
+        measureLag(m_timers.now() + lagProbeInterval * i);
+    }
+}
+
+void coordinator::measureLag(instant due)
+{
+    callAfter(std::max(since(m_timers.now(), due), milliseconds(0)), [this, due] {
+        const auto now = m_timers.now();
+        recordLag(m_load, since(due, now), now);
+        const auto missed = since(due, now) / (lagProbeInterval * lagProbes);
+        measureLag(due + lagProbeInterval * lagProbes * (missed + 1));
+    });
 }
 
 void coordinator::close()
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -8,6 +8,7 @@
 #include <ibishinge/fleet/record_codec.h>
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace ibishinge::fleet {
@@ -200,6 +201,14 @@
         reject(answerOf(answer_kind::not_ready, "the store is away", retryAfterUnavailable), {});
         return;
     }
+    const auto tasks =
+        std::accumulate(request.spec->steps.begin(), request.spec->steps.end(), 0,
+                        [](int sum, const step_spec &step) { return sum + step.count; });
+    if (const auto retryAfter = limitSubmission(m_load, tasks, m_timers.now())) {
+        ++m_rejectedForLag;
+        reject(answerOf(answer_kind::overloaded, "the coordinator is behind", *retryAfter), {});
+        return;
+    }
     job_entry job;
     job.id = id;
     job.queue = queue.name;
--- a/src/fleet/coordinator_logs.cpp
+++ b/src/fleet/coordinator_logs.cpp
@@ -75,8 +75,13 @@
         auto &before = m_processorUsBefore[kind];
         processorUs[std::string(nameOf(kind))] = total - std::exchange(before, total);
     }
+    m_metrics.set("ibishinge_coordinator_lag_seconds", {},
+                  std::chrono::duration<double>(currentLag(m_load)).count());
     logEvent(log_level::info, "coordinator_load",
              {{"tick_delay_ms", std::exchange(m_longestTickDelay, milliseconds(0)).count()},
+              {"lag_ms", currentLag(m_load).count()},
+              {"rejected_for_lag", std::exchange(m_rejectedForLag, 0)},
+              {"tasks_per_second_limit", m_load.limiting ? std::round(m_load.tasksPerSecond) : 0},
               {"ends_unstored", unstoredEnds},
               {"end_unstored_ms", oldestUnstored.count()},
               {"ends_listed_again", std::exchange(m_endsListedAgain, 0)},
--- a/src/fleet/coordinator_orders.cpp
+++ b/src/fleet/coordinator_orders.cpp
@@ -317,6 +317,7 @@
     order.ticket = run.ticket;
     if (run.orders == 0) {
         run.orderedAt = m_timers.now();
+        addEvents(m_load.started, 1, run.orderedAt);
     }
     ++run.orders;
     run.callPending = true;
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -328,6 +328,7 @@
                                + "." + std::to_string(end.task.index),
                            end.run, nameOf(end.kind), ranFor ? ranFor->count() : -1});
     m_metrics.add("ibishinge_runs_ended_total", {{"end", std::string(nameOf(end.kind))}});
+    addEvents(m_load.ended, 1, m_timers.now());
     if (known) {
         const bool ranToItsEnd = end.kind == end_kind::done || end.kind == end_kind::failed;
         const bool survived = found->second.observed && ranToItsEnd;
