--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "standins/virtual_platform.h"
+#include "standins/virtual_processor.h"
 
 #include <ibishinge/base/metrics.h>
 #include <ibishinge/fleet/node.h>
@@ -15,8 +16,10 @@
 
 namespace ibishinge::fleet {
 
+using standin::charged_platform;
 using standin::virtual_loop;
 using standin::virtual_platform;
+using standin::virtual_processor;
 using standin::virtual_world;
 
 /// Several processes of the system on a virtual platform in virtual time, connected by a link
@@ -27,7 +30,9 @@
     struct process
     {
         std::string name;
+        std::unique_ptr<virtual_processor> processor; ///< without costs, unless a test sets them
         std::unique_ptr<virtual_platform> platform;
+        std::unique_ptr<charged_platform> chargedPlatform;
         std::unique_ptr<peer_link> peers;
         std::unique_ptr<metrics_registry> metrics = std::make_unique<metrics_registry>();
         std::unique_ptr<fleet_node> node;
@@ -64,7 +69,9 @@
     {
         auto &each = processes[name];
         each.name = name;
+        each.processor = std::make_unique<virtual_processor>(loop);
         each.platform = std::make_unique<virtual_platform>(world);
+        each.chargedPlatform = std::make_unique<charged_platform>(*each.platform, *each.processor);
         each.peers = std::make_unique<direct_link>(*this, each);
         startNode(each);
         return each;
@@ -119,11 +126,21 @@
         request.spec = spec;
         request.callerTimeout = milliseconds(3000);
         const auto answer = std::make_shared<std::optional<caller_answer>>();
-        through.node->handle(request, [answer](const caller_answer &value) { *answer = value; });
+        send(through, request, [answer](const caller_answer &value) { *answer = value; });
         loop.runUntil([&] { return answer->has_value(); }, milliseconds(4000));
         return answer->value_or(caller_answer {});
     }
 
+    /// Sends a request through the process `through`, which handles it once its processor is free.
+    static void send(process &through, const caller_request &request, const answer_handler &done)
+    {
+        through.processor->execute([&through, request, done] {
+            if (through.node) {
+                through.node->handle(request, done);
+            }
+        });
+    }
+
     job_state stateOf(process &through, const std::string &path)
     {
         const auto answer = ask(through, caller_operation::show, path);
@@ -167,118 +184,75 @@
         }
 
         void forward(const std::string &address, const std::string &request, forward_kind /*kind*/,
-                     milliseconds timeout, reply<std::string> done) override
+                     milliseconds timeout, reply<std::string> whenDone) override
         {
-            const auto answered = std::make_shared<bool>(false);
-            const auto once = [answered, done](result<std::string> answer) {
-                if (!std::exchange(*answered, true)) {
-                    done(std::move(answer));
-                }
-            };
-            m_fleet.loop.after(timeout, [once, address] {
-                once(makeError(error_kind::outcome_unknown, address, "no answer"));
-            });
+            const auto done = once(address, timeout, whenDone);
             if (m_fleet.frozen.count(nameAt(address)) > 0) {
                 return;
             }
             const auto delay = networkDelay + m_fleet.backlogOf[nameAt(address)];
-            m_fleet.loop.after(delay, [this, address, request, once] {
-                auto *node = m_fleet.nodeAt(address);
-                if (node == nullptr) {
-                    once(tl::unexpected(refused()));
-                    return;
-                }
-                const auto call = decodeRequest(request);
-                m_fleet.forwarded.push_back(*call);
-                const bool lost = m_fleet.losesAnswers.count(nameAt(address)) > 0;
-                node->handleForwarded(*call, [this, once, lost](const caller_answer &answer) {
-                    if (lost) {
-                        once(makeError(error_kind::outcome_unknown, "", "connection reset"));
-                        return;
-                    }
-                    const auto text = encodeAnswer(answer);
-                    m_fleet.loop.after(answerDelay(), [once, text] { once(text); });
+            m_fleet.loop.after(delay, [this, address, request, done] {
+                m_fleet.runAt(address, done, [this, address, request, done](fleet_node &node) {
+                    const auto call = decodeRequest(request);
+                    m_fleet.forwarded.push_back(*call);
+                    const bool lost = m_fleet.losesAnswers.count(nameAt(address)) > 0;
+                    node.handleForwarded(*call, [this, done, lost](const caller_answer &answer) {
+                        if (lost) {
+                            done(makeError(error_kind::outcome_unknown, "", "connection reset"));
+                            return;
+                        }
+                        const auto text = encodeAnswer(answer);
+                        m_fleet.loop.after(answerDelay(), [done, text] { done(text); });
+                    });
                 });
             });
         }
 
         void offerLeadership(const std::string &address, std::int64_t revision,
-                             reply<bool> done) override
+                             reply<bool> whenDone) override
         {
+            const auto done = charged(whenDone);
             m_fleet.loop.after(networkDelay, [this, address, revision, done] {
-                auto *node = m_fleet.nodeAt(address);
-                if (node == nullptr) {
-                    done(tl::unexpected(refused()));
-                    return;
-                }
-                node->acceptLeadership(revision, [this, done](bool accepted) {
-                    m_fleet.loop.after(answerDelay() - networkDelay,
-                                       [done, accepted] { done(accepted); });
+                m_fleet.runAt(address, done, [this, revision, done](fleet_node &node) {
+                    node.acceptLeadership(revision, [this, done](bool accepted) {
+                        m_fleet.loop.after(answerDelay() - networkDelay,
+                                           [done, accepted] { done(accepted); });
+                    });
                 });
             });
         }
 
         void probeSuccessor(const std::string &address, std::int64_t revision, milliseconds timeout,
-                            reply<bool> done) override
+                            reply<bool> whenDone) override
         {
-            const auto answered = std::make_shared<bool>(false);
-            const auto once = [answered, done](const result<bool> &answer) {
-                if (!std::exchange(*answered, true)) {
-                    done(answer);
-                }
-            };
-            m_fleet.loop.after(timeout, [once, address] {
-                once(makeError(error_kind::outcome_unknown, address, "no answer"));
-            });
-            m_fleet.loop.after(networkDelay, [this, address, revision, once] {
-                auto *node = m_fleet.nodeAt(address);
-                if (node == nullptr) {
-                    once(tl::unexpected(refused()));
-                    return;
-                }
-                node->answerSuccessorProbe(revision, [this, once](bool able) {
-                    m_fleet.loop.after(answerDelay(), [once, able] { once(able); });
+            const auto done = once(address, timeout, whenDone);
+            m_fleet.loop.after(networkDelay, [this, address, revision, done] {
+                m_fleet.runAt(address, done, [this, revision, done](fleet_node &node) {
+                    node.answerSuccessorProbe(revision, [this, done](bool able) {
+                        m_fleet.loop.after(answerDelay(), [done, able] { done(able); });
+                    });
                 });
             });
         }
 
         void exchangeWorkerCalls(const std::string &address, const std::string &calls,
-                                 milliseconds timeout, reply<std::string> done) override
+                                 milliseconds timeout, reply<std::string> whenDone) override
         {
-            const auto answered = std::make_shared<bool>(false);
-            const auto once = [answered, done](result<std::string> answer) {
-                if (!std::exchange(*answered, true)) {
-                    done(std::move(answer));
-                }
-            };
-            m_fleet.loop.after(timeout, [once, address] {
-                once(makeError(error_kind::outcome_unknown, address, "no answer"));
-            });
-            m_fleet.loop.after(networkDelay, [this, address, calls, once] {
-                auto *node = m_fleet.nodeAt(address);
-                if (node == nullptr) {
-                    once(tl::unexpected(refused()));
-                    return;
-                }
-                ++m_fleet.exchanges;
-                node->handleWorkerCalls(
-                    calls, m_fleet.loop.now(), [this, once](const std::string &text) {
-                        m_fleet.loop.after(answerDelay(), [once, text] { once(text); });
-                    });
+            const auto done = once(address, timeout, whenDone);
+            m_fleet.loop.after(networkDelay, [this, address, calls, done] {
+                m_fleet.runAt(address, done, [this, calls, done](fleet_node &node) {
+                    ++m_fleet.exchanges;
+                    node.handleWorkerCalls(
+                        calls, m_fleet.loop.now(), [this, done](const std::string &text) {
+                            m_fleet.loop.after(answerDelay(), [done, text] { done(text); });
+                        });
+                });
             });
         }
 
     private:
         static constexpr milliseconds networkDelay {2};
 
-        static error refused()
-        {
-            error failure;
-            failure.kind = error_kind::unavailable;
-            failure.systemError = ECONNREFUSED;
-            return failure;
-        }
-
         /// Returns the time until an answer that is sent now has reached this process.
         [[nodiscard]] milliseconds answerDelay() const
         {
@@ -289,6 +263,31 @@
             return std::max(networkDelay, since(m_fleet.loop.now(), arrival)) + extra;
         }
 
+        /// Returns a reply that costs this process processor time.
+        template <class T>
+        reply<T> charged(const reply<T> &done)
+        {
+            return [&processor = *m_owner.processor, done](const result<T> &value) {
+                processor.execute([done, value] { done(value); });
+            };
+        }
+
+        /// Returns a reply that passes on the first answer only, and an error after `timeout`.
+        template <class T>
+        reply<T> once(const std::string &address, milliseconds timeout, const reply<T> &done)
+        {
+            const auto answered = std::make_shared<bool>(false);
+            const reply<T> first = [answered, done = charged(done)](const result<T> &answer) {
+                if (!std::exchange(*answered, true)) {
+                    done(answer);
+                }
+            };
+            m_fleet.loop.after(timeout, [first, address] {
+                first(makeError(error_kind::outcome_unknown, address, "no answer"));
+            });
+            return first;
+        }
+
         fleet_world &m_fleet;
         process &m_owner;
     };
@@ -298,10 +297,30 @@
         return address.substr(0, address.find(':'));
     }
 
-    fleet_node *nodeAt(const std::string &address)
+    /// Runs `function` in the process at `address` once its processor is free; if no process
+    /// listens there, answers that the connection was refused.
+    template <class T>
+    void runAt(const std::string &address, const reply<T> &done,
+               const std::function<void(fleet_node &)> &function)
     {
+        const auto refuse = [done] {
+            error failure;
+            failure.kind = error_kind::unavailable;
+            failure.systemError = ECONNREFUSED;
+            done(tl::unexpected(failure));
+        };
         const auto found = processes.find(nameAt(address));
-        return found == processes.end() ? nullptr : found->second.node.get();
+        if (found == processes.end() || !found->second.node) {
+            refuse();
+            return;
+        }
+        found->second.processor->execute([&node = found->second.node, function, refuse] {
+            if (node) {
+                function(*node);
+            } else {
+                refuse();
+            }
+        });
     }
 
     void startNode(process &each)
@@ -312,8 +331,8 @@
         settings.peerAddress = each.name + ":7000";
         settings.processorShare = shares.count(each.name) > 0 ? shares.at(each.name) : 1;
         settings.seed = static_cast<std::uint64_t>(m_runs);
-        each.node = std::make_unique<fleet_node>(*each.platform, *each.peers, loop, *each.metrics,
-                                                 settings);
+        each.node = std::make_unique<fleet_node>(*each.chargedPlatform, *each.peers,
+                                                 *each.processor, *each.metrics, settings);
         each.node->start();
     }
 
