Cancel the page reads of a coordinator that ends

With time-outs that count from the last byte, a page of the store that was being read when its coordinator lost or gave up its place would go on filling the link of that process for up to 20 s, beside its callers and the reads of its next term.

Change: io_loop::cancel ends a request without a call of its handler; coordinator::close cancels the reads of pages in progress.

--- a/include/ibishinge/fleet/platform_api.h
+++ b/include/ibishinge/fleet/platform_api.h
@@ -101,6 +101,9 @@
     /// Errors: also `invalid_request` if the store no longer holds the history.
     virtual void readRange(const std::string &prefix, const std::string &after,
                            reply<store_page> done) = 0;
+    /// Ends the reads of pages in progress, which may hold the link for seconds. Their replies do
+    /// not arrive.
+    virtual void cancelPageReads() = 0;
     /// Returns changes of keys that begin with `prefix` after `revision`; waits up to `wait` for
     /// the first one. Errors: also `conflict` if the history after `revision` is no longer
     /// available.
--- a/include/ibishinge/outside/io_loop.h
+++ b/include/ibishinge/outside/io_loop.h
@@ -4,6 +4,7 @@
 #include <ibishinge/base/scheduler.h>
 #include <ibishinge/outside/http_message.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -25,6 +26,9 @@
     std::chrono::milliseconds stallTimeout {0};
 };
 
+/// Identifies a request that was sent; none is used twice.
+using request_number = std::uint64_t;
+
 using response_handler = std::function<void(result<http_response>)>;
 
 /// Event loop with timers and an HTTP client for many requests at once, on libcurl.
@@ -55,7 +59,11 @@
 
     /// Errors passed to `done`: `unavailable` if no connection was made, `outcome_unknown` if the
     /// request may have been received.
-    void send(outgoing_request request, response_handler done);
+    request_number send(outgoing_request request, response_handler done);
+
+    /// Ends a request, which may have been received, without a call of its handler. Has no effect
+    /// if the handler was called.
+    void cancel(request_number number);
 
     /// Calls `onReadable` whenever `descriptor` can be read, until `removeReadable`. The descriptor
     /// stays the caller's. Precondition: not added already.
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -90,6 +90,7 @@
         return;
     }
     m_closed = true;
+    m_platform.cancelPageReads();
     m_writer->close();
     for (auto &[id, handlers] : std::exchange(m_submitWaiters, {})) {
         for (const auto &done : handlers) {
--- a/src/outside/io_loop.cpp
+++ b/src/outside/io_loop.cpp
@@ -51,6 +51,7 @@
 struct exchange
 {
     CURL *handle = nullptr;
+    request_number number = 0;
     deadlines::iterator deadline;
     instant endsBy; ///< end of `outgoing_request::timeout`
     milliseconds stallTimeout {0};
@@ -128,6 +129,7 @@
     std::optional<instant> curlTimer;
     std::vector<CURL *> idleHandles;
     std::map<CURL *, std::unique_ptr<exchange>> exchanges;
+    request_number lastNumber = 0;
     /// Ends of the timeouts of `exchanges`, without the progress made since they were entered.
     /// libcurl would compare its own with the present time before it reads a response that has
     /// arrived.
@@ -143,6 +145,8 @@
     std::atomic<bool> stopping = false;
 
     void finish(CURL *handle, CURLcode code);
+    /// Removes an exchange. Precondition: it exists.
+    std::unique_ptr<exchange> release(CURL *handle);
     void finishDone();
     void runPosted();
     void runTimers();
@@ -264,7 +268,7 @@
     m_impl->timers.emplace(now() + delay, std::move(function));
 }
 
-void io_loop::send(outgoing_request request, response_handler done)
+request_number io_loop::send(outgoing_request request, response_handler done)
 {
     CURL *handle = nullptr;
     if (m_impl->idleHandles.empty()) {
@@ -275,6 +279,7 @@
     }
     auto call = std::make_unique<exchange>();
     call->handle = handle;
+    call->number = ++m_impl->lastNumber;
     call->address = request.address;
     call->requestBody = std::move(request.body);
     call->resendable = request.method == "GET";
@@ -322,25 +327,43 @@
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, call->headers);
     curl_multi_add_handle(m_impl->multi, handle);
     call->deadline = m_impl->timeouts.emplace(deadlineOf(*call), handle);
+    const auto number = call->number;
     m_impl->exchanges.emplace(handle, std::move(call));
+    return number;
 }
 
-void io_loop::impl::finish(CURL *handle, CURLcode code)
+void io_loop::cancel(request_number number)
+{
+    const auto found =
+        std::find_if(m_impl->exchanges.begin(), m_impl->exchanges.end(),
+                     [number](const auto &each) { return each.second->number == number; });
+    if (found != m_impl->exchanges.end()) {
+        m_impl->release(found->first);
+    }
+}
+
+std::unique_ptr<exchange> io_loop::impl::release(CURL *handle)
 {
     const auto found = exchanges.find(handle);
-    const auto call = std::move(found->second);
+    auto call = std::move(found->second);
     exchanges.erase(found);
     timeouts.erase(call->deadline);
+    curl_multi_remove_handle(multi, handle);
+    curl_easy_reset(handle);
+    curl_slist_free_all(call->headers);
+    idleHandles.push_back(handle);
+    return call;
+}
+
+void io_loop::impl::finish(CURL *handle, CURLcode code)
+{
     long status = 0;
     long systemError = 0;
     long requestBytes = 0;
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &systemError);
     curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &requestBytes);
-    curl_multi_remove_handle(multi, handle);
-    curl_easy_reset(handle);
-    curl_slist_free_all(call->headers);
-    idleHandles.push_back(handle);
+    const auto call = release(handle);
 
     if (code == CURLE_OK) {
         http_response response;
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -450,6 +450,11 @@
         });
     }
 
+    void cancelPageReads() override
+    {
+        ++m_reads;
+    }
+
     void watch(const std::string &prefix, std::int64_t revision, milliseconds wait,
                reply<store_page> done) override
     {
@@ -754,9 +759,11 @@
             });
             return;
         }
-        m_world.loop.after(duration, [this, name, page, done] {
-            pagesRead.push_back(name);
-            deliver([done, page] { done(page); });
+        m_world.loop.after(duration, [this, name, page, done, reads = m_reads] {
+            if (reads == m_reads) {
+                pagesRead.push_back(name);
+                deliver([done, page] { done(page); });
+            }
         });
     }
 
@@ -912,6 +919,7 @@
     virtual_world &m_world;
     std::map<std::string, int> m_openCalls; ///< by worker
     milliseconds m_ttl {3000};
+    int m_reads = 0; ///< number of times that reads of pages were cancelled
     bool m_frozen = false;
     std::vector<std::function<void()>> m_heldReplies;
 };
--- a/tests/platform_client_test.cpp
+++ b/tests/platform_client_test.cpp
@@ -50,6 +50,12 @@
         return m_requests;
     }
 
+    /// Returns true if the client has closed a connection before the end of a response.
+    [[nodiscard]] bool brokenOff() const
+    {
+        return m_brokenOff;
+    }
+
 private:
     void run()
     {
@@ -62,7 +68,7 @@
         }
     }
 
-    void respond(raw_socket &peer) const
+    void respond(raw_socket &peer)
     {
         peer.write("HTTP/1.1 " + std::to_string(m_status)
                    + " Status\r\nConnection: close\r\nContent-Length: "
@@ -71,6 +77,7 @@
         for (std::size_t at = 0; at < m_body.size(); at += size) {
             std::this_thread::sleep_for(m_pause);
             if (!peer.write(m_body.substr(at, size))) {
+                m_brokenOff = true;
                 return;
             }
         }
@@ -83,6 +90,7 @@
     bound_socket m_listener;
     std::atomic<bool> m_stopping = false;
     std::atomic<int> m_requests = 0;
+    std::atomic<bool> m_brokenOff = false;
     std::thread m_thread;
 };
 
@@ -112,6 +120,7 @@
     CPPUNIT_TEST(hostsThatArriveSlowlyAreRead);
     CPPUNIT_TEST(conflictThatArrivesSlowlyIsRead);
     CPPUNIT_TEST(reportThatArrivesSlowlyIsRead);
+    CPPUNIT_TEST(cancelledReadLeavesTheLink);
     CPPUNIT_TEST_SUITE_END();
 
     /// A response of so many pieces arrives within 2.4 s, three times as long as a silent store is
@@ -231,6 +240,32 @@
         CPPUNIT_ASSERT_MESSAGE(report ? "" : describe(report.error()), report.has_value());
         CPPUNIT_ASSERT_EQUAL(std::size_t {500}, report->ended.size());
     }
+
+    /// Guards against a page that goes on filling the link after nobody waits for it any more.
+    void cancelledReadLeavesTheLink()
+    {
+        slow_server server(200, pageOf("items"), 100, pause);
+        auto loop = io_loop::make();
+        CPPUNIT_ASSERT(loop.has_value());
+        platform_client client(**loop, {server.address(), "", "", "holder"});
+        bool replied = false;
+        (*loop)->after(0ms, [&] {
+            client.readRange("fleet/job/", "", [&](const result<store_page> &) { replied = true; });
+        });
+        (*loop)->after(500ms, [&] { client.cancelPageReads(); });
+        const auto end = (*loop)->now() + 5s;
+        std::function<void()> check = [&] {
+            if (server.brokenOff() || (*loop)->now() >= end) {
+                (*loop)->stop();
+            } else {
+                (*loop)->after(10ms, check);
+            }
+        };
+        check();
+        (*loop)->run();
+        CPPUNIT_ASSERT(server.brokenOff());
+        CPPUNIT_ASSERT(!replied);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(platform_client_test);
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(endsOverANarrowLink);
     CPPUNIT_TEST(brokenPagesAloneAreReadAgain);
     CPPUNIT_TEST(inheritedTasksStartAndAreMeasured);
+    CPPUNIT_TEST(pageOfADeposedCoordinatorIsCancelled);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<fleet_world> m_fleet;
@@ -114,6 +115,21 @@
         CPPUNIT_ASSERT(loaded.sumSeconds >= 6); // three pages of jobs
         CPPUNIT_ASSERT(started.sumSeconds >= loaded.sumSeconds);
     }
+
+    /// Guards against a page that fills the link of a process that does not need it any more.
+    void pageOfADeposedCoordinatorIsCancelled()
+    {
+        killCoordinator();
+        auto &platform = *successor().platform;
+        const auto termBefore = term();
+        CPPUNIT_ASSERT(m_fleet->loop.runUntil([&] { return term() != termBefore; }, 10s));
+        m_fleet->loop.run(1s); // within the first page of jobs
+        const auto before = platform.pagesRead.size();
+        m_fleet->world.deleteItem(std::string(leaderKey));
+        successor().node->resign();
+        m_fleet->loop.run(5s);
+        CPPUNIT_ASSERT_EQUAL(before, platform.pagesRead.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(takeover_test);
