--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -461,6 +461,11 @@
         });
     }
 
+    void cancelPageReads() override
+    {
+        ++m_reads;
+    }
+
     void watch(const std::string &prefix, std::int64_t revision, milliseconds wait,
                reply<store_page> done) override
     {
@@ -765,9 +770,11 @@
             });
             return;
         }
-        arrive(duration, [this, name, page, done] {
-            pagesRead.push_back(name);
-            deliver([done, page] { done(page); });
+        arrive(duration, [this, name, page, done, reads = m_reads] {
+            if (reads == m_reads) {
+                pagesRead.push_back(name);
+                deliver([done, page] { done(page); });
+            }
         });
     }
 
@@ -939,6 +946,7 @@
     std::map<std::string, int> m_openCalls; ///< by worker
     milliseconds m_ttl {3000};
     instant m_linkFreeAt; ///< when all answers on their way to this process have arrived
+    int m_reads = 0; ///< number of times that reads of pages were cancelled
     bool m_frozen = false;
     std::vector<std::function<void()>> m_heldReplies;
 };
--- a/standins/virtual_processor.h
+++ b/standins/virtual_processor.h
@@ -139,6 +139,10 @@
     {
         m_processor.call([=, this] { m_platform.readRange(prefix, after, charged(done)); });
     }
+    void cancelPageReads() override
+    {
+        m_platform.cancelPageReads();
+    }
     void watch(const std::string &prefix, std::int64_t revision, milliseconds wait,
                reply<store_page> done) override
     {
