Soak of real processes on weak hosts

Three more faults: all processes killed and the strong back later than the weak, a link narrowed for a time, a processor shared for a time. The store's pages have up to 1 MB. The checks are those of before; accepted scheduled jobs are looked up too. A play that has broken more than 20 promises is not checked further, and still fails. Plays without `--weak` draw what they drew.

The take-over test checks that a recovery uses at most 6 terms and prints the time to the first start.

--- a/tests/process/fleet_soak.py
+++ b/tests/process/fleet_soak.py
@@ -1,13 +1,14 @@
 """A seeded fault soak of `ibishinge-fleet`: real processes on loopback, beside stand-ins.
 
     fleet_soak.py --binaries FOLDER [--seeds 1,2,3 | --count 50] [--processes 3] [--seconds 40]
-                  [--faults NAME,...] [--logs FOLDER]
+                  [--faults NAME,...] [--weak] [--logs FOLDER]
 
 Callers hand jobs in through all processes and try again as the platform's callers do; meanwhile
 faults come in series and overlap. What callers are answered and what workers start and end is
 checked against the promises. The exit status is 1 if one was broken. Without `--faults`, links
-between the processes fail too if the seed is even. `--logs` keeps the record and the logs of the
-processes of each seed.
+between the processes fail too if the seed is even. With `--weak`, all hosts or all but one have
+narrow links to the store or a share of a processor, large records are stored before the faults,
+and the strong lose elections. `--logs` keeps the record and the logs of the processes of each seed.
 """
 
 import argparse
@@ -15,6 +16,7 @@
 import os
 import random
 import signal
+import string
 import subprocess
 import sys
 import tempfile
@@ -26,8 +28,10 @@
 
 import lab as stand  # noqa: E402
 from soak_callers import (Caller, CallerWhoGivesUp, CancellingCaller,  # noqa: E402
-                          KeptConnections, LastingCaller)
+                          KeptConnections, LastingCaller, ScheduledCaller)
 from soak_links import LinkedProcess  # noqa: E402
+from soak_weak import (SHARES, PagedStore, WeakLinkedProcess, WeakProcess,  # noqa: E402
+                       draw_hosts)
 
 WORKERS_PER_PROCESS = 3
 JOBS_PER_S = 2.7  # for each process
@@ -39,6 +43,12 @@
 DRAIN_S = 3.0  # a process that is stopped answers requests that come within this time
 PROBES = 40  # jobs handed in after the last fault
 PROBES_SERVED = 0.9
+MOST_BROKEN = 20  # promises; a play that has broken more is not checked further
+# With `--weak`, by the slowest link: a take-over reads the records of so many in some four seconds.
+SCHEDULED_JOBS = {2: [100, 300], 10: [300, 1000], None: [300, 1000]}
+SCHEDULED_AT_ONCE = 24
+SCHEDULED_CHECKED = 100
+STRONG_HELD_BACK_S = 6  # longest time for which the strong wait for the election of a weak one
 
 
 class FaultyStore(stand.Store):
@@ -77,6 +87,10 @@
         self.record.write("store_back")
 
 
+class PagedFaultyStore(PagedStore, FaultyStore):
+    """The store of weak hosts."""
+
+
 class Soak:
     """One run: load, faults and checks, all drawn from the seed."""
 
@@ -212,7 +226,8 @@
     async def process_stopped(self):
         await self.restart(self.rng.choice(self.lab.processes), signal.SIGTERM)
 
-    async def restart(self, process, number):
+    async def restart(self, process, number, until=None):
+        """`until`, if given, is awaited before the process starts again."""
         if process is None or process.child.returncode is not None:
             return
         self.signals.setdefault(process.child, []).append((time.monotonic(), number))
@@ -222,6 +237,8 @@
         self.restarting.add(process)
         await process.child.wait()
         await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+        if until:
+            await until()
         self.restarting.discard(process)
         await process.begin()
 
@@ -328,11 +345,15 @@
         lab.add_minions(WORKERS_PER_PROCESS * self.processes, self.run_time)
         await lab.begin(self.processes, links=True)
         await asyncio.sleep(2)
+        await self.prepare()
         self.until = time.monotonic() + self.seconds
         await asyncio.gather(self.load(self.until), self.disturb(self.until))
         await asyncio.sleep(SETTLE_S)
         await self.check()
 
+    async def prepare(self):
+        """Is called before the load and the faults."""
+
     def run_time(self, _task, spec):
         return None if spec == "lasting" else self.rng.uniform(0.2, 1.0)
 
@@ -354,12 +375,16 @@
     async def check(self):
         lab = self.lab
         for job, caller in self.callers.items():
+            if len(lab.broken) > MOST_BROKEN:
+                return
             lab.record.write("attempts", job=job, statuses=caller.statuses)
             if caller.rejected and job in self.started:
                 lab.violate(f"REFUSED: job {job} ran, and all attempts to hand it in were "
                             f"rejected: {caller.statuses}")
             if caller.cancelled_at is not None:
                 self.check_cancelled(job)
+            elif isinstance(caller, ScheduledCaller):
+                pass  # checked by `WeakSoak`
             elif caller.accepted and isinstance(caller, LastingCaller):
                 self.check_lasting(caller)
             elif caller.accepted:
@@ -380,11 +405,11 @@
                          over_links=sum(process.links["peers"].carried for process in lab.processes
                                         if "peers" in process.links))
 
-    async def check_complete(self, job):
+    async def check_complete(self, job, state=b"completed"):
         for _ in range(6):
             status, body = await self.lab.call("GET", self.rng.choice(self.lab.processes),
                                                "/q/" + job)
-            if b"completed" in body:
+            if state in body:
                 return
             if status == 410:
                 break
@@ -392,30 +417,123 @@
         self.lab.violate(f"LOST: accepted job {job} is answered {status} {body.decode()}")
 
 
+class WeakSoak(Soak):
+    """A run on weak hosts."""
+
+    def __init__(self, lab, seed, processes, seconds, faults):
+        super().__init__(lab, seed, processes, seconds, faults)
+        self.scheduled = []  # jobs
+
+    async def freeze(self, process, seconds):
+        if process:
+            process.frozen += 1
+            await super().freeze(process, seconds)
+            process.frozen -= 1
+
+    async def prepare(self):
+        """Hands in jobs that are due long after the run, so that a take-over has much to read."""
+        due_ms = int((time.time() + 3600) * 1000)
+        free = asyncio.Semaphore(SCHEDULED_AT_ONCE)
+
+        async def hand_in():
+            job = self.lab.new_id()
+            payload = "".join(self.rng.choices(string.ascii_letters,
+                                               k=self.rng.randint(1000, 4000)))
+            self.lab.jobs[job] = {"spec": payload, "repetitions": 1, "first-ms": due_ms,
+                                  "steps": [{"count": 1, "cpu": 1000, "estimate-ms": 500}]}
+            self.scheduled.append(job)
+            self.callers[job] = ScheduledCaller(self, job)
+            async with free:
+                await self.callers[job].run()
+
+        slowest = min((host.mbit_per_s for host in self.lab.hosts if host.mbit_per_s), default=None)
+        await asyncio.gather(*[hand_in()
+                               for _ in range(self.rng.choice(SCHEDULED_JOBS[slowest]))])
+
+    async def check(self):
+        await self.check_scheduled()
+        await super().check()
+        self.lab.record.write("terms", used=self.lab.store.terms())
+
+    async def check_scheduled(self):
+        if len(self.lab.broken) > MOST_BROKEN:
+            return
+        accepted = [job for job in self.scheduled if self.callers[job].accepted]
+        checked = self.rng.sample(accepted, min(SCHEDULED_CHECKED, len(accepted)))
+        free = asyncio.Semaphore(SCHEDULED_AT_ONCE)
+
+        async def check(job):
+            async with free:
+                await self.check_complete(job, b"queued")
+
+        await asyncio.gather(*[check(job) for job in checked])
+
+    async def weak_elected(self):
+        """All processes are killed, and the strong are back later than the weak. If all are weak,
+        one of them is back first."""
+        processes = list(self.lab.processes)
+        first = [each for each in processes if each.host.is_weak]
+        if first == processes:
+            first = [self.rng.choice(processes)]
+        term, latest = self.lab.store.terms(), time.monotonic() + STRONG_HELD_BACK_S
+
+        async def elected():
+            while time.monotonic() < latest and (self.lab.store.terms() == term
+                                                 or self.lab.leader() not in first):
+                await asyncio.sleep(0.02)
+
+        await asyncio.gather(*[
+            self.restart(each, signal.SIGKILL, until=None if each in first else elected)
+            for each in processes])
+
+    async def link_narrowed(self):
+        link = self.rng.choice(self.lab.processes).links["store"]
+        rate = link.bytes_per_s
+        link.limit(self.rng.uniform(1, 4))
+        await asyncio.sleep(self.rng.uniform(1.0, 5.0))
+        link.bytes_per_s = rate
+
+    async def processor_shared(self):
+        process = self.rng.choice(self.lab.processes)
+        process.share = self.rng.uniform(*SHARES)
+        await asyncio.sleep(self.rng.uniform(1.0, 5.0))
+        process.share = process.host.share
+
+
 FAULTS = ["store_busy", "store_silent", "store_answers_lost", "store_answers_late",
           "store_answer_lost_then_busy", "leader_cut_from_store", "leader_killed",
           "process_stopped", "leader_frozen", "worker_crashes", "worker_cut_off",
           "all_processes_killed", "power_lost", "process_frozen", "draining_process_frozen",
           "two_processes_signalled"]
 FAULTS_OF_LINKS = ["peers_cut", "peer_answers_lost", "peer_answers_late"]
+FAULTS_OF_WEAK = ["weak_elected", "link_narrowed", "processor_shared"]
+WEAK_WEIGHT = 3  # such a fault is drawn so many times as often as another
 
 
-async def play(seed, processes, seconds, faults, logs):
+async def play(seed, processes, seconds, faults, logs, weak):
     """Plays a seed and ends this process with the exit status: tasks of connections may be left."""
     folder = Path(logs or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
     folder.mkdir(parents=True, exist_ok=True)
     if faults is None:
         # Not in all plays: a link hides that a process that has ended refuses connections.
         faults = FAULTS + FAULTS_OF_LINKS if seed % 2 == 0 else FAULTS
-    if set(faults) & set(FAULTS_OF_LINKS):
+        if weak:
+            faults = faults + WEAK_WEIGHT * FAULTS_OF_WEAK
+    with_links = bool(set(faults) & set(FAULTS_OF_LINKS))
+    if weak:
+        stand.Process = WeakLinkedProcess if with_links else WeakProcess
+    elif with_links:
         stand.Process = LinkedProcess
     lab = stand.Lab(folder / "record.txt")
     os.rmdir(lab.folder)
     lab.folder = str(folder)
     lab.rng = random.Random(seed)
-    lab.store = FaultyStore(lab.record)
+    lab.store = (PagedFaultyStore if weak else FaultyStore)(lab.record)
     lab.store.rng = random.Random(seed + 1)
-    soak = Soak(lab, seed, processes, seconds, faults)
+    if weak:
+        lab.hosts = draw_hosts(random.Random(seed + 2), processes)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    soak = (WeakSoak if weak else Soak)(lab, seed, processes, seconds, faults)
     try:
         await soak.run()
     finally:
@@ -437,6 +555,7 @@
     parser.add_argument("--processes", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=40)
     parser.add_argument("--faults", help="by default all that the seed allows")
+    parser.add_argument("--weak", action="store_true")
     parser.add_argument("--logs")
     arguments = parser.parse_args()
     stand.PROGRAM = str(arguments.binaries.resolve() / "ibishinge-fleet")
@@ -445,7 +564,7 @@
     if len(seeds) == 1:
         asyncio.run(play(seeds[0], arguments.processes, arguments.seconds,
                          arguments.faults.split(",") if arguments.faults else None,
-                         arguments.logs))
+                         arguments.logs, arguments.weak))
     statuses = [subprocess.run([sys.executable, *sys.argv, "--seeds", str(seed)],
                                check=False).returncode for seed in seeds]
     return max(statuses)
--- a/tests/process/fleet_soak_test.py
+++ b/tests/process/fleet_soak_test.py
@@ -14,13 +14,14 @@
 class FleetSoakTest(unittest.TestCase):
     """Guards against broken promises to callers when faults of several kinds overlap."""
 
-    def soak(self, seeds, seconds, faults=None):
+    def soak(self, seeds, seconds, faults=None, weak=False):
         """Plays the seeds side by side."""
         plays = []
         for seed in seeds:
             words = [sys.executable, str(SOAK), "--binaries", str(support.BINARIES), "--seeds",
                      str(seed), "--seconds", str(seconds)]
             words += ["--faults", ",".join(faults)] if faults else []
+            words += ["--weak"] if weak else []
             plays.append(subprocess.Popen(words, stdout=subprocess.PIPE, text=True))
         for play in plays:
             output, _ = play.communicate(timeout=LIMIT_S)
@@ -41,6 +42,11 @@
     def test_promises_hold_under_all_faults(self):
         self.soak([11, 12], 25)
 
+    def test_promises_hold_on_weak_hosts(self):
+        """Guards against a coordinator that never serves since its link or its processor is weak."""
+        self.soak([10], 15, ["weak_elected", "leader_killed", "link_narrowed", "processor_shared"],
+                  weak=True)
+
 
 if __name__ == "__main__":
     support.main()
--- a/tests/process/soak_callers.py
+++ b/tests/process/soak_callers.py
@@ -214,6 +214,10 @@
     """Hands in a job whose tasks run until it is cancelled, and cancels some of these jobs."""
 
 
+class ScheduledCaller(Caller):
+    """Hands in a job that is due after the soak."""
+
+
 class CallerWhoGivesUp(Caller):
     """Leaves while its only submission may be unanswered, and cancels the job."""
 
--- a/tests/process/weak_coordinator_test.py
+++ b/tests/process/weak_coordinator_test.py
@@ -19,11 +19,10 @@
 
 import lab as stand  # noqa: E402
 import support  # noqa: E402
-from soak_links import SEGMENT, NarrowLink  # noqa: E402
+from soak_links import SEGMENT  # noqa: E402
+from soak_weak import TCP_WINDOW, NarrowProcess, PagedStore  # noqa: E402
 
 RECOVERY_S = 15  # the platform's bound, from the moment when all processes are back
-PAGE_BYTES = 1_000_000  # the store's bound of a page
-TCP_WINDOW = 65536
 PROCESSES = 3
 WORKERS = 3
 PAYLOAD_BYTES = (1000, 4000)
@@ -32,33 +31,10 @@
 WAITING_JOBS = 40  # each task takes a whole worker for RUN_S
 RUN_S = 1.0
 LOOKUPS = 20  # for each process
+MAX_TERMS = 6  # from the start of the fleet to its recovery
 ELECTION_S = 20  # only a bound against a test that never ends
 
 
-class PagedStore(stand.Store):
-    """A store whose pages have a limited size, as the platform's."""
-
-    async def handle(self, method, path, query, headers, body):
-        answer = await super().handle(method, path, query, headers, body)
-        if path != "/-/kv-range" or answer is None or answer[0] != 200:
-            return answer
-        document, size = answer[1], 0
-        for count, item in enumerate(document["items"]):
-            size += len(json.dumps(item))
-            if size > PAGE_BYTES:
-                return 200, dict(document, items=document["items"][:count], **{"more-pages": True})
-        return answer
-
-
-class LinkedProcess(stand.Process):
-    """A process whose link to the store can be narrow."""
-
-    async def add_links(self):
-        await super().add_links()
-        self.links["store"] = NarrowLink(self.lab.store.http.port)
-        await self.links["store"].begin()
-
-
 class Play:
     """A small fleet with stored jobs, whose processes are killed and come back."""
 
@@ -72,13 +48,14 @@
         self.lab.store = PagedStore(self.lab.record)
         self.lab.on_started = self.on_started
         self.started = asyncio.Event()
+        self.started_at = None  # of the first task after `started` was cleared
         self.jobs = []  # those that were accepted
         self.calls = asyncio.Semaphore(AT_ONCE)
 
     async def __aenter__(self):
         stand.PROGRAM = str((support.BINARIES / "ibishinge-fleet").resolve())
         process = stand.Process
-        stand.Process = LinkedProcess
+        stand.Process = NarrowProcess
         try:
             self.lab.add_minions(WORKERS, lambda task, spec: RUN_S)
             await self.lab.begin(PROCESSES, links=True)
@@ -97,6 +74,8 @@
         shutil.rmtree(self.folder)
 
     def on_started(self, _worker, _task, _run):
+        if not self.started.is_set():
+            self.started_at = time.monotonic()
         self.started.set()
 
     async def hand_in(self, document):
@@ -136,11 +115,11 @@
     async def elect_first(self):
         """Starts all processes again, the first one so much sooner that it is elected."""
         weak, *others = self.lab.processes
-        term = self.lab.store.value("fleet/term")
+        term = self.lab.store.terms()
         await weak.begin()
 
         async def is_elected():
-            return self.lab.store.value("fleet/term") != term and self.lab.leader() is weak
+            return self.lab.store.terms() > term and self.lab.leader() is weak
 
         await self.lab.wait_for(is_elected, ELECTION_S, "the first process was not elected")
         for process in others:
@@ -217,9 +196,11 @@
                               f"(started: {fleet.started.is_set()}):\n"
                               + "\n".join(fleet.log_lines()))
                 await served
-                print(f"served {time.monotonic() - back_at:.1f} s after the processes were back",
-                      file=sys.stderr)
+                print(f"after the processes were back: first start {fleet.started_at - back_at:.1f}"
+                      f" s, served {time.monotonic() - back_at:.1f} s; terms used: "
+                      f"{fleet.lab.store.terms()}", file=sys.stderr)
                 self.assertEqual(set(await fleet.answers_to_all()), {200})
+                self.assertLessEqual(fleet.lab.store.terms(), MAX_TERMS)
 
         asyncio.run(play())
 
