Limit new submissions while the coordinator's link is full

Callers saw leases of lasting tasks lapse (AVAIL) and accepted work stand while a coordinator with a link of 2 Mbit/s went on admitting: its event loop was idle, and the lag of the loop is what limits admission.

Cause: answers of all workers wait on the full link, which no measure showed.

Change: the lower quartile of the delays of answers to starts and stops in the last half second counts as a lag of the loop, scaled so that 300 ms is its target. A minority of slow or silent workers does not show in it. New field answer_delay_ms of coordinator_load.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -3,6 +3,7 @@
 #include <ibishinge/base/metrics.h>
 #include <ibishinge/base/processor_time.h>
 #include <ibishinge/base/scheduler.h>
+#include <ibishinge/fleet/answer_delay.h>
 #include <ibishinge/fleet/caller.h>
 #include <ibishinge/fleet/host_maintenance.h>
 #include <ibishinge/fleet/load_control.h>
@@ -370,6 +371,7 @@
     instant m_lastProcessStallAt; ///< end of the last stall; epoch: none
     milliseconds m_longestTickDelay {0}; ///< since the last summary
     load_control m_load;
+    answer_delay m_answerDelay; ///< of starts and stops
     int m_rejectedForLag = 0; ///< submissions since the last summary
     int m_unansweredStarts = 0; ///< since the last summary
     std::int64_t m_pollNumber = 0; ///< number of the last poll of any worker
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -19,6 +19,9 @@
 /// pending: a loop that is far behind would run a single one too seldom.
 constexpr milliseconds lagProbeInterval {25};
 constexpr int lagProbes = 20;
+/// Delay of workers' answers that counts as a lag of `lagTarget`: half of the objective's usual
+/// slack of 600 ms, and less than the time-out of an order, beyond which orders are repeated.
+constexpr milliseconds answerDelayTarget {300};
 /// A tick that is later than this shows that the process or its host was stalled.
 constexpr milliseconds processStallThreshold {500};
 
@@ -95,7 +98,10 @@
 {
     callAfter(std::max(since(m_timers.now(), due), milliseconds(0)), [this, due] {
         const auto now = m_timers.now();
-        recordLag(m_load, since(due, now), now);
+        // Answers wait on a full link while the event loop is idle.
+        const auto linkLag =
+            typicalDelay(m_answerDelay, now) * lagTarget.count() / answerDelayTarget.count();
+        recordLag(m_load, std::max(since(due, now), linkLag), now);
         const auto missed = since(due, now) / (lagProbeInterval * lagProbes);
         measureLag(due + lagProbeInterval * lagProbes * (missed + 1));
     });
--- a/src/fleet/coordinator_logs.cpp
+++ b/src/fleet/coordinator_logs.cpp
@@ -80,6 +80,7 @@
     logEvent(log_level::info, "coordinator_load",
              {{"tick_delay_ms", std::exchange(m_longestTickDelay, milliseconds(0)).count()},
               {"lag_ms", currentLag(m_load).count()},
+              {"answer_delay_ms", typicalDelay(m_answerDelay, now).count()},
               {"rejected_for_lag", std::exchange(m_rejectedForLag, 0)},
               {"tasks_per_second_limit", m_load.limiting ? std::round(m_load.tasksPerSecond) : 0},
               {"ends_unstored", unstoredEnds},
