Take no relay for failed because this process is behind

Cause: a call was overdue 1.65 s after it was made, although this process had not sent it yet, or had not read the answers that the relay had sent. All open calls of the relay, up to 1,195, were then repeated, the polls by this process itself.

The time of a call begins when it is sent, and it is overdue only if the relay has answered a message that it was sent after that time. A relay that answers nothing is noticed by the time-out of its exchange, as before.

worker_relay_test::lateReadingDoesNotLoseARelay on the code before: Expected: 0, Actual: 3 (relays lost). Now it passes, and so does relayThatLosesAResultIsReplaced, which guards the other side and passed before too. The 27 tests that use fleet_world.h or load_control.h passed in release.

--- a/include/ibishinge/fleet/worker_relay.h
+++ b/include/ibishinge/fleet/worker_relay.h
@@ -78,7 +78,8 @@
     struct open_call
     {
         std::variant<reply<run_command_reply>, open_poll> what;
-        instant until; ///< the relay is treated as failed if there is no result by then
+        milliseconds allowed; ///< from sending the call to the relay until its result
+        instant until = instant::max(); ///< `allowed` after it was sent
     };
     struct relay
     {
@@ -87,8 +88,8 @@
         instant unusableUntil;
         /// Incarnation of the relay process, from its last answer; empty before the first answer.
         std::string incarnation;
-        int exchanges = 0; ///< exchanges with the relay in flight
-        instant lastExchange;
+        std::multiset<instant> exchanges; ///< when those in flight were sent
+        instant answeredExchange; ///< when the last one that was answered was sent
         bool sendScheduled = false;
         nlohmann::json calls = nlohmann::json::array(); ///< calls not sent yet
         /// Payloads of the jobs in `calls`, by job id.
@@ -100,10 +101,12 @@
     void add(relay &to, const nlohmann::json &call, open_call open);
     void scheduleExchange(relay &to);
     void exchange(relay &to);
-    void onExchanged(const std::string &address, const result<std::string> &answer);
+    void onExchanged(const std::string &address, instant sentAt, const result<std::string> &answer);
     void applyResult(relay &from, const nlohmann::json &row);
     void failRelay(relay &which, std::string_view reason);
     void scheduleOverdueCheck();
+    /// Fails the relays that have answered a message which they were sent after a result was due,
+    /// without that result. How late this process reads the answers does not matter.
     void failOverdueRelays();
 
     worker_calls &m_direct;
--- a/src/fleet/worker_relay.cpp
+++ b/src/fleet/worker_relay.cpp
@@ -22,7 +22,7 @@
 constexpr milliseconds batchDelay {8};
 
 /// Concurrent exchanges with one relay: one waits for results while the next one carries calls.
-constexpr int maxConcurrentExchanges = 2;
+constexpr std::size_t maxConcurrentExchanges = 2;
 
 /// A relay answers after this time even without results, so that a relay that hangs is noticed
 /// soon.
@@ -33,7 +33,7 @@
 constexpr milliseconds failedRelayPause {3000};
 
 /// Added to the time that a call may take at the relay; a call without a result by then makes the
-/// relay count as failed.
+/// relay count as failed, if it has answered a later message.
 constexpr milliseconds resultMargin {1200};
 constexpr milliseconds commandTimeout {450};
 constexpr milliseconds overdueCheckInterval {200};
@@ -291,8 +291,7 @@
         return;
     }
     to->payloads[order.task.job] = order.payload;
-    add(*to, encodeStartCall(worker, order),
-        {std::move(done), m_timers.now() + commandTimeout + resultMargin});
+    add(*to, encodeStartCall(worker, order), {std::move(done), commandTimeout + resultMargin});
 }
 
 void relay_client::stopRun(const worker_entry &worker, const task_name &task, std::int64_t run,
@@ -304,7 +303,7 @@
         return;
     }
     add(*to, encodeRunCall(call_kind::stop, worker, task, run, fencingToken, 0),
-        {std::move(done), m_timers.now() + commandTimeout + resultMargin});
+        {std::move(done), commandTimeout + resultMargin});
 }
 
 void relay_client::throttleRun(const worker_entry &worker, const task_name &task, std::int64_t run,
@@ -317,7 +316,7 @@
         return;
     }
     add(*to, encodeRunCall(call_kind::throttle, worker, task, run, fencingToken, percent),
-        {std::move(done), m_timers.now() + commandTimeout + resultMargin});
+        {std::move(done), commandTimeout + resultMargin});
 }
 
 void relay_client::poll(const worker_entry &worker, const poll_request &order,
@@ -329,7 +328,7 @@
         return;
     }
     add(*to, encodePollCall(worker, order),
-        {open_poll {worker, order, std::move(done)}, m_timers.now() + order.wait + resultMargin});
+        {open_poll {worker, order, std::move(done)}, order.wait + resultMargin});
 }
 
 void relay_client::add(relay &to, const json &call, open_call open)
@@ -344,8 +343,8 @@
 
 void relay_client::scheduleExchange(relay &to)
 {
-    const bool wanted = !to.calls.empty() || (!to.open.empty() && to.exchanges == 0);
-    if (!wanted || to.sendScheduled || to.exchanges >= maxConcurrentExchanges) {
+    const bool wanted = !to.calls.empty() || (!to.open.empty() && to.exchanges.empty());
+    if (!wanted || to.sendScheduled || to.exchanges.size() >= maxConcurrentExchanges) {
         return;
     }
     to.sendScheduled = true;
@@ -361,31 +360,37 @@
 
 void relay_client::exchange(relay &to)
 {
-    if (to.open.empty() || to.exchanges >= maxConcurrentExchanges) {
+    if (to.open.empty() || to.exchanges.size() >= maxConcurrentExchanges) {
         return;
     }
     const processor_time_scope used(m_metrics, work_kind::relay_messages);
+    const auto now = m_timers.now();
+    for (const auto &call : to.calls) {
+        auto &open = to.open.at(call.at(0).get<std::int64_t>());
+        open.until = now + open.allowed;
+    }
     const json message = {{"session", m_session},
                           {"number", m_nextNumber++},
                           {"calls", std::exchange(to.calls, json::array())},
                           {"payloads", std::exchange(to.payloads, json::object())}};
-    ++to.exchanges;
+    to.exchanges.insert(now);
     m_metrics.add("ibishinge_relay_exchanges_total");
     m_peers.exchangeWorkerCalls(
         to.peer.address, encodeCbor(message), exchangeTimeout,
-        [this, address = to.peer.address,
+        [this, address = to.peer.address, now,
          alive = std::weak_ptr<int>(m_alive)](const result<std::string> &answer) {
             if (!alive.expired()) {
-                onExchanged(address, answer);
+                onExchanged(address, now, answer);
             }
         });
 }
 
-void relay_client::onExchanged(const std::string &address, const result<std::string> &answer)
+void relay_client::onExchanged(const std::string &address, instant sentAt,
+                               const result<std::string> &answer)
 {
     const processor_time_scope used(m_metrics, work_kind::relay_messages);
     auto &from = m_relays.at(address);
-    --from.exchanges;
+    from.exchanges.erase(from.exchanges.find(sentAt));
     if (!answer) {
         failRelay(from, describe(answer.error()));
         return;
@@ -410,6 +415,7 @@
         failRelay(from, problem.what());
         return;
     }
+    from.answeredExchange = std::max(from.answeredExchange, sentAt);
     scheduleExchange(from);
 }
 
@@ -485,15 +491,19 @@
 
 void relay_client::failOverdueRelays()
 {
-    const auto now = m_timers.now();
     const bool anyOpen = std::any_of(m_relays.begin(), m_relays.end(),
                                      [](const auto &each) { return !each.second.open.empty(); });
     if (anyOpen) {
         scheduleOverdueCheck();
     }
     for (auto &[address, each] : m_relays) {
-        const bool overdue = std::any_of(each.open.begin(), each.open.end(),
-                                         [&](const auto &call) { return call.second.until < now; });
+        // An answer to an earlier message may be overtaken by that to a later one.
+        const auto heardUntil = each.exchanges.empty()
+                                    ? each.answeredExchange
+                                    : std::min(each.answeredExchange, *each.exchanges.begin());
+        const bool overdue = std::any_of(each.open.begin(), each.open.end(), [&](const auto &call) {
+            return call.second.until < heardUntil;
+        });
         if (overdue) {
             failRelay(each, "the relay returned no result for a call in time");
         }
--- a/tests/worker_relay_test.cpp
+++ b/tests/worker_relay_test.cpp
@@ -51,7 +51,7 @@
 };
 
 /// Passes messages of a relay client to a relay service.
-class service_link final : public peer_link
+class service_link : public peer_link
 {
 public:
     service_link(relay_service &service, virtual_loop &loop)
@@ -77,6 +77,30 @@
     virtual_loop &m_loop;
 };
 
+/// A link whose answers are read late, because this process is behind.
+class late_link final : public service_link
+{
+public:
+    late_link(relay_service &service, virtual_loop &loop, milliseconds lag)
+        : service_link(service, loop)
+        , m_timers(loop)
+        , m_lag(lag)
+    {
+    }
+    void exchangeWorkerCalls(const std::string &address, const std::string &calls,
+                             milliseconds timeout, reply<std::string> done) override
+    {
+        service_link::exchangeWorkerCalls(address, calls, timeout,
+                                          [this, done](const result<std::string> &text) {
+                                              m_timers.after(m_lag, [done, text] { done(text); });
+                                          });
+    }
+
+private:
+    virtual_loop &m_timers;
+    const milliseconds m_lag;
+};
+
 } // namespace
 
 /// Guards against tasks that are lost or run twice when calls to workers go through relays that are
@@ -96,6 +120,8 @@
     CPPUNIT_TEST(repeatedMessageMakesNoCallAgain);
     CPPUNIT_TEST(unreadableMessageIsAnswered);
     CPPUNIT_TEST(knownEndsAreNotRelayedAgain);
+    CPPUNIT_TEST(lateReadingDoesNotLoseARelay);
+    CPPUNIT_TEST(relayThatLosesAResultIsReplaced);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -323,6 +349,52 @@
         }
     }
 
+    /// Guards against a coordinator that is behind and takes its own delay for that of its relays:
+    /// all calls that were open there were repeated, which put it further behind.
+    void lateReadingDoesNotLoseARelay()
+    {
+        virtual_loop loop;
+        metrics_registry metrics;
+        fixed_report worker;
+        fixed_report direct;
+        relay_service service(worker, loop, "relay-1");
+        late_link link(service, loop, 700ms);
+        relay_client client(direct, link, loop, metrics, "session-1");
+        client.useRelays({{"relay:1", "north", 1}});
+        int sent = 0;
+        int answered = 0;
+        for (milliseconds at {0}; at < 10s; at += 50ms) {
+            loop.after(at, [&] {
+                ++sent;
+                client.poll({}, {}, [&](const result<worker_report> &) { ++answered; });
+            });
+        }
+        loop.run(14s);
+        CPPUNIT_ASSERT_EQUAL(sent, answered);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {0}, metrics.counter("ibishinge_relays_lost_total", {}));
+    }
+
+    /// A relay that answers but returns no result for a call is still taken for failed, also by a
+    /// process that is behind.
+    void relayThatLosesAResultIsReplaced()
+    {
+        for (const milliseconds lag : {0ms, 300ms}) {
+            virtual_loop loop;
+            metrics_registry metrics;
+            fixed_report worker; // never answers a start
+            relay_service service(worker, loop, "relay-1");
+            late_link link(service, loop, lag);
+            relay_client client(worker, link, loop, metrics, "session-1");
+            client.useRelays({{"relay:1", "north", 1}});
+            std::optional<error_kind> failure;
+            client.startRun({}, {}, [&](const result<run_command_reply> &answer) {
+                failure = answer.error().kind;
+            });
+            CPPUNIT_ASSERT(loop.runUntil([&] { return failure.has_value(); }, 3s));
+            CPPUNIT_ASSERT(*failure == error_kind::outcome_unknown);
+        }
+    }
+
 private:
     static void startProcesses(fleet_world &fleet)
     {
