Bound the time of scheduling passes and of checks that can wait

The next pass now waits for twice the time that the last one took, at most 200 ms, and the checks that can wait for four times theirs, at most 500 ms. Renewals of leases, stops, throttling and due occurrences stay in each tick.

load_control_test::workKeepsToItsShare checks the rule alone: in virtual time the computation of a pass costs nothing, so that no test shows its effect on a coordinator, and its gain is not measured.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -274,6 +274,8 @@
     bool ensurePoolStored(job_entry &job, const std::string &pool);
     bool ensureTickets(job_entry &job, const queue_config &queue, int occurrence, int step);
     void tick();
+    /// The parts of `tick` that can wait: pool sizes, maintenance, logs.
+    void runDeferrableChecks();
     /// Records how late a timer runs that is due at `due`, and of others from then on.
     void measureLag(instant due);
     /// Returns true, and records the time, if the next tick is overdue because the process or its
@@ -353,6 +355,8 @@
     instant m_lastProcessStallAt; ///< end of the last stall; epoch: none
     milliseconds m_longestTickDelay {0}; ///< since the last summary
     load_control m_load;
+    work_budget m_passBudget;
+    work_budget m_checkBudget; ///< of the periodic checks that can wait
     int m_rejectedForLag = 0; ///< submissions since the last summary
     int m_unansweredStarts = 0; ///< since the last summary
     std::int64_t m_pollNumber = 0; ///< number of the last poll of any worker
--- a/include/ibishinge/fleet/load_control.h
+++ b/include/ibishinge/fleet/load_control.h
@@ -66,4 +66,16 @@
 [[nodiscard]] std::optional<milliseconds> limitSubmission(load_control &control, int tasks,
                                                           instant now);
 
+/// Work that can wait and is done again and again: the longer it takes, the later it is done again,
+/// so that renewals of leases, stops and answers keep their turn.
+struct work_budget
+{
+    double share = 1; ///< of the process's time, at most
+    milliseconds longestPause {0}; ///< after which it may be done again in any case
+    instant notBefore; ///< of the next time
+};
+
+/// Records that the work was done from `begin` to `end`. Not thread-safe for the same budget.
+void chargeWork(work_budget &budget, instant begin, instant end);
+
 } // namespace ibishinge::fleet
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -31,6 +31,14 @@
 constexpr std::size_t waitingStepsPerMs = 16;
 constexpr milliseconds maxSchedulingPassInterval {25};
 
+/// Shares of the process's time for scheduling passes, and for the periodic checks that can wait,
+/// and their longest pauses. A pause is part of the time that tasks wait for their start, or hosts
+/// for their move.
+constexpr double passShare = 1.0 / 3;
+constexpr milliseconds longestPassPause {200};
+constexpr double checkShare = 0.2;
+constexpr milliseconds longestCheckPause {500};
+
 /// Maximum number of starts for a pool before replies are handled again, so that a burst of starts
 /// does not delay lease renewals.
 constexpr int maxStartsPerPass = 64;
@@ -68,6 +76,8 @@
     , m_leadership(std::move(lead))
     , m_onLeadershipLost(std::move(onLeadershipLost))
     , m_startedAt(timers.now())
+    , m_passBudget {passShare, longestPassPause, {}}
+    , m_checkBudget {checkShare, longestCheckPause, {}}
 {
     setConfiguration(m_tables, std::move(config));
 }
@@ -207,7 +217,6 @@
     }
     checkRuns();
     evacuateDrainingWorkers();
-    stopStuckRuns();
     for (const auto &id : endObservations(m_tables)) {
         markDirty(id);
     }
@@ -219,6 +228,18 @@
             requestSchedulingPass();
         }
     }
+    if (now >= m_checkBudget.notBefore) {
+        const auto begin = m_timers.now();
+        runDeferrableChecks();
+        chargeWork(m_checkBudget, begin, m_timers.now());
+    }
+    requestSchedulingPass();
+}
+
+void coordinator::runDeferrableChecks()
+{
+    const auto now = m_timers.now();
+    stopStuckRuns();
     if (now >= m_nextWaveReadAt) {
         readWaves();
     }
@@ -230,7 +251,6 @@
     if (now >= m_nextSummaryAt) {
         logSummary();
     }
-    requestSchedulingPass();
 }
 
 void coordinator::requestSchedulingPass()
@@ -240,13 +260,16 @@
     }
     m_schedulingPassPending = true;
     const milliseconds backOff(static_cast<std::int64_t>(m_waitingSteps / waitingStepsPerMs));
-    const auto earliest = m_lastSchedulingPassAt
-                          + std::min(schedulingPassInterval + backOff, maxSchedulingPassInterval);
+    const auto earliest =
+        std::max(m_lastSchedulingPassAt
+                     + std::min(schedulingPassInterval + backOff, maxSchedulingPassInterval),
+                 m_passBudget.notBefore);
     const auto now = m_timers.now();
     callAfter(earliest > now ? earliest - now : milliseconds(0), [this] {
         m_schedulingPassPending = false;
         m_lastSchedulingPassAt = m_timers.now();
         runSchedulingPass();
+        chargeWork(m_passBudget, m_lastSchedulingPassAt, m_timers.now());
     });
 }
 
--- a/src/fleet/load_control.cpp
+++ b/src/fleet/load_control.cpp
@@ -166,4 +166,11 @@
     return std::clamp(retryAfter, shortestRetry, longestRetry);
 }
 
+void chargeWork(work_budget &budget, instant begin, instant end)
+{
+    const auto pause = milliseconds(static_cast<std::int64_t>(
+        static_cast<double>((end - begin).count()) * (1 / budget.share - 1)));
+    budget.notBefore = end + std::min(pause, budget.longestPause);
+}
+
 } // namespace ibishinge::fleet
--- a/tests/load_control_test.cpp
+++ b/tests/load_control_test.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(largeJobIsAdmittedUnderALowLimit);
     CPPUNIT_TEST(retryAfterIsBounded);
     CPPUNIT_TEST(rateForgetsOldEvents);
+    CPPUNIT_TEST(workKeepsToItsShare);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -173,6 +174,22 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(200, eventsPerSecond(rate, now), 4);
         CPPUNIT_ASSERT(eventsPerSecond(rate, now + 10s) < 1);
     }
+
+    void workKeepsToItsShare()
+    {
+        struct row
+        {
+            milliseconds took;
+            milliseconds pause;
+        };
+        const instant begin {1000s};
+        for (const auto &each : {row {0ms, 0ms}, row {10ms, 30ms}, row {2000ms, 200ms}}) {
+            work_budget budget {0.25, 200ms, {}};
+            chargeWork(budget, begin, begin + each.took);
+            CPPUNIT_ASSERT_EQUAL((each.took + each.pause).count(),
+                                 (budget.notBefore - begin).count());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(load_control_test);
