Let no take-over start the next

What callers saw: terms that follow each other for as long as the store answers whoever leads late; each take-over holds inherited tasks back.

Cause: a coordinator could offer its leadership for want of the store while it was still loading, or just loaded, and a process that had handed over could be offered the leadership at once.

Change: for want of the store a coordinator hands over only once it has been loaded for as long as its take-over took, at least 1 s. A process that has handed over accepts no offer for the length of a lease.

Tests, in virtual time: takeOversDoNotFollowEachOther (the store answers the leader after 1 s) has 10 terms in 30 s without the two conditions in node.cpp, and at most 5 with them; formerCoordinatorDeclinesOffers fails without them ("!acceptsOffer()") and passes with them. fleet_test, fleet_load_test, lapsed_record_test, suspended_coordinator_test and leadership_under_load_test pass in release.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -101,6 +101,11 @@
     {
         return m_loaded;
     }
+    /// Returns when that was. Precondition: `isLoaded`.
+    [[nodiscard]] instant loadedAt() const noexcept
+    {
+        return m_loadedAt;
+    }
 
     /// Returns the longest time that any pending write has been without success.
     [[nodiscard]] milliseconds storeStalledFor() const;
@@ -335,6 +340,7 @@
     bool m_recordsRead = false;
     bool m_loaded = false; ///< the records and the registry are read
     instant m_startedAt;
+    instant m_loadedAt;
     instant m_leadershipProvenUntil;
     instant m_pageReadAt; ///< when the last page of the records or the registry arrived
     std::int64_t m_registryRevision = 0;
--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -79,7 +79,8 @@
     /// Handles the offer of another process to replace its leader record, which has the revision
     /// `revision`. Calls `done` with true and starts a campaign if this process can read the store,
     /// the record still has that revision, and this process has a configuration, has not resigned,
-    /// and neither coordinates nor campaigns. Calls it with false otherwise.
+    /// neither coordinates nor campaigns, and has not handed over within the length of a lease.
+    /// Calls it with false otherwise.
     void acceptLeadership(std::int64_t revision, const std::function<void(bool)> &done);
 
     /// Calls `done` with true if this process would accept the leader record that has the revision
@@ -168,6 +169,9 @@
     /// Offers the leader record to other processes if the store has not answered for
     /// `storeLossDelay`, and they show that it answers them.
     void offerLeadershipIfStoreLost();
+    /// Returns true once the coordinator has been loaded for as long as its take-over took.
+    /// Precondition: this process coordinates.
+    [[nodiscard]] bool hasServedForItsTakeOver() const;
     /// Asks processes that may replace this one whether they would, unless they have been asked.
     void probeSuccessors(store_silence &silence);
     void onSuccessorProbeAnswered(const std::string &address, const result<bool> &able,
@@ -250,6 +254,7 @@
     /// When every process that was offered the leader record had declined or was not reached.
     instant m_declinedAt;
     instant m_leadingSince;
+    std::optional<instant> m_handedOverAt; ///< when another process last accepted the leader record
     std::map<std::string, peer_state> m_knownPeers; ///< by address ("ip:port")
     std::map<std::string, forward_failures> m_forwardFailures; ///< by address
     /// When stronger processes were asked in this term whether they would lead, by address.
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -185,6 +185,7 @@
             watchRegistry();
             if (!m_loaded) {
                 m_loaded = true;
+                m_loadedAt = m_timers.now();
                 for (auto &[id, worker] : m_tables.workers) {
                     pollIfDue(worker);
                 }
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -47,6 +47,9 @@
 /// time.
 constexpr milliseconds maxProbeTime {300};
 constexpr milliseconds probeTimeout {1000};
+/// A coordinator that has been loaded for a shorter time than this does not hand over for want of
+/// the store.
+constexpr milliseconds minServingTime {1000};
 /// Maximum number of processes that get an offer at the same time; some of them may be cut off from
 /// the store as well.
 constexpr std::size_t maxSuccessorOffers = 3;
@@ -524,6 +527,12 @@
     }
     auto &silence = *m_silence;
     const bool lost = silentFor >= storeLossDelay;
+    if (!hasServedForItsTakeOver()) {
+        if (lost) {
+            recordSilenceDecision(silence, "taking_over");
+        }
+        return;
+    }
     if (since(m_pausedUntil, now) < storeProbeDelay) {
         // Answers may have arrived that this process has not read yet.
         if (lost) {
@@ -556,6 +565,16 @@
     }
 }
 
+bool fleet_node::hasServedForItsTakeOver() const
+{
+    if (!m_coordinator->isLoaded()) {
+        return false;
+    }
+    const auto takeOverTime = since(m_leadingSince, m_coordinator->loadedAt());
+    return since(m_coordinator->loadedAt(), m_timers.now())
+           >= std::max(takeOverTime, minServingTime);
+}
+
 void fleet_node::probeSuccessors(store_silence &silence)
 {
     const auto now = m_timers.now();
@@ -793,6 +812,7 @@
     const bool notReached = !accepted && accepted.error().kind == error_kind::unavailable;
     if (!declined && !notReached) {
         stopLeading("abdicated");
+        m_handedOverAt = m_timers.now();
         m_leaderReportedByPeers = accepted ? successor : std::string();
         return;
     }
@@ -824,12 +844,16 @@
 {
     // The store may be unreachable for all processes. Only an answer to a read made now shows that
     // this process reaches it.
-    m_platform.readItem(std::string(leaderKey),
-                        whileAlive<store_item>([this, revision, done = std::move(done)](
-                                                   const result<store_item> &item) {
-                            done(item && item->revision == revision && !m_resigned && !m_coordinator
-                                 && !m_campaigning && m_config && m_leaderRevision == revision);
-                        }));
+    m_platform.readItem(
+        std::string(leaderKey), whileAlive<store_item>([this, revision, done = std::move(done)](
+                                                           const result<store_item> &item) {
+            const bool recordUnchanged =
+                item && item->revision == revision && m_leaderRevision == revision;
+            const bool handedOverRecently =
+                m_handedOverAt && since(*m_handedOverAt, m_timers.now()) < m_settings.leaderTtl;
+            done(recordUnchanged && m_config && !m_resigned && !m_coordinator && !m_campaigning
+                 && !handedOverRecently);
+        }));
 }
 
 void fleet_node::answerSuccessorProbe(std::int64_t revision, const std::function<void(bool)> &done)
--- a/tests/leadership_under_load_test.cpp
+++ b/tests/leadership_under_load_test.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(coordinatorThatCannotLoadHandsOverToAStrongerProcess);
     CPPUNIT_TEST(coordinatorThatCannotLoadHandsOverToAStrongerRelay);
     CPPUNIT_TEST(strongerProcessThatDeclinedIsAskedAgain);
+    CPPUNIT_TEST(takeOversDoNotFollowEachOther);
+    CPPUNIT_TEST(formerCoordinatorDeclinesOffers);
     CPPUNIT_TEST_SUITE_END();
 
     fleet_world m_fleet;
@@ -218,6 +220,58 @@
         CPPUNIT_ASSERT(m_fleet.leader() != nullptr);
         CPPUNIT_ASSERT_EQUAL(std::string("strong"), m_fleet.leader()->name);
     }
+
+    /// Guards against circles of take-overs where whoever leads gets late answers from the store
+    /// only: half of the time at least is for serving.
+    void takeOversDoNotFollowEachOther()
+    {
+        startThree();
+        constexpr milliseconds slow {1000};
+        constexpr milliseconds shortestTakeOver = 4 * slow; // reads one after the other
+        constexpr milliseconds time {30000};
+        const auto delayAnswersToLeader = [&] {
+            const auto record = m_fleet.world.items.find(std::string(leaderKey));
+            const auto leader = record == m_fleet.world.items.end()
+                                    ? std::string()
+                                    : decodeLeader(record->second.value)->name;
+            for (auto &[name, each] : m_fleet.processes) {
+                each.platform->storeTime = name == leader ? slow : 5ms;
+            }
+        };
+        for (milliseconds at {0}; at < time; at += 1ms) {
+            m_fleet.loop.after(at, delayAnswersToLeader);
+        }
+        runWithRequests(time);
+        // The first coordinator was loaded before, and may hand over at once.
+        CPPUNIT_ASSERT_MESSAGE(term(), std::stoi(term()) <= 2 + time / (2 * shortestTakeOver));
+    }
+
+    /// Guards against leadership that goes to and fro between two processes.
+    void formerCoordinatorDeclinesOffers()
+    {
+        auto &former = startThree();
+        runWithRequests(1s);
+        former.platform->storeCut = true;
+        CPPUNIT_ASSERT(m_fleet.loop.runUntil(
+            [&] {
+                askEverywhere();
+                const auto *now = m_fleet.leader();
+                return now != nullptr && now->name != former.name;
+            },
+            4s));
+        former.platform->storeCut = false;
+        m_fleet.loop.run(500ms);
+        const auto acceptsOffer = [&] {
+            const auto record = m_fleet.world.items.at(std::string(leaderKey)).revision;
+            bool accepted = false;
+            former.node->acceptLeadership(record, [&](bool value) { accepted = value; });
+            m_fleet.loop.run(50ms);
+            return accepted;
+        };
+        CPPUNIT_ASSERT(!acceptsOffer());
+        m_fleet.loop.run(3s); // the length of a lease
+        CPPUNIT_ASSERT(acceptsOffer());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(leadership_under_load_test);
