--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -266,6 +266,7 @@
         delayInheritedTasks(job);
     }
     const auto now = m_timers.now();
+    m_loadedAt = now;
     enterStage(m_takeover, takeover_stage::reports, now);
     m_metrics.observe("ibishinge_takeover_seconds", {}, now - m_startedAt);
     logEvent(log_level::info, "coordinator_loaded",
