Reject new submissions at the entry while the coordinator has no room

Callers of an overloaded coordinator waited for seconds for an answer, or got 504, and each new submission was sent to it in full to be rejected there.

Cause: any number of requests waited to be forwarded, and an entry process kept no memory of a coordinator that rejected everything.

Change: at most 128 new submissions wait to be forwarded to one process; a further one, or one that could not be sent within 1.1 s, is answered 429 with Retry-After. This holds only for submissions of which no copy was sent. An answer tells by a new optional field that the coordinator rejects new submissions of any kind; the entry process then gives the same answer itself for half of its Retry-After, 300 ms at most, and forwards one in 16 to notice the end. Lookups, cancellations, counts, and submissions that were answered 504 by this process before are forwarded.

--- a/include/ibishinge/fleet/http_peer_link.h
+++ b/include/ibishinge/fleet/http_peer_link.h
@@ -21,6 +21,10 @@
 /// Maximum number of them with requests whose answers wait for the store.
 inline constexpr int maxStoreCallsPerPeer = 2;
 
+/// Maximum number of new submissions that wait to be sent to one process; further ones fail at
+/// once.
+inline constexpr std::size_t maxWaitingSubmissions = 128;
+
 /// After this time, a call without an answer no longer keeps others from being sent: a connection
 /// can go silent for good.
 inline constexpr milliseconds silentCallTime {1100};
--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -132,6 +132,16 @@
         double left = 0;
     };
 
+    /// What the coordinator answered when it rejected new submissions of any kind.
+    struct coordinator_overload
+    {
+        caller_answer answer;
+        std::int64_t revision = 0; ///< of the coordinator's leader record
+        instant noticedAt;
+        instant until;
+        int rejected = 0; ///< submissions that this process rejected for it
+    };
+
     /// Failed forwards to one address, as far as they are logged.
     struct forward_failures
     {
@@ -205,6 +215,10 @@
     [[nodiscard]] bool isWith(const pending_request &request, const std::string &address) const;
     /// Returns true, and counts it, if a request may be sent to the coordinator again.
     [[nodiscard]] bool mayRepeat(const std::string &address);
+    /// Returns true if the request was rejected because the coordinator is overloaded.
+    [[nodiscard]] bool rejectIfOverloaded(const std::shared_ptr<pending_request> &request);
+    void noteOverload(const pending_request &request, const caller_answer &answer);
+    void rememberUndecided(const std::string &path);
     [[nodiscard]] bool giveUpIfLate(const std::shared_ptr<pending_request> &request,
                                     milliseconds delay);
     void onForwardAnswered(const std::shared_ptr<pending_request> &request,
@@ -212,6 +226,8 @@
     void retryRequest(const std::shared_ptr<pending_request> &request);
     void answerAsShuttingDown(const std::shared_ptr<pending_request> &each);
     void finishRequest(const std::shared_ptr<pending_request> &request, caller_answer answer);
+    void onCopyFailed(const std::shared_ptr<pending_request> &request, const std::string &address,
+                      forward_kind kind, const error &failure);
     void onForwardFailed(const std::string &address, const error &failure);
     void logForwardFailure(const std::string &address, const error &failure);
 
@@ -276,6 +292,9 @@
     bool m_forwardCheckScheduled = false;
     std::vector<held_probe> m_heldProbes;
     repeat_allowance m_repeats;
+    coordinator_overload m_overload;
+    /// Submissions that were answered with `outcome_unknown`, and when.
+    std::map<std::string, instant> m_undecided;
     forward_delay m_forwardDelay;
 };
 
--- a/src/fleet/http_peer_link.cpp
+++ b/src/fleet/http_peer_link.cpp
@@ -58,6 +58,13 @@
 {
     auto &queue = m_peers[address].waiting.at(static_cast<std::size_t>(kind));
     const auto now = m_loop.now();
+    if (kind == forward_kind::submission && queue.size() >= maxWaitingSubmissions) {
+        m_loop.after(milliseconds(0), [address, done = std::move(done)] {
+            done(makeError(error_kind::overloaded, address,
+                           "too many submissions wait for the process"));
+        });
+        return;
+    }
     queue.push_back(
         {request, now + std::min(timeout, maxWaitingTime), now + timeout, std::move(done)});
     sendWaiting(address);
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -95,6 +95,18 @@
 constexpr int maxOpenProbes = 2;
 /// Bound of the pauses between probes of a process that does not hold its answer.
 constexpr milliseconds maxProbePause {160};
+/// How long an entry process rejects new submissions itself after the coordinator did so because it
+/// is overloaded: half of the time that it told, and this at most.
+constexpr milliseconds maxOverloadMemory {300};
+/// One of so many is forwarded meanwhile and shows whether it still is.
+constexpr int submissionsPerOverloadCheck = 16;
+constexpr std::string_view overloadMessage = "too many submissions wait for the coordinator";
+
+/// Submissions without a decision are remembered for as long as callers repeat them, so that a
+/// repetition counts as one.
+constexpr milliseconds undecidedMemory {30'000};
+constexpr std::size_t maxUndecided = 4096;
+
 /// Interval at which a process with held probes checks whether it serves.
 constexpr milliseconds heldProbeInterval {10};
 constexpr milliseconds defaultRetryAfter {1000};
@@ -120,6 +132,7 @@
     bool retryScheduled = false;
     instant giveUpAt; ///< when the request is answered with `not_ready` if no coordinator was found
     instant answerBy; ///< end of the caller's time-out, less `answerMargin`
+    bool repeated = false; ///< the caller was told that the outcome of an earlier one is unknown
     bool maybeReceived = false; ///< a coordinator may have received the request but did not answer
     bool finished = false;
 };
@@ -128,8 +141,9 @@
 {
     switch (each.request.operation) {
     case caller_operation::submit:
-        return each.maybeReceived || each.openCopies > 0 ? forward_kind::repeated_submission
-                                                         : forward_kind::submission;
+        return each.repeated || each.maybeReceived || each.openCopies > 0
+                   ? forward_kind::repeated_submission
+                   : forward_kind::submission;
     case caller_operation::cancel:
         return forward_kind::cancellation;
     case caller_operation::count_waiting:
@@ -789,6 +803,9 @@
         request.callerTimeout.count() > 0 ? request.callerTimeout : defaultCallerTimeout;
     each->answerBy = now + std::max(callerTimeout - answerMargin, answerMargin);
     each->giveUpAt = std::min(each->answerBy, now + maxLeaderWait);
+    const auto undecided = m_undecided.find(request.path);
+    each->repeated =
+        undecided != m_undecided.end() && since(undecided->second, now) < undecidedMemory;
     each->done = std::move(done);
     m_openRequests.insert(each);
     tryRequest(each);
@@ -896,7 +913,37 @@
         retryRequest(each);
         return;
     }
-    forward(each, address);
+    if (!rejectIfOverloaded(each)) {
+        forward(each, address);
+    }
+}
+
+bool fleet_node::rejectIfOverloaded(const std::shared_ptr<pending_request> &each)
+{
+    if (m_timers.now() >= m_overload.until || m_overload.revision != m_leaderRevision
+        || kindOf(*each) != forward_kind::submission || each->forwards > 0
+        || ++m_overload.rejected % submissionsPerOverloadCheck == 0) {
+        return false;
+    }
+    auto answer = m_overload.answer;
+    answer.version = 0; // this process made it
+    finishRequest(each, answer);
+    return true;
+}
+
+void fleet_node::noteOverload(const pending_request &each, const caller_answer &answer)
+{
+    if (each.request.operation != caller_operation::submit || !isWith(each, coordinatorAddress())) {
+        return;
+    }
+    const auto now = m_timers.now();
+    if (answer.coordinatorOverloaded) {
+        const int rejected = now < m_overload.until ? m_overload.rejected : 0;
+        m_overload = {answer, m_leaderRevision, now,
+                      now + std::min(answer.retryAfter / 2, maxOverloadMemory), rejected};
+    } else if (answer.kind == answer_kind::accepted && each.forwardedAt > m_overload.noticedAt) {
+        m_overload.until = {};
+    }
 }
 
 void fleet_node::forward(const std::shared_ptr<pending_request> &each, const std::string &address)
@@ -915,29 +962,27 @@
     each->forwardedTo = address;
     each->forwardedRevision = m_leaderRevision;
     const auto timeout = std::max(each->answerBy - sentAt, shortestForwardTimeout);
-    m_peers.forward(address, encodeRequest(each->request), kind, timeout,
-                    whileAlive<std::string>([this, each, address](const result<std::string> &body) {
-                        --each->openCopies;
-                        if (!body) {
-                            onForwardFailed(address, body.error());
-                            if (body.error().kind == error_kind::outcome_unknown) {
-                                each->maybeReceived = true;
-                            }
-                            retryRequest(each);
-                            return;
-                        }
-                        const auto answer = decodeAnswer(*body);
-                        if (!answer) {
-                            logEvent(log_level::error, "answer_unreadable",
-                                     {{"error", describe(answer.error())}});
-                            each->maybeReceived = true;
-                            retryRequest(each);
-                            return;
-                        }
-                        m_refusedConnections = 0;
-                        m_coordinatorAnsweredAt = m_timers.now();
-                        onForwardAnswered(each, address, *answer);
-                    }));
+    m_peers.forward(
+        address, encodeRequest(each->request), kind, timeout,
+        whileAlive<std::string>([this, each, address, kind](const result<std::string> &body) {
+            --each->openCopies;
+            if (!body) {
+                onCopyFailed(each, address, kind, body.error());
+                return;
+            }
+            const auto answer = decodeAnswer(*body);
+            if (!answer) {
+                logEvent(log_level::error, "answer_unreadable",
+                         {{"error", describe(answer.error())}});
+                each->maybeReceived = true;
+                retryRequest(each);
+                return;
+            }
+            m_refusedConnections = 0;
+            m_coordinatorAnsweredAt = m_timers.now();
+            noteOverload(*each, *answer);
+            onForwardAnswered(each, address, *answer);
+        }));
     if (!std::exchange(m_forwardCheckScheduled, true)) {
         later(forwardTimeout, [this] {
             m_forwardCheckScheduled = false;
@@ -946,6 +991,22 @@
     }
 }
 
+void fleet_node::onCopyFailed(const std::shared_ptr<pending_request> &each,
+                              const std::string &address, forward_kind kind, const error &failure)
+{
+    onForwardFailed(address, failure);
+    each->maybeReceived = each->maybeReceived || failure.kind == error_kind::outcome_unknown;
+    if (kind == forward_kind::submission && failure.kind == error_kind::overloaded) {
+        caller_answer answer;
+        answer.kind = answer_kind::overloaded;
+        answer.message = overloadMessage;
+        answer.retryAfter = defaultRetryAfter;
+        finishRequest(each, answer);
+        return;
+    }
+    retryRequest(each);
+}
+
 void fleet_node::checkForwards()
 {
     bool isOpen = false;
@@ -1197,6 +1258,19 @@
     finishRequest(each, answer);
 }
 
+void fleet_node::rememberUndecided(const std::string &path)
+{
+    const auto now = m_timers.now();
+    if (m_undecided.size() >= maxUndecided) {
+        std::erase_if(m_undecided, [now](const auto &each) {
+            return since(each.second, now) >= undecidedMemory;
+        });
+    }
+    if (m_undecided.size() < maxUndecided) {
+        m_undecided[path] = now;
+    }
+}
+
 void fleet_node::finishRequest(const std::shared_ptr<pending_request> &each, caller_answer answer)
 {
     if (each->finished) {
@@ -1223,6 +1297,9 @@
                   {"waited_ms", since(each->receivedAt, m_timers.now()).count()},
                   {"forwards", each->forwards}});
     }
+    if (answer.kind == answer_kind::outcome_unknown) {
+        rememberUndecided(each->request.path);
+    }
     m_servedConfigVersion = std::max(m_servedConfigVersion, answer.version);
     m_metrics.add("ibishinge_answers_total", {{"answer", std::string(nameOf(answer.kind))}});
     each->done(answer);
--- a/tests/message_fuzz_test.cpp
+++ b/tests/message_fuzz_test.cpp
@@ -35,6 +35,9 @@
     request.host = "jobs.example";
     request.path = "/a/0123456789abcdef";
     request.key = "key";
+    request.sentAtMs = 1'000;
+    request.senderIncarnation = "one-1";
+    request.maxHold = std::chrono::milliseconds(250);
     request.spec.emplace();
     request.spec->payload = "payload";
     request.spec->steps.emplace_back();
