--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -214,7 +214,9 @@
                         [](int sum, const step_spec &step) { return sum + step.count; });
     if (const auto retryAfter = limitSubmission(m_load, tasks, m_timers.now())) {
         ++m_rejectedForLag;
-        reject(answerOf(answer_kind::overloaded, "the coordinator is behind", *retryAfter), {});
+        auto answer = answerOf(answer_kind::overloaded, "the coordinator is behind", *retryAfter);
+        answer.coordinatorOverloaded = true;
+        reject(answer, {});
         return;
     }
     job_entry job;
