Test that a sender's clock that stood still is learned anew

Guards the estimate of forward_delay: without new learning, submissions of a process whose clock stood still would be taken for late for good.

--- a/tests/entry_overload_test.cpp
+++ b/tests/entry_overload_test.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/fleet_world.h"
 
+#include <ibishinge/fleet/forward_delay.h>
 #include <ibishinge/fleet/http_peer_link.h>
 #include <ibishinge/fleet/record_codec.h>
 #include <ibishinge/outside/async_http_server.h>
@@ -96,6 +97,7 @@
     CPPUNIT_TEST(lostAnswersDoNotMultiplyRequests);
     CPPUNIT_TEST(submissionPastItsTimeIsNotAdmitted);
     CPPUNIT_TEST(submissionsOfAProcessThatTellsNoTimesAreAdmitted);
+    CPPUNIT_TEST(clockThatStoodStillIsLearnedAnew);
     CPPUNIT_TEST(waitersDoNotStormALoadingCoordinator);
     CPPUNIT_TEST(waitersAreAnsweredSoonAfterATakeOver);
     CPPUNIT_TEST(fullQueueRejectsNewSubmissionsOnly);
@@ -338,6 +340,27 @@
         }
     }
 
+    /// Submissions of a process whose clock stood still must not be taken for late for good.
+    void clockThatStoodStillIsLearnedAnew()
+    {
+        forward_delay delays;
+        instant now {1'000'000ms};
+        const auto delayAfterPause = [&](milliseconds pause) {
+            now += 1s;
+            return delays.delayOf("one-1", since(instant(pause), now).count(), now);
+        };
+        for (int i = 0; i < 5; ++i) {
+            CPPUNIT_ASSERT(delayAfterPause(0ms) == 0ms);
+        }
+        CPPUNIT_ASSERT(delayAfterPause(5s) == 5s);
+        for (int i = 0; i < 20; ++i) {
+            static_cast<void>(delayAfterPause(5s));
+        }
+        CPPUNIT_ASSERT(delayAfterPause(5s) == 0ms);
+        CPPUNIT_ASSERT(delayAfterPause(60s) == 0ms);
+        CPPUNIT_ASSERT(delays.delayOf("two-1", 5, now) == 0ms);
+    }
+
     /// A new coordinator loads for four seconds, while 50 requests wait in each entry process.
     void waitersDoNotStormALoadingCoordinator()
     {
