Let a limit that began before the demand admit it

A coordinator that is behind while nothing is submitted, as while it reads the records of a take-over, began a limit from what it knew then, which is nothing, and rejected what came afterwards for seconds.

The lag counts from the moment at which the records are loaded, and while it is within its target the limit is at least a quarter of what is offered.

load_control_test::limitBegunBeforeTheDemandAdmitsIt on the code before: assertion failed, loop.offer(4, 2ms, 1s, 0) >= 40. The 27 tests that use fleet_world.h or load_control.h passed in release.

--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -105,7 +105,9 @@
 {
     callAfter(std::max(since(m_timers.now(), due), milliseconds(0)), [this, due] {
         const auto now = m_timers.now();
-        recordLag(m_load, since(due, now), now);
+        if (m_loaded) {
+            recordLag(m_load, since(due, now), now);
+        }
         const auto missed = since(due, now) / (lagProbeInterval * lagProbes);
         measureLag(due + lagProbeInterval * lagProbes * (missed + 1));
     });
--- a/src/fleet/load_control.cpp
+++ b/src/fleet/load_control.cpp
@@ -24,6 +24,9 @@
 /// is admitted, and the lag tells nothing about the limit.
 constexpr double floorOfEnded = 0.5;
 constexpr double smallestLimit = 1;
+/// The limit is also at least this share of what is offered while the lag is within its target, so
+/// that one that began before the demand does not hold it back.
+constexpr double floorOfOffered = 0.25;
 
 /// Credit for submissions that arrive together, and longest wait for a large one to be paid off, in
 /// seconds of the limit.
@@ -89,9 +92,10 @@
     } else if (binding) {
         control.tasksPerSecond *= std::exp(growthPerSecond * (1 - lag) * passed);
     }
+    const double offered = lag > 1 ? 0 : eventsPerSecond(control.offered, now);
     control.tasksPerSecond =
         std::max({control.tasksPerSecond, floorOfEnded * eventsPerSecond(control.ended, now),
-                  smallestLimit});
+                  floorOfOffered * offered, smallestLimit});
     const double admitted = control.tasksPerSecond * std::clamp(2 - lag, 0.0, 1.0);
     control.credit = std::min(control.credit + admitted * passed,
                               std::max(1.0, control.tasksPerSecond * burstSeconds));
--- a/tests/load_control_test.cpp
+++ b/tests/load_control_test.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(nothingIsAdmittedFarBehind);
     CPPUNIT_TEST(lagAtItsTargetKeepsTheProcessUsed);
     CPPUNIT_TEST(limitEndsWithoutRejections);
+    CPPUNIT_TEST(limitBegunBeforeTheDemandAdmitsIt);
     CPPUNIT_TEST(largeJobIsAdmittedUnderALowLimit);
     CPPUNIT_TEST(retryAfterIsBounded);
     CPPUNIT_TEST(rateForgetsOldEvents);
@@ -141,6 +142,19 @@
         CPPUNIT_ASSERT(!loop.control.limiting);
     }
 
+    /// A process that was behind when nothing was submitted, as after a take-over, admits a quarter
+    /// of what is submitted next at once, and all of it after three seconds.
+    void limitBegunBeforeTheDemandAdmitsIt()
+    {
+        measured_loop loop;
+        loop.lagFor(lagTarget * 2, 1s);
+        CPPUNIT_ASSERT(loop.control.limiting);
+        loop.lagFor(2ms, 500ms);
+        CPPUNIT_ASSERT(loop.offer(4, 2ms, 1s, 0) >= 40);
+        loop.offer(4, 2ms, 2s, 0);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(400, loop.offer(4, 2ms, 1s, 0), 4);
+    }
+
     void largeJobIsAdmittedUnderALowLimit()
     {
         measured_loop loop;
