--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -29,8 +29,7 @@
     struct process
     {
         std::string name;
-        /// Without costs, unless a test sets them. Messages of other processes are not charged.
-        std::unique_ptr<virtual_processor> processor;
+        std::unique_ptr<virtual_processor> processor; ///< without costs, unless a test sets them
         std::unique_ptr<virtual_platform> platform;
         std::unique_ptr<charged_platform> chargedPlatform;
         std::unique_ptr<peer_link> peers;
@@ -72,7 +71,7 @@
         each.processor = std::make_unique<virtual_processor>(loop);
         each.platform = std::make_unique<virtual_platform>(world);
         each.chargedPlatform = std::make_unique<charged_platform>(*each.platform, *each.processor);
-        each.peers = std::make_unique<direct_link>(*this);
+        each.peers = std::make_unique<direct_link>(*this, *each.processor);
         startNode(each);
         return each;
     }
@@ -170,14 +169,16 @@
     class direct_link final : public peer_link
     {
     public:
-        explicit direct_link(fleet_world &fleet)
+        direct_link(fleet_world &fleet, virtual_processor &processor)
             : m_fleet(fleet)
+            , m_processor(processor)
         {
         }
 
         void forward(const std::string &address, const std::string &request, milliseconds timeout,
-                     reply<std::string> done) override
+                     reply<std::string> whenDone) override
         {
+            const auto done = charged(whenDone);
             if (m_fleet.frozen.count(nameAt(address)) > 0) {
                 m_fleet.loop.after(timeout, [done, address] {
                     done(makeError(error_kind::outcome_unknown, address, "no answer"));
@@ -185,35 +186,31 @@
                 return;
             }
             m_fleet.loop.after(networkDelay, [this, address, request, done] {
-                auto *node = m_fleet.nodeAt(address);
-                if (node == nullptr) {
-                    done(tl::unexpected(refused()));
-                    return;
-                }
-                node->handleForwarded(
-                    *decodeRequest(request), [this, done](const caller_answer &answer) {
-                        const auto text = encodeAnswer(answer);
-                        m_fleet.loop.after(networkDelay, [done, text] { done(text); });
-                    });
+                m_fleet.runAt(address, done, [this, request, done](fleet_node &node) {
+                    node.handleForwarded(
+                        *decodeRequest(request), [this, done](const caller_answer &answer) {
+                            const auto text = encodeAnswer(answer);
+                            m_fleet.loop.after(networkDelay, [done, text] { done(text); });
+                        });
+                });
             });
         }
 
         void offerLeadership(const std::string &address, std::int64_t revision,
-                             reply<bool> done) override
+                             reply<bool> whenDone) override
         {
+            const auto done = charged(whenDone);
             m_fleet.loop.after(networkDelay, [this, address, revision, done] {
-                auto *node = m_fleet.nodeAt(address);
-                if (node == nullptr) {
-                    done(tl::unexpected(refused()));
-                    return;
-                }
-                node->acceptLeadership(revision, [done](bool accepted) { done(accepted); });
+                m_fleet.runAt(address, done, [revision, done](fleet_node &node) {
+                    node.acceptLeadership(revision, [done](bool accepted) { done(accepted); });
+                });
             });
         }
 
         void exchangeWorkerCalls(const std::string &address, const std::string &calls,
-                                 milliseconds timeout, reply<std::string> done) override
+                                 milliseconds timeout, reply<std::string> whenDone) override
         {
+            const auto done = charged(whenDone);
             const auto answered = std::make_shared<bool>(false);
             const auto once = [answered, done](result<std::string> answer) {
                 if (!std::exchange(*answered, true)) {
@@ -224,31 +221,30 @@
                 once(makeError(error_kind::outcome_unknown, address, "no answer"));
             });
             m_fleet.loop.after(networkDelay, [this, address, calls, once] {
-                auto *node = m_fleet.nodeAt(address);
-                if (node == nullptr) {
-                    once(tl::unexpected(refused()));
-                    return;
-                }
-                ++m_fleet.exchanges;
-                node->handleWorkerCalls(
-                    calls, m_fleet.loop.now(), [this, once](const std::string &text) {
-                        m_fleet.loop.after(networkDelay, [once, text] { once(text); });
-                    });
+                const reply<std::string> answer = once;
+                m_fleet.runAt(address, answer, [this, calls, once](fleet_node &node) {
+                    ++m_fleet.exchanges;
+                    node.handleWorkerCalls(
+                        calls, m_fleet.loop.now(), [this, once](const std::string &text) {
+                            m_fleet.loop.after(networkDelay, [once, text] { once(text); });
+                        });
+                });
             });
         }
 
     private:
         static constexpr milliseconds networkDelay {2};
 
-        static error refused()
+        template <class T>
+        reply<T> charged(const reply<T> &done)
         {
-            error failure;
-            failure.kind = error_kind::unavailable;
-            failure.systemError = ECONNREFUSED;
-            return failure;
+            return [&processor = m_processor, done](const result<T> &value) {
+                processor.execute([done, value] { done(value); });
+            };
         }
 
         fleet_world &m_fleet;
+        virtual_processor &m_processor;
     };
 
     static std::string nameAt(const std::string &address)
@@ -256,10 +252,30 @@
         return address.substr(0, address.find(':'));
     }
 
-    fleet_node *nodeAt(const std::string &address)
+    /// Runs `function` in the process at `address` once its processor is free; if no process
+    /// listens there, answers that the connection was refused.
+    template <class T>
+    void runAt(const std::string &address, const reply<T> &done,
+               const std::function<void(fleet_node &)> &function)
     {
+        const auto refuse = [done] {
+            error failure;
+            failure.kind = error_kind::unavailable;
+            failure.systemError = ECONNREFUSED;
+            done(tl::unexpected(failure));
+        };
         const auto found = processes.find(nameAt(address));
-        return found == processes.end() ? nullptr : found->second.node.get();
+        if (found == processes.end() || !found->second.node) {
+            refuse();
+            return;
+        }
+        found->second.processor->execute([&node = found->second.node, function, refuse] {
+            if (node) {
+                function(*node);
+            } else {
+                refuse();
+            }
+        });
     }
 
     void startNode(process &each)
