--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -108,10 +108,12 @@
 {
     callAfter(std::max(since(m_timers.now(), due), milliseconds(0)), [this, due] {
         const auto now = m_timers.now();
-        // Answers wait on a full link while the event loop is idle.
-        const auto linkLag =
-            typicalDelay(m_answerDelay, now) * lagTarget.count() / answerDelayTarget.count();
-        recordLag(m_load, std::max(since(due, now), linkLag), now);
+        if (m_loaded) {
+            // Answers wait on a full link while the event loop is idle.
+            const auto linkLag =
+                typicalDelay(m_answerDelay, now) * lagTarget.count() / answerDelayTarget.count();
+            recordLag(m_load, std::max(since(due, now), linkLag), now);
+        }
         const auto missed = since(due, now) / (lagProbeInterval * lagProbes);
         measureLag(due + lagProbeInterval * lagProbes * (missed + 1));
     });
