Refuse no job for good while the capacity of a worker is not known

The workers' registrations had expired during an outage of the store.

Cause: a new coordinator knows such workers by the roster, which does not contain their capacity, and the hosts are not listed yet. Admission took the capacity 0 for a known one. 400 tells a caller not to try again.

Now a worker whose capacity is not known, and whose host is not listed, lets no job be refused by size or label, as if no host were known. Jobs too large for known workers and hosts are refused as before.

`unknown_capacity_test` on the code before:

unknown_capacity_test::workerOfTheRosterRejectsNoJobForGood : assertion unknown_capacity_test::knownCapacitiesRejectALargeJob : OK

--- a/include/ibishinge/fleet/admission.h
+++ b/include/ibishinge/fleet/admission.h
@@ -24,7 +24,8 @@
 };
 
 /// Decides whether a job is accepted, by whether the hosts can run each of its steps; accepts if no
-/// host is known yet. Precondition: the job's estimates are set. Thread-safe for constant tables.
+/// host is known yet, or not the capacity of each. Precondition: the job's estimates are set.
+/// Thread-safe for constant tables.
 [[nodiscard]] admission_decision decideAdmission(const fleet_tables &tables, const job_entry &job,
                                                  const queue_config &queue, instant now);
 
--- a/src/fleet/admission.cpp
+++ b/src/fleet/admission.cpp
@@ -21,6 +21,7 @@
     bool anyFits = false; ///< a host is large enough
     bool anyLabelled = false; ///< a host is large enough and has the label
     bool hostsKnown = false; ///< at least one worker or host is known
+    bool capacityMissing = false; ///< a worker's capacity is not known
 };
 
 /// Compares a step with the workers of its pool and with all hosts, because any host can be moved
@@ -39,7 +40,14 @@
         return fit.anyLabelled;
     };
     for (const auto &[id, worker] : tables.workers) {
-        if (worker.entry.pool == pool && consider(worker.entry.capacity, worker.entry.labels)) {
+        if (worker.entry.pool != pool) {
+            continue;
+        }
+        if (worker.entry.capacity == resources {}) {
+            // Known by the roster only; its host may be listed.
+            fit.capacityMissing =
+                fit.capacityMissing || tables.hosts.find(worker.entry.host) == tables.hosts.end();
+        } else if (consider(worker.entry.capacity, worker.entry.labels)) {
             return fit;
         }
     }
@@ -61,6 +69,9 @@
     decision.predicted = job.criticalPath;
     for (const auto &step : job.spec.steps) {
         const auto fit = compareWithHosts(tables, step, queue.pool);
+        if (fit.capacityMissing) {
+            continue;
+        }
         if (fit.hostsKnown && !fit.anyFits) {
             decision.verdict = admission_verdict::never;
             decision.reason = "a task needs more than any host has";
