--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -3,6 +3,7 @@
 #include <ibishinge/base/metrics.h>
 #include <ibishinge/base/processor_time.h>
 #include <ibishinge/base/scheduler.h>
+#include <ibishinge/fleet/answer_delay.h>
 #include <ibishinge/fleet/caller.h>
 #include <ibishinge/fleet/host_maintenance.h>
 #include <ibishinge/fleet/load_control.h>
@@ -11,6 +12,7 @@
 #include <ibishinge/fleet/pool_sizing.h>
 #include <ibishinge/fleet/record_writer.h>
 #include <ibishinge/fleet/tables.h>
+#include <ibishinge/fleet/takeover_progress.h>
 
 #include <nlohmann/json.hpp>
 
@@ -97,10 +99,21 @@
     /// Returns true while requests are handled: the records are loaded, and the leader's record is
     /// proven to be held.
     [[nodiscard]] bool isServing() const;
+    /// Returns true once the records and the registry have been read.
+    [[nodiscard]] bool isLoaded() const noexcept
+    {
+        return m_loaded;
+    }
+    /// Returns when that was. Precondition: `isLoaded`.
+    [[nodiscard]] instant loadedAt() const noexcept
+    {
+        return m_loadedAt;
+    }
 
     /// Returns the longest time that any pending write has been without success.
     [[nodiscard]] milliseconds storeStalledFor() const;
-    /// Returns when the store last answered a write; the epoch if it never did.
+    /// Returns when the store last answered a write or a read of the records; the epoch if it never
+    /// did.
     [[nodiscard]] instant storeAnsweredAt() const;
 
     /// Handles a caller's request and passes the answer to `done`, at once or when the store has
@@ -147,9 +160,17 @@
                      const std::function<void(const store_item &)> &apply,
                      const std::function<void()> &next);
     void loadRecords();
+    /// Counts a page for the log.
+    void countPage(const store_page &page);
+    /// Logs what the take-over waits for, once a second until it is complete.
+    void logTakeover();
+    /// Logs the first start of a task of an inherited job.
+    void onTaskStarted(const run_key &key);
     /// Deletes the remaining records of a job whose final state is stored.
     void deleteRecordsOfEndedJob(const std::string &id);
     void readRegistry(const std::string &after);
+    /// Called once, when the records and the registry are read.
+    void beginServing();
     void watchRegistry();
     void onRegistryItem(const store_item &item);
     /// Returns the worker with this id. One that is not known yet may have runs that hold leases of
@@ -334,7 +355,10 @@
     bool m_recordsRead = false;
     bool m_loaded = false; ///< the records and the registry are read
     instant m_startedAt;
+    takeover_progress m_takeover;
+    instant m_loadedAt;
     instant m_leadershipProvenUntil;
+    instant m_pageReadAt; ///< when the last page of the records or the registry arrived
     std::int64_t m_registryRevision = 0;
     std::set<std::string> m_listedWorkers; ///< workers seen by the registry read in progress
     std::set<std::string> m_changedRosterKeys; ///< keys of the roster records to write
@@ -355,6 +379,7 @@
     instant m_lastProcessStallAt; ///< end of the last stall; epoch: none
     milliseconds m_longestTickDelay {0}; ///< since the last summary
     load_control m_load;
+    answer_delay m_answerDelay; ///< of starts and stops
     work_budget m_passBudget;
     work_budget m_checkBudget; ///< of the periodic checks that can wait
     int m_rejectedForLag = 0; ///< submissions since the last summary
--- a/include/ibishinge/outside/io_loop.h
+++ b/include/ibishinge/outside/io_loop.h
@@ -4,6 +4,7 @@
 #include <ibishinge/base/scheduler.h>
 #include <ibishinge/outside/http_message.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -20,8 +21,16 @@
     std::vector<http_header> headers;
     std::string body;
     std::chrono::milliseconds timeout {1000}; ///< for the whole exchange
+    /// Longest time in which no byte of the request is sent and none of the response arrives, for
+    /// exchanges whose duration depends on the bandwidth; 0: only `timeout` applies.
+    std::chrono::milliseconds stallTimeout {0};
+    /// Use no connection of earlier requests, for example because one of them may have gone silent.
+    bool freshConnection = false;
 };
 
+/// Identifies a request that was sent; none is used twice.
+using request_number = std::uint64_t;
+
 using response_handler = std::function<void(result<http_response>)>;
 
 /// Event loop with timers and an HTTP client for many requests at once, on libcurl.
@@ -52,7 +61,11 @@
 
     /// Errors passed to `done`: `unavailable` if no connection was made, `outcome_unknown` if the
     /// request may have been received.
-    void send(outgoing_request request, response_handler done);
+    request_number send(outgoing_request request, response_handler done);
+
+    /// Ends a request, which may have been received, without a call of its handler. Has no effect
+    /// if the handler was called.
+    void cancel(request_number number);
 
     /// Calls `onReadable` whenever `descriptor` can be read, until `removeReadable`. The descriptor
     /// stays the caller's. Precondition: not added already.
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -410,6 +410,14 @@
     milliseconds pollTime {2}; ///< until a look is answered
     milliseconds storeTime {5}; ///< until the store answers
     std::size_t pageSize = 500; ///< items in one answer of the store
+    /// Time that one item of a page takes on the link of this process. Answers arrive in the order
+    /// in which they were sent, so that those after a page wait for it.
+    milliseconds itemTime {0};
+    /// Time-out of a page that is arriving, as of the client.
+    milliseconds pageTimeout {20800};
+    int breakPages = 0; ///< so many full pages break off half-way
+    std::set<std::string> unansweredPages; ///< prefixes of which no page arrives
+    std::vector<std::string> pagesRead; ///< prefix and last key before, of each page that arrived
     milliseconds silence {300}; ///< until a call without an answer is given up
     int refuseStarts = 0; ///< so many starts find no connection
     int loseStartAnswers = 0; ///< so many starts are carried out without an answer
@@ -425,6 +433,14 @@
     /// Unless 0, orders of maintenance have no answer and are carried out so much later.
     milliseconds lateMaintenance {0};
 
+    /// Returns when an answer that is sent now, and takes `transfer` on the link of this process,
+    /// has arrived.
+    instant receive(milliseconds transfer)
+    {
+        m_linkFreeAt = std::max(m_linkFreeAt, m_world.loop.now()) + transfer;
+        return m_linkFreeAt;
+    }
+
     void readItem(const std::string &key, reply<store_item> done) override
     {
         atStore<store_item>(done, [this, key]() -> result<store_item> {
@@ -436,23 +452,20 @@
     void readRange(const std::string &prefix, const std::string &after,
                    reply<store_page> done) override
     {
-        atStore<store_page>(done, [this, prefix, after]() -> result<store_page> {
-            store_page page;
-            for (const auto &[key, item] : m_world.items) {
-                if (!key.starts_with(prefix) || key <= after) {
-                    continue;
-                }
-                if (page.items.size() == pageSize) {
-                    page.more = true;
-                    break;
-                }
-                page.items.push_back(item);
-            }
-            page.revision = m_world.revision;
-            return page;
+        if (storeCut || unansweredPages.count(prefix) > 0) {
+            fail<store_page>(std::move(done), error_kind::outcome_unknown);
+            return;
+        }
+        m_world.loop.after(storeTime, [this, prefix, after, done = std::move(done)] {
+            transferPage(prefix + after, pageAt(prefix, after), done);
         });
     }
 
+    void cancelPageReads() override
+    {
+        ++m_reads;
+    }
+
     void watch(const std::string &prefix, std::int64_t revision, milliseconds wait,
                reply<store_page> done) override
     {
@@ -725,6 +738,46 @@
     static constexpr milliseconds downTime {1500};
     static constexpr milliseconds hostOrderTimeout {1000};
 
+    [[nodiscard]] store_page pageAt(const std::string &prefix, const std::string &after) const
+    {
+        store_page page;
+        for (const auto &[key, item] : m_world.items) {
+            if (!key.starts_with(prefix) || key <= after) {
+                continue;
+            }
+            if (page.items.size() == pageSize) {
+                page.more = true;
+                break;
+            }
+            page.items.push_back(item);
+        }
+        page.revision = m_world.revision;
+        return page;
+    }
+
+    /// Delivers a page when its items have passed the link.
+    void transferPage(const std::string &name, const store_page &page,
+                      const reply<store_page> &done)
+    {
+        const auto duration = itemTime * static_cast<std::int64_t>(page.items.size());
+        const bool breaks = page.more && breakPages > 0;
+        breakPages -= breaks ? 1 : 0;
+        if (breaks || duration > pageTimeout) {
+            m_world.loop.after(breaks ? duration / 2 : pageTimeout, [this, done] {
+                deliver([done] {
+                    done(makeError(error_kind::outcome_unknown, "virtual platform", "broke off"));
+                });
+            });
+            return;
+        }
+        arrive(duration, [this, name, page, done, reads = m_reads] {
+            if (reads == m_reads) {
+                pagesRead.push_back(name);
+                deliver([done, page] { done(page); });
+            }
+        });
+    }
+
     void deliver(std::function<void()> reply)
     {
         if (m_frozen) {
@@ -749,8 +802,21 @@
             fail<T>(done, error_kind::outcome_unknown);
             return;
         }
-        m_world.loop.after(storeTime,
-                           [this, done, act] { deliver([done, value = act()] { done(value); }); });
+        m_world.loop.after(storeTime, [this, done, act] {
+            arrive(milliseconds(0),
+                   [this, done, value = act()] { deliver([done, value] { done(value); }); });
+        });
+    }
+
+    /// Calls `read` when an answer that is sent now has arrived.
+    void arrive(milliseconds transfer, std::function<void()> read)
+    {
+        const auto arrival = receive(transfer);
+        if (arrival > m_world.loop.now()) {
+            m_world.loop.after(arrival - m_world.loop.now(), std::move(read));
+        } else {
+            read();
+        }
     }
 
     bool connect(const std::string &id)
@@ -819,7 +885,9 @@
             }
         }
         if (!page.items.empty() || m_world.loop.now() >= until) {
-            m_world.loop.after(storeTime, [done, page] { done(page); });
+            m_world.loop.after(storeTime, [this, done, page] {
+                arrive(milliseconds(0), [done, page] { done(page); });
+            });
             return;
         }
         const auto woken = std::make_shared<bool>(false);
@@ -877,6 +945,8 @@
     virtual_world &m_world;
     std::map<std::string, int> m_openCalls; ///< by worker
     milliseconds m_ttl {3000};
+    instant m_linkFreeAt; ///< when all answers on their way to this process have arrived
+    int m_reads = 0; ///< number of times that reads of pages were cancelled
     bool m_frozen = false;
     std::vector<std::function<void()>> m_heldReplies;
 };
--- a/tests/encoding_compatibility_test.cpp
+++ b/tests/encoding_compatibility_test.cpp
@@ -101,13 +101,17 @@
     std::string message;
     fleet::reply<std::string> answer;
 
-    void forward(const std::string &, const std::string &, milliseconds,
+    void forward(const std::string &, const std::string &, fleet::forward_kind, milliseconds,
                  fleet::reply<std::string>) override
     {
     }
     void offerLeadership(const std::string &, std::int64_t, fleet::reply<bool>) override
     {
     }
+    void probeSuccessor(const std::string &, std::int64_t, fleet::milliseconds,
+                        fleet::reply<bool>) override
+    {
+    }
     void exchangeWorkerCalls(const std::string &, const std::string &calls, milliseconds,
                              fleet::reply<std::string> done) override
     {
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ibishinge::fleet {
@@ -71,7 +72,7 @@
         each.processor = std::make_unique<virtual_processor>(loop);
         each.platform = std::make_unique<virtual_platform>(world);
         each.chargedPlatform = std::make_unique<charged_platform>(*each.platform, *each.processor);
-        each.peers = std::make_unique<direct_link>(*this, *each.processor);
+        each.peers = std::make_unique<direct_link>(*this, each);
         startNode(each);
         return each;
     }
@@ -162,36 +163,64 @@
     std::map<std::string, process> processes;
     int exchanges = 0; ///< messages that relays have received
     std::set<std::string> frozen; ///< names of processes that answer no forwarded request
+    /// Names of processes whose answers to forwarded requests are lost, which the senders notice.
+    std::set<std::string> losesAnswers;
+    /// Names of processes for which too many new submissions wait to be forwarded.
+    std::set<std::string> fullQueues;
+    /// Answers to forwarded submissions by process name, instead of those of the process.
+    std::map<std::string, caller_answer> submissionAnswers;
+    /// Time by process name for which forwarded requests wait before the process handles them.
+    std::map<std::string, milliseconds> backlogOf;
+    std::vector<caller_request> forwarded; ///< requests that processes received from others
     /// Processor share by process name, in cores; 1 if not set.
     std::map<std::string, double> shares;
+    /// Time by which other processes' answers reach a process late, by its name.
+    std::map<std::string, milliseconds> peerAnswerDelay;
 
 private:
     class direct_link final : public peer_link
     {
     public:
-        direct_link(fleet_world &fleet, virtual_processor &processor)
+        direct_link(fleet_world &fleet, process &owner)
             : m_fleet(fleet)
-            , m_processor(processor)
+            , m_owner(owner)
         {
         }
 
-        void forward(const std::string &address, const std::string &request, milliseconds timeout,
-                     reply<std::string> whenDone) override
+        void forward(const std::string &address, const std::string &request, forward_kind kind,
+                     milliseconds timeout, reply<std::string> whenDone) override
         {
-            const auto done = charged(whenDone);
-            if (m_fleet.frozen.count(nameAt(address)) > 0) {
-                m_fleet.loop.after(timeout, [done, address] {
-                    done(makeError(error_kind::outcome_unknown, address, "no answer"));
+            const auto done = once(address, timeout, whenDone);
+            if (kind == forward_kind::submission && m_fleet.fullQueues.count(nameAt(address)) > 0) {
+                m_fleet.loop.after(milliseconds(0), [done, address] {
+                    done(makeError(error_kind::overloaded, address, "queue full"));
                 });
                 return;
             }
-            m_fleet.loop.after(networkDelay, [this, address, request, done] {
-                m_fleet.runAt(address, done, [this, request, done](fleet_node &node) {
-                    node.handleForwarded(
-                        *decodeRequest(request), [this, done](const caller_answer &answer) {
-                            const auto text = encodeAnswer(answer);
-                            m_fleet.loop.after(networkDelay, [done, text] { done(text); });
-                        });
+            if (m_fleet.frozen.count(nameAt(address)) > 0) {
+                return;
+            }
+            const auto delay = networkDelay + m_fleet.backlogOf[nameAt(address)];
+            m_fleet.loop.after(delay, [this, address, request, done] {
+                m_fleet.runAt(address, done, [this, address, request, done](fleet_node &node) {
+                    const auto call = decodeRequest(request);
+                    m_fleet.forwarded.push_back(*call);
+                    const auto fixed = m_fleet.submissionAnswers.find(nameAt(address));
+                    if (fixed != m_fleet.submissionAnswers.end()
+                        && call->operation == caller_operation::submit) {
+                        const auto text = encodeAnswer(fixed->second);
+                        m_fleet.loop.after(answerDelay(), [done, text] { done(text); });
+                        return;
+                    }
+                    const bool lost = m_fleet.losesAnswers.count(nameAt(address)) > 0;
+                    node.handleForwarded(*call, [this, done, lost](const caller_answer &answer) {
+                        if (lost) {
+                            done(makeError(error_kind::outcome_unknown, "", "connection reset"));
+                            return;
+                        }
+                        const auto text = encodeAnswer(answer);
+                        m_fleet.loop.after(answerDelay(), [done, text] { done(text); });
+                    });
                 });
             });
         }
@@ -201,8 +230,24 @@
         {
             const auto done = charged(whenDone);
             m_fleet.loop.after(networkDelay, [this, address, revision, done] {
-                m_fleet.runAt(address, done, [revision, done](fleet_node &node) {
-                    node.acceptLeadership(revision, [done](bool accepted) { done(accepted); });
+                m_fleet.runAt(address, done, [this, revision, done](fleet_node &node) {
+                    node.acceptLeadership(revision, [this, done](bool accepted) {
+                        m_fleet.loop.after(answerDelay() - networkDelay,
+                                           [done, accepted] { done(accepted); });
+                    });
+                });
+            });
+        }
+
+        void probeSuccessor(const std::string &address, std::int64_t revision, milliseconds timeout,
+                            reply<bool> whenDone) override
+        {
+            const auto done = once(address, timeout, whenDone);
+            m_fleet.loop.after(networkDelay, [this, address, revision, done] {
+                m_fleet.runAt(address, done, [this, revision, done](fleet_node &node) {
+                    node.answerSuccessorProbe(revision, [this, done](bool able) {
+                        m_fleet.loop.after(answerDelay(), [done, able] { done(able); });
+                    });
                 });
             });
         }
@@ -210,23 +255,13 @@
         void exchangeWorkerCalls(const std::string &address, const std::string &calls,
                                  milliseconds timeout, reply<std::string> whenDone) override
         {
-            const auto done = charged(whenDone);
-            const auto answered = std::make_shared<bool>(false);
-            const auto once = [answered, done](result<std::string> answer) {
-                if (!std::exchange(*answered, true)) {
-                    done(std::move(answer));
-                }
-            };
-            m_fleet.loop.after(timeout, [once, address] {
-                once(makeError(error_kind::outcome_unknown, address, "no answer"));
-            });
-            m_fleet.loop.after(networkDelay, [this, address, calls, once] {
-                const reply<std::string> answer = once;
-                m_fleet.runAt(address, answer, [this, calls, once](fleet_node &node) {
+            const auto done = once(address, timeout, whenDone);
+            m_fleet.loop.after(networkDelay, [this, address, calls, done] {
+                m_fleet.runAt(address, done, [this, calls, done](fleet_node &node) {
                     ++m_fleet.exchanges;
                     node.handleWorkerCalls(
-                        calls, m_fleet.loop.now(), [this, once](const std::string &text) {
-                            m_fleet.loop.after(networkDelay, [once, text] { once(text); });
+                        calls, m_fleet.loop.now(), [this, done](const std::string &text) {
+                            m_fleet.loop.after(answerDelay(), [done, text] { done(text); });
                         });
                 });
             });
@@ -235,16 +270,43 @@
     private:
         static constexpr milliseconds networkDelay {2};
 
+        /// Returns the time until an answer that is sent now has reached this process.
+        [[nodiscard]] milliseconds answerDelay() const
+        {
+            const auto late = m_fleet.peerAnswerDelay.find(m_owner.name);
+            const auto extra =
+                late == m_fleet.peerAnswerDelay.end() ? milliseconds(0) : late->second;
+            const auto arrival = m_owner.platform->receive(milliseconds(0));
+            return std::max(networkDelay, since(m_fleet.loop.now(), arrival)) + extra;
+        }
+
+        /// Returns a reply that costs this process processor time.
         template <class T>
         reply<T> charged(const reply<T> &done)
         {
-            return [&processor = m_processor, done](const result<T> &value) {
+            return [&processor = *m_owner.processor, done](const result<T> &value) {
                 processor.execute([done, value] { done(value); });
             };
         }
 
+        /// Returns a reply that passes on the first answer only, and an error after `timeout`.
+        template <class T>
+        reply<T> once(const std::string &address, milliseconds timeout, const reply<T> &done)
+        {
+            const auto answered = std::make_shared<bool>(false);
+            const reply<T> first = [answered, done = charged(done)](const result<T> &answer) {
+                if (!std::exchange(*answered, true)) {
+                    done(answer);
+                }
+            };
+            m_fleet.loop.after(timeout, [first, address] {
+                first(makeError(error_kind::outcome_unknown, address, "no answer"));
+            });
+            return first;
+        }
+
         fleet_world &m_fleet;
-        virtual_processor &m_processor;
+        process &m_owner;
     };
 
     static std::string nameAt(const std::string &address)
--- a/tests/worker_relay_test.cpp
+++ b/tests/worker_relay_test.cpp
@@ -59,13 +59,16 @@
         , m_loop(loop)
     {
     }
-    void forward(const std::string &, const std::string &, milliseconds,
+    void forward(const std::string &, const std::string &, forward_kind, milliseconds,
                  reply<std::string>) override
     {
     }
     void offerLeadership(const std::string &, std::int64_t, reply<bool>) override
     {
     }
+    void probeSuccessor(const std::string &, std::int64_t, milliseconds, reply<bool>) override
+    {
+    }
     void exchangeWorkerCalls(const std::string &, const std::string &calls, milliseconds,
                              reply<std::string> done) override
     {
