Mend what the review of the change found

Also possible before. - Orders repeated to silent workers counted as lag of the coordinator's own link: now one first start of each worker counts. - A coordinator handed over for want of the store before inherited tasks were released, so that the next one began their wait anew: not while it holds any back. - Reads of maintenance waves piled up, as one may now last 20 s: one at a time. - A relay that was still receiving a report counted as failed: its time for a poll covers the transfer. - Scheduling passes keep to their share only while the loop is behind.

--- a/include/ibishinge/fleet/answer_delay.h
+++ b/include/ibishinge/fleet/answer_delay.h
@@ -2,7 +2,8 @@
 
 #include <ibishinge/fleet/types.h>
 
-#include <deque>
+#include <map>
+#include <string>
 
 namespace ibishinge::fleet {
 
@@ -15,12 +16,13 @@
         instant at;
         milliseconds delay {0};
     };
-    std::deque<sample> samples; ///< of the last half second, oldest first
+    std::map<std::string, sample> samples; ///< the last one of each worker
 };
 
-/// Records that an order was answered, or given up, `delay` after it was sent. Not thread-safe for
-/// the same object.
-void recordAnswer(answer_delay &answers, milliseconds delay, instant now);
+/// Records that an order to a worker that was known to answer has been answered, or given up,
+/// `delay` after it was sent. Not thread-safe for the same object.
+void recordAnswer(answer_delay &answers, const std::string &worker, milliseconds delay,
+                  instant now);
 
 /// Returns the lower quartile of the recent delays; 0 if there are too few of them to tell.
 /// Thread-safe for a constant object.
--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -110,6 +110,9 @@
         return m_loadedAt;
     }
 
+    /// Returns true if tasks of inherited jobs wait for the leases of an earlier coordinator.
+    [[nodiscard]] bool holdsBackInheritedTasks() const;
+
     /// Returns the longest time that any pending write has been without success.
     [[nodiscard]] milliseconds storeStalledFor() const;
     /// Returns when the store last answered a write or a read of the records; the epoch if it never
@@ -379,7 +382,7 @@
     instant m_lastProcessStallAt; ///< end of the last stall; epoch: none
     milliseconds m_longestTickDelay {0}; ///< since the last summary
     load_control m_load;
-    answer_delay m_answerDelay; ///< of starts and stops
+    answer_delay m_answerDelay; ///< of starts
     work_budget m_passBudget;
     work_budget m_checkBudget; ///< of the periodic checks that can wait
     int m_rejectedForLag = 0; ///< submissions since the last summary
@@ -395,6 +398,7 @@
     /// Submissions answered with `outcome_unknown` since the last summary, as the store was slow.
     int m_unresolvedSubmissions = 0;
     bool m_hostListPending = false;
+    bool m_waveReadPending = false;
     bool m_maintenanceOpen = false; ///< a maintenance wave is open
     instant m_nextHostListAt;
     instant m_nextWaveReadAt;
--- a/src/fleet/answer_delay.cpp
+++ b/src/fleet/answer_delay.cpp
@@ -8,23 +8,22 @@
 namespace {
 
 constexpr milliseconds sampleAge {500};
-/// With fewer samples, a single slow worker would decide.
+/// With fewer workers, a single slow one would decide.
 constexpr std::size_t minSamples = 8;
 
 } // namespace
 
-void recordAnswer(answer_delay &answers, milliseconds delay, instant now)
+void recordAnswer(answer_delay &answers, const std::string &worker, milliseconds delay, instant now)
 {
-    answers.samples.push_back({now, delay});
-    while (answers.samples.front().at <= now - sampleAge) {
-        answers.samples.pop_front();
-    }
+    answers.samples[worker] = {now, delay};
+    std::erase_if(answers.samples,
+                  [now](const auto &each) { return each.second.at <= now - sampleAge; });
 }
 
 milliseconds typicalDelay(const answer_delay &answers, instant now)
 {
     std::vector<milliseconds> delays;
-    for (const auto &sample : answers.samples) {
+    for (const auto &[worker, sample] : answers.samples) {
         if (sample.at > now - sampleAge) {
             delays.push_back(sample.delay);
         }
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -279,7 +279,9 @@
         m_schedulingPassPending = false;
         m_lastSchedulingPassAt = m_timers.now();
         runSchedulingPass();
-        chargeWork(m_passBudget, m_lastSchedulingPassAt, m_timers.now());
+        if (currentLag(m_load) > lagTarget / 2) {
+            chargeWork(m_passBudget, m_lastSchedulingPassAt, m_timers.now());
+        }
     });
 }
 
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -29,9 +29,13 @@
 
 void coordinator::readWaves()
 {
+    if (std::exchange(m_waveReadPending, true)) {
+        return;
+    }
     m_nextWaveReadAt = m_timers.now() + waveReadInterval;
     m_platform.readRange(m_platform.wavePrefix(), "",
                          unlessClosed<store_page>([this](const result<store_page> &page) {
+                             m_waveReadPending = false;
                              if (!page) {
                                  return; // repeated after `waveReadInterval`
                              }
--- a/src/fleet/coordinator_orders.cpp
+++ b/src/fleet/coordinator_orders.cpp
@@ -215,7 +215,6 @@
     auto &worker = m_tables.workers.at(run.worker);
     run.callPending = false;
     run.unanswered = !answer;
-    recordAnswer(m_answerDelay, m_timers.now() - run.stopSentAt, m_timers.now());
     if (!answer) {
         worker.verified = false;
         worker.nextPollAt = m_timers.now();
@@ -356,7 +355,7 @@
     run.unanswered = !answer;
     m_metrics.observe("ibishinge_start_seconds", {}, now - run.orderedAt);
     if (run.orders == 1) {
-        recordAnswer(m_answerDelay, now - run.orderedAt, now);
+        recordAnswer(m_answerDelay, run.worker, now - run.orderedAt, now);
     }
     if (!answer) {
         ++m_unansweredStarts;
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -297,6 +297,13 @@
     return m_startedAt + milliseconds(static_cast<std::int64_t>(lease)) + inheritedLeaseMargin;
 }
 
+bool coordinator::holdsBackInheritedTasks() const
+{
+    return m_timers.now() < inheritedLeasesEnd()
+           && std::any_of(m_tables.jobs.begin(), m_tables.jobs.end(),
+                          [](const auto &each) { return each.second.inherited; });
+}
+
 void coordinator::delayInheritedTasks(job_entry &job)
 {
     if (!job.inherited) {
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -89,37 +89,44 @@
         worker.openAcknowledgements.insert(worker.openPoll);
     }
     worker.pollSentAt = now;
-    m_workerCalls.poll(worker.entry, order,
-                       unlessClosed<worker_report>([this, id = worker.entry.id, now, order,
-                                                    number = worker.openPoll](
-                                                       const result<worker_report> &answer) {
-                           const auto found = m_tables.workers.find(id);
-                           if (found == m_tables.workers.end()) {
-                               return;
-                           }
-                           if (!answer && order.leaseUntil > 0) {
-                               onLeaseUnanswered(found->second, order.knownIncarnation, now);
-                           }
-                           found->second.openAcknowledgements.erase(number);
-                           if (!answer && order.acknowledgedEnd > 0) {
-                               recordUnansweredAcknowledgement(
-                                   found->second, order.knownIncarnation, m_timers.now());
-                           }
-                           if (found->second.openPoll != number) {
-                               return; // another poll has replaced this one
-                           }
-                           found->second.openPoll = 0;
-                           if (!answer) {
-                               onPollFailed(id, answer.error());
-                               return;
-                           }
-                           if (!answer->fenced && !answer->otherIncarnation
-                               && answer->incarnation == found->second.incarnation) {
-                               found->second.acknowledgedEnd =
-                                   std::max(found->second.acknowledgedEnd, order.acknowledgedEnd);
-                           }
-                           onReport(id, *answer, now);
-                       }));
+    m_workerCalls.poll(
+        worker.entry, order,
+        unlessClosed<worker_report>(
+            [this, id = worker.entry.id, now, order,
+             number = worker.openPoll](const result<worker_report> &answer) {
+                const auto found = m_tables.workers.find(id);
+                if (found == m_tables.workers.end()) {
+                    return;
+                }
+                if (!answer && order.leaseUntil > 0) {
+                    onLeaseUnanswered(found->second, order.knownIncarnation, now);
+                }
+                if (answer && order.leaseUntil > 0 && !answer->fenced && !answer->otherIncarnation
+                    && answer->incarnation != order.knownIncarnation) {
+                    // The process that answered took the lease for one on its own clock.
+                    found->second.leasesEndBy =
+                        std::max(found->second.leasesEndBy, m_timers.now() + maxLeaseTime());
+                }
+                found->second.openAcknowledgements.erase(number);
+                if (!answer && order.acknowledgedEnd > 0) {
+                    recordUnansweredAcknowledgement(found->second, order.knownIncarnation,
+                                                    m_timers.now());
+                }
+                if (found->second.openPoll != number) {
+                    return; // another poll has replaced this one
+                }
+                found->second.openPoll = 0;
+                if (!answer) {
+                    onPollFailed(id, answer.error());
+                    return;
+                }
+                if (!answer->fenced && !answer->otherIncarnation
+                    && answer->incarnation == found->second.incarnation) {
+                    found->second.acknowledgedEnd =
+                        std::max(found->second.acknowledgedEnd, order.acknowledgedEnd);
+                }
+                onReport(id, *answer, now);
+            }));
 }
 
 milliseconds coordinator::pollWait(const worker_status &worker) const
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -628,7 +628,8 @@
 
 bool fleet_node::hasServedForItsTakeOver() const
 {
-    if (!m_coordinator->isLoaded()) {
+    // The next coordinator would hold inherited tasks back anew.
+    if (!m_coordinator->isLoaded() || m_coordinator->holdsBackInheritedTasks()) {
         return false;
     }
     const auto takeOverTime = since(m_leadingSince, m_coordinator->loadedAt());
--- a/src/fleet/worker_relay.cpp
+++ b/src/fleet/worker_relay.cpp
@@ -36,6 +36,8 @@
 /// relay count as failed, if it has answered a later message.
 constexpr milliseconds resultMargin {1200};
 constexpr milliseconds commandTimeout {450};
+/// For which a report may be on its way to the relay.
+constexpr milliseconds reportTransferTime {500};
 constexpr milliseconds overdueCheckInterval {200};
 
 /// Calls that the relay read from the network longer ago are not made, because its process or host
@@ -328,7 +330,8 @@
         return;
     }
     add(*to, encodePollCall(worker, order),
-        {open_poll {worker, order, std::move(done)}, order.wait + resultMargin});
+        {open_poll {worker, order, std::move(done)},
+         order.wait + reportTransferTime + resultMargin});
 }
 
 void relay_client::add(relay &to, const json &call, open_call open)
