--- a/include/ibishinge/fleet/node.h
+++ b/include/ibishinge/fleet/node.h
@@ -23,6 +23,15 @@
 
 namespace ibishinge::fleet {
 
+/// Processes that sent their last request longer ago are offered nothing and make no calls to
+/// workers for the coordinator.
+inline constexpr milliseconds maxPeerAge {5000};
+/// Processes that sent a request within this time are ranked as equally likely to work; among them
+/// the processor share decides.
+inline constexpr milliseconds recentPeerAge {1500};
+/// An answer that takes longer does not show that this process gets answers in time.
+inline constexpr milliseconds maxProbeTime {300};
+
 /// Settings of one process.
 struct node_settings
 {
@@ -185,6 +194,7 @@
         };
     }
 
+    // node.cpp
     void pollConfiguration();
     void watchConfiguration();
     void applyConfiguration(const store_item &item);
@@ -204,6 +214,11 @@
     void renew();
     void stopLeading(std::string_view reason);
     void releaseLease(std::int64_t lease);
+    void updateRelays();
+    void readRelays();
+    void writeRelays(const std::vector<relay_peer> &relays);
+
+    // node_handover.cpp
     /// Offers the leader record to other processes if the store has not answered for
     /// `storeLossDelay`, and they show that it answers them.
     void offerLeadershipIfStoreLost();
@@ -225,9 +240,6 @@
     /// Passes true to `done` if this process reads the store and may replace the leader record that
     /// has the revision `revision`.
     void checkSuccession(std::int64_t revision, std::function<void(bool)> done);
-    void updateRelays();
-    void readRelays();
-    void writeRelays(const std::vector<relay_peer> &relays);
     /// Returns the processes that are most likely to be able to replace this one, the best first,
     /// without those in `excluded`.
     [[nodiscard]] std::vector<std::string>
@@ -237,6 +249,8 @@
                          leadership_offer &offer);
     [[nodiscard]] instant storeAnsweredAt() const;
     [[nodiscard]] milliseconds timeSinceStoreAnswer() const;
+
+    // node_requests.cpp
     [[nodiscard]] std::string coordinatorAddress() const;
     /// Returns true if requests can be handled by the coordinator of this process.
     [[nodiscard]] bool canServe() const;
