--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -294,7 +294,7 @@
         reply<T> once(const std::string &address, milliseconds timeout, const reply<T> &done)
         {
             const auto answered = std::make_shared<bool>(false);
-            const reply<T> first = [answered, done = charged(done)](const result<T> &answer) {
+            reply<T> first = [answered, done = charged(done)](const result<T> &answer) {
                 if (!std::exchange(*answered, true)) {
                     done(answer);
                 }
