Pass a request on before the process is stopped, in the test that counts on it

The test takes the first connection to the frozen leader for the request.

It now waits until the process has read the leader's record, and checks what it checked before: no answer but 503 and 504, at least one 504, all within the grace time.

--- a/tests/process/fleet_signals_test.py
+++ b/tests/process/fleet_signals_test.py
@@ -108,6 +108,13 @@
                 time.sleep(0.02)
         self.fail("the process does not listen")
 
+    def wait_for_line(self, process, text):
+        """Reads the log of a process up to a line with this text."""
+        for line in process.stdout:
+            if text in line:
+                return
+        self.fail(f"the process ended without a line {text}")
+
     def test_signals_while_it_drains(self):
         for later in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
             with self.subTest(later=later.name):
@@ -138,6 +145,8 @@
         self.addCleanup(store.shutdown)
         callers = free_address()
         process = self.begin(callers, store.address)
+        # Before it knows the leader it asks first whether that one serves, and passes nothing on.
+        self.wait_for_line(process, b"leader_seen")
         answers, threads = [], []
 
         def send():
