--- a/review/standins-2/installation.py
+++ b/review/standins-2/installation.py
@@ -88,7 +88,7 @@
         if method == "GET":
             return 200, {"machines": [
                 {"machine": name, "pool": each["pool"], "state": each["state"],
-                 "zone": "cascadia-a", "labels": ["a", each["rack"]], "capacity": CAPACITY}
+                 "zone": "cascadia-a", "labels": [each["kind"], each["rack"]], "capacity": CAPACITY}
                 | ({"id": each["worker"].name} if each["worker"] else {})
                 for name, each in sorted(self.all.items())], "next-token": None}
         call = json.loads(body)
@@ -156,8 +156,9 @@
             setattr(self, name, port_of(server))
         self.spawn(self.store.expire_leases())
 
-    def add_machine(self, name, pool, rack="r1"):
-        self.machines.all[name] = {"pool": pool, "state": "up", "worker": None, "rack": rack}
+    def add_machine(self, name, pool, rack="r1", kind="a"):
+        self.machines.all[name] = {"pool": pool, "state": "up", "worker": None, "rack": rack,
+                                   "kind": kind}
 
     async def add_worker(self, machine):
         """Starts a life of a minion on the machine."""
@@ -168,6 +169,7 @@
         self.servers.append(server)
         worker.address = f"127.0.0.1:{port_of(server)}"
         worker.server = server
+        worker.kind = each["kind"]
         each["worker"] = worker
         self.workers.append(worker)
         self.spawn(worker.report(self.store))
@@ -238,13 +240,13 @@
         self.record("call", to=child.name, method=method, path=path, status=status, answer=answer)
         return status, answer
 
-    async def submit(self, job, steps, limit=10.0):
+    async def submit(self, job, steps, limit=10.0, prefix=PREFIX):
         """Hands a job in as requesters do: again while there is no decision."""
         end = time.monotonic() + limit
         for child in itertools.cycle(self.children):
             if time.monotonic() > end:
                 raise CannotRun("a job was not accepted")
-            status, _ = await self.call(child, "POST", PREFIX + job,
+            status, _ = await self.call(child, "POST", prefix + job,
                                         {"spec": "text of " + job, "steps": steps})
             if status == 200:
                 return
--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -48,6 +48,8 @@
         self.sequence = 0
         self.news = asyncio.Event()
         self.gone = False
+        self.kind = "a"
+        self.refuses_ticket = None  # called with a task and its ticket, on a queue with advice
 
     def clock(self):
         return int((time.monotonic() - self.started) * 1000) + 1000
@@ -56,7 +58,7 @@
         self.sequence += 1
         return {"service": self.service, "address": self.address, "zone": self.zone,
                 "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0,
-                "capacity": self.capacity, "labels": ["a", self.rack], "machine": self.machine,
+                "capacity": self.capacity, "labels": [self.kind, self.rack], "machine": self.machine,
                 "clock-ms": self.clock(), "sequence": self.sequence, "born": self.born}
 
     async def report(self, store):
@@ -130,6 +132,8 @@
             return 409, {"clock-ms": self.clock(), "reason": "old"}
         if call["until-ms"] <= self.clock():
             return 409, {"clock-ms": self.clock(), "reason": "late"}
+        if self.refuses_ticket and self.refuses_ticket(self, task, call.get("ticket", "")):
+            return 409, {"clock-ms": self.clock(), "reason": "ticket"}
         need, seconds, persistent = self.describe(task)
         self._take_lease(call["until-ms"])
         for kind, most in self.capacity.items():
