--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -39,7 +39,8 @@
         self.address = None
         self.fence = 0
         self.until = 0
-        self.lapses = []  # times at which the lease lapsed with runs
+        self.lapses = []  # times at which the lease lapsed, with runs or without
+        self.lapsed = True  # there is no lease yet
         self.running = {}  # task -> Run
         self.highest = {}  # task -> highest run stopped or ended here
         self.ended = []  # rows not taken note of
@@ -79,7 +80,8 @@
 
     async def watch_lease(self):
         while not self.gone:
-            if self.running and self.clock() > self.until:
+            if not self.lapsed and self.clock() > self.until:
+                self.lapsed = True
                 self.lapses.append(time.monotonic())
                 for run in list(self.running.values()):
                     self._end(run, "lapsed")
@@ -101,6 +103,7 @@
     def _take_lease(self, until):
         if until:
             self.until = max(self.until, min(until, self.clock() + self.hold_max_ms))
+            self.lapsed = self.lapsed and self.until <= self.clock()
 
     async def handle(self, _method, target, headers, body):
         if self.gone:
