Wait for all ends of a worker before its tasks are started after a take-over

Cause: a worker lists at most 500 ends in a report and the others once these are acknowledged. The first answer of a worker released the inherited tasks of its pool, also when its list was truncated, so that the ends beyond it counted as runs that never were. Besides, the tasks were held back by a time, the end of the former coordinator's leases, so that a store that is slow for longer released them in any case.

With 700 tasks, 200 are beyond the list.

Now an inherited job is held back by its own mark until each worker of its pools has reported all its runs and ends, or cannot be reached and holds no lease any more. It works because the running list is never truncated and the fencing token keeps the former coordinator from starting more: one complete report tells all. A worker with unread ends is polled, and its lease renewed, until they are read. New jobs do not wait.

The log line takeover_first_start loses its field `inherited`, which would always be false now.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -110,7 +110,7 @@
         return m_loadedAt;
     }
 
-    /// Returns true if tasks of inherited jobs wait for the leases of an earlier coordinator.
+    /// Returns true if tasks of inherited jobs wait until all their earlier runs are known.
     [[nodiscard]] bool holdsBackInheritedTasks() const;
 
     /// Returns the longest time that any pending write has been without success.
@@ -182,13 +182,11 @@
     void unregisterMissingWorkers();
     /// Writes the changed records of the roster.
     void writeRoster();
-    /// Permits starts of tasks of inherited jobs, in pools where each worker has answered a poll or
-    /// holds no lease any more.
+    /// Permits starts of tasks of inherited jobs, in pools where each worker has reported all its
+    /// runs and ends or holds no lease any more.
     void releaseInheritedTasks();
     /// Returns when the last lease given by an earlier coordinator has expired on every worker.
     [[nodiscard]] instant inheritedLeasesEnd() const;
-    /// Delays the tasks of an inherited job until then.
-    void delayInheritedTasks(job_entry &job);
     /// Adds the runs of suspected tasks that an earlier coordinator may have started. They are
     /// adopted, found missing, or lost with their workers like any other.
     void addStoredSuspectRuns();
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -108,9 +108,7 @@
     std::int64_t startsInTerm = 0; ///< runs requested by this coordinator
     std::int64_t currentRun = 0; ///< number of the current run; 0: none
     std::string checkpoint;
-    /// Earliest start: end of a back-off, or of the leases of an earlier coordinator, whose run may
-    /// still exist.
-    instant notBefore;
+    instant notBefore; ///< earliest start: end of a back-off
     instant waitsSince; ///< when its last run ended; epoch: it had none under this coordinator
     std::string avoidWorker; ///< worker on which the last run failed or made no progress
     int crashes = 0; ///< workers that crashed while they may have had a run of the task
@@ -169,7 +167,9 @@
     job_state state = job_state::queued;
     bool stored = false; ///< the job is accepted: its record is in the store
     bool fromRecord = false; ///< accepted by an earlier coordinator
-    bool inherited = false; ///< tasks may still run under leases of an earlier coordinator
+    /// Accepted by an earlier coordinator, whose runs may go on, or have ended, unknown to this
+    /// one. No task is started until it is known.
+    bool inherited = false;
     bool begun = false; ///< the start of at least one task has been requested
     bool ending = false; ///< the final state is being stored; no more tasks are started
     bool longRunning = false;
@@ -228,6 +228,7 @@
     bool awaitsContact = false; ///< starts wait for the answer to a poll
     std::int64_t processedEnd = 0; ///< number of the last end that was applied to the tables
     std::int64_t storedEnd = 0; ///< number of the last end whose effects are in the store
+    bool endsTruncated = false; ///< the last report may not have listed all ends
     /// When the oldest end whose effects are not in the store was applied. Valid if there is one.
     instant unstoredSince;
     /// Number of the last end that was acknowledged to the worker.
@@ -256,6 +257,25 @@
     double runTimeRatio = 1; ///< observed ratio of run times here to those on other workers
 };
 
+/// Returns true if the worker has ends, or may have ends, whose effects are not in the store. They
+/// are lost if its host goes down. Thread-safe for a constant worker.
+[[nodiscard]] constexpr bool mayHaveUnstoredEnds(const worker_status &worker) noexcept
+{
+    return worker.endsTruncated || worker.processedEnd > worker.storedEnd;
+}
+
+/// Returns true if the worker may have runs or ends of an earlier coordinator that it has not
+/// reported to this one. Thread-safe for a constant worker.
+[[nodiscard]] constexpr bool mayHaveUnreportedRuns(const worker_status &worker,
+                                                   instant now) noexcept
+{
+    if (worker.contacted && !worker.endsTruncated) {
+        return false;
+    }
+    // All that an unreachable worker runs ends with its leases.
+    return worker.verified || worker.leasesEndBy > now;
+}
+
 /// Run times observed for the tasks of a queue.
 struct queue_statistics
 {
--- a/include/ibishinge/fleet/types.h
+++ b/include/ibishinge/fleet/types.h
@@ -244,9 +244,17 @@
     bool otherIncarnation = false;
 };
 
-/// Length at which a worker truncates the list of ends in its report.
+/// Length at which a worker truncates the list of ends in its report. It lists the further ends
+/// once those before them are acknowledged.
 inline constexpr std::size_t maxReportedEnds = 500;
 
+/// Returns true if the worker may have ends that the report does not list. Thread-safe for a
+/// constant report.
+[[nodiscard]] inline bool isTruncated(const worker_report &report) noexcept
+{
+    return report.ended.size() >= maxReportedEnds;
+}
+
 /// Request for the state of a worker, which also renews leases and acknowledges ends.
 struct poll_request
 {
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -234,10 +234,10 @@
     const auto wall = m_timers.wallMs();
     for (auto &[id, job] : m_tables.jobs) {
         if (job.stored && openDueOccurrences(job, wall)) {
-            delayInheritedTasks(job);
             requestSchedulingPass();
         }
     }
+    releaseInheritedTasks(); // of workers whose leases have ended
     if (now >= m_checkBudget.notBefore) {
         const auto begin = m_timers.now();
         runDeferrableChecks();
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -175,11 +175,15 @@
     m_takeover.nextLogAt = now + takeoverLogInterval;
     const auto jobs = std::count_if(m_tables.jobs.begin(), m_tables.jobs.end(),
                                     [](const auto &job) { return job.second.inherited; });
-    const auto silent =
+    const auto unheard =
         std::count_if(m_tables.workers.begin(), m_tables.workers.end(), [now](const auto &worker) {
-            return !worker.second.contacted && worker.second.leasesEndBy > now;
+            return !worker.second.contacted && mayHaveUnreportedRuns(worker.second, now);
         });
-    if (m_takeover.stage == takeover_stage::reports && (jobs == 0 || now >= inheritedLeasesEnd())) {
+    const auto truncated =
+        std::count_if(m_tables.workers.begin(), m_tables.workers.end(), [now](const auto &worker) {
+            return worker.second.contacted && mayHaveUnreportedRuns(worker.second, now);
+        });
+    if (m_takeover.stage == takeover_stage::reports && jobs == 0) {
         enterStage(m_takeover, takeover_stage::complete, now);
         return;
     }
@@ -191,7 +195,8 @@
               {"bytes", m_takeover.bytes},
               {"failed_reads", m_takeover.failedReads},
               {"jobs", jobs},
-              {"workers_unheard", silent}});
+              {"workers_unheard", unheard},
+              {"workers_truncated", truncated}});
 }
 
 void coordinator::onTaskStarted(const run_key &key)
@@ -205,7 +210,6 @@
     m_metrics.observe("ibishinge_takeover_first_start_seconds", {}, now - m_startedAt);
     auto line = describeRun(key);
     line["after_ms"] = since(m_startedAt, now).count();
-    line["inherited"] = job->second.inherited;
     logEvent(log_level::info, "takeover_first_start", line);
 }
 
@@ -262,9 +266,6 @@
     for (auto &[id, worker] : m_tables.workers) {
         pollIfDue(worker);
     }
-    for (auto &[id, job] : m_tables.jobs) {
-        delayInheritedTasks(job);
-    }
     const auto now = m_timers.now();
     m_loadedAt = now;
     enterStage(m_takeover, takeover_stage::reports, now);
@@ -299,25 +300,8 @@
 
 bool coordinator::holdsBackInheritedTasks() const
 {
-    return m_timers.now() < inheritedLeasesEnd()
-           && std::any_of(m_tables.jobs.begin(), m_tables.jobs.end(),
-                          [](const auto &each) { return each.second.inherited; });
-}
-
-void coordinator::delayInheritedTasks(job_entry &job)
-{
-    if (!job.inherited) {
-        return;
-    }
-    // Until each worker of the pool has reported its runs, a task without a known end may be
-    // running under a lease of an earlier coordinator.
-    for (auto &[number, occurrence] : job.occurrences) {
-        for (auto &step : occurrence.steps) {
-            for (auto &task : step) {
-                task.notBefore = std::max(task.notBefore, inheritedLeasesEnd());
-            }
-        }
-    }
+    return std::any_of(m_tables.jobs.begin(), m_tables.jobs.end(),
+                       [](const auto &each) { return each.second.inherited; });
 }
 
 void coordinator::addStoredSuspectRuns()
@@ -355,12 +339,13 @@
 
 void coordinator::releaseInheritedTasks()
 {
-    if (!m_loaded) {
+    if (!m_loaded || !holdsBackInheritedTasks()) {
         return;
     }
+    bool released = false;
     std::set<std::string> incompletePools;
     for (const auto &[id, worker] : m_tables.workers) {
-        if (!worker.contacted && worker.leasesEndBy > m_timers.now()) {
+        if (mayHaveUnreportedRuns(worker, m_timers.now())) {
             incompletePools.insert(worker.entry.pool);
         }
     }
@@ -377,13 +362,10 @@
             continue;
         }
         job.inherited = false;
-        for (auto &[number, occurrence] : job.occurrences) {
-            for (auto &step : occurrence.steps) {
-                for (auto &task : step) {
-                    task.notBefore = m_timers.now();
-                }
-            }
-        }
+        released = true;
+    }
+    if (released) {
+        requestSchedulingPass();
     }
 }
 
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -58,10 +58,10 @@
 {
     const auto now = m_timers.now();
     const bool hasRuns = !worker.runs.empty();
-    const bool hasUnstoredEnds = worker.processedEnd > worker.storedEnd;
+    const bool hasUnstoredEnds = mayHaveUnstoredEnds(worker);
     const bool toAcknowledge = worker.storedEnd > worker.acknowledgedEnd;
     const bool reachable = worker.registered || worker.leasesEndBy > now;
-    const bool needed = hasRuns || toAcknowledge || !worker.verified;
+    const bool needed = hasRuns || toAcknowledge || worker.endsTruncated || !worker.verified;
     if (worker.openPoll != 0 || !m_recordsRead || !mayIssueOrders() || !reachable || !needed
         || worker.nextPollAt > now) {
         return;
@@ -78,7 +78,9 @@
     order.acknowledgedEnd = worker.verified && toAcknowledge ? worker.storedEnd : 0;
     order.knownEnd = worker.processedEnd;
     order.knownIncarnation = worker.incarnation;
-    if (hasRuns && worker.verified && !worker.awaitsContact) {
+    // The ends of a worker whose lease has lapsed are as good as lost, so it is renewed until they
+    // are read.
+    if ((hasRuns || worker.endsTruncated) && worker.verified && !worker.awaitsContact) {
         order.leaseUntil = leaseUntil(worker);
         if (!hasUnstoredEnds) {
             order.wait = pollWait(worker);
@@ -195,7 +197,7 @@
         logEvent(log_level::info, "worker_answers",
                  {{"worker", id}, {"failed_looks", worker.failedPolls}});
     }
-    const bool firstContact = !worker.contacted;
+    const bool unreportedBefore = mayHaveUnreportedRuns(worker, now);
     worker.failedPolls = 0;
     worker.clockAtReport = report.workerClockMs;
     worker.reportAt = now;
@@ -209,6 +211,15 @@
     worker.verified = true;
     worker.contacted = true;
     worker.ended = false;
+    if (isTruncated(report) && !worker.endsTruncated) {
+        logEvent(log_level::info, "ends_truncated",
+                 {{"worker", id},
+                  {"life", worker.incarnation},
+                  {"known_end", worker.processedEnd},
+                  {"stored_end", worker.storedEnd},
+                  {"runs", worker.runs.size()}});
+    }
+    worker.endsTruncated = isTruncated(report);
 
     const auto endsBefore = worker.processedEnd;
     for (const auto &end : report.ended) {
@@ -232,14 +243,14 @@
     for (const auto &seen : report.running) {
         applyRunning(worker, seen);
     }
-    if (report.ended.size() < maxReportedEnds) {
+    if (!worker.endsTruncated) {
         removeUnlistedRuns(worker, sentAt);
     }
     updateMixedWorkloads(m_tables, worker);
     if (worker.processedEnd > endsBefore) {
         requestFlush(lazyFlushDelay);
     }
-    if (firstContact) {
+    if (unreportedBefore && !mayHaveUnreportedRuns(worker, now)) {
         releaseInheritedTasks();
     }
     // The connection of the poll is free now. A worker may reset any further one, so that an order
@@ -313,7 +324,6 @@
     const auto job = m_tables.jobs.find(name.job);
     if (job != m_tables.jobs.end() && name.occurrence >= job->second.nextOccurrence) {
         openOccurrencesUpTo(job->second, name.occurrence);
-        delayInheritedTasks(job->second);
     }
 }
 
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -136,7 +136,7 @@
     };
     std::map<std::string, std::vector<row>> rowsByPool;
     for (auto &[id, job] : tables.jobs) {
-        if (!job.stored || job.ending) {
+        if (!job.stored || job.ending || job.inherited) {
             continue;
         }
         const auto queue = tables.queues.find(job.queue);
--- a/src/fleet/worker_relay.cpp
+++ b/src/fleet/worker_relay.cpp
@@ -92,7 +92,7 @@
 /// because its length tells the coordinator that ends are missing.
 void removeKnownEnds(worker_report &report, const poll_request &order)
 {
-    if (report.incarnation != order.knownIncarnation || report.ended.size() >= maxReportedEnds) {
+    if (report.incarnation != order.knownIncarnation || isTruncated(report)) {
         return;
     }
     std::erase_if(report.ended, [&](const run_end &end) { return end.number <= order.knownEnd; });
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -5,6 +5,8 @@
 #include <ibishinge/fleet/platform_api.h>
 #include <ibishinge/fleet/tables.h>
 
+#include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -308,7 +310,9 @@
         for (const auto &[task, run] : worker.running) {
             out.running.push_back({task, run.run, "", 100, 0});
         }
-        out.ended = worker.ended;
+        const auto listed = std::min(worker.ended.size(), maxReportedEnds);
+        out.ended.assign(worker.ended.begin(),
+                         worker.ended.begin() + static_cast<std::ptrdiff_t>(listed));
         return out;
     }
 
--- /dev/null
+++ b/tests/truncated_report_test.cpp
@@ -0,0 +1,137 @@
+#include "tests/support/fleet_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+
+using namespace ibishinge;
+using namespace ibishinge::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string jobId = "0000000000000001";
+const std::string jobPath = "/pool-a/" + jobId;
+const std::string laterPath = "/pool-a/0000000000000002";
+const std::string fullWorker = "pool-a-0";
+
+/// More tasks than a worker lists ends in one report.
+constexpr int tasks = 700;
+
+} // namespace
+
+/// Guards against a list of ends that the worker has truncated and that is taken for a complete
+/// one: what it leaves out then counts as never run.
+class truncated_report_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(truncated_report_test);
+    CPPUNIT_TEST(finishedTasksDoNotRunAgainAfterATakeOver);
+    CPPUNIT_TEST(finishedTasksWaitForASlowStore);
+    CPPUNIT_TEST(newJobsDoNotWait);
+    CPPUNIT_TEST(tasksOfALostWorkerAreReleased);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<fleet_world> m_fleet;
+
+    fleet_world::process &successor()
+    {
+        return m_fleet->processes.at("two");
+    }
+
+    virtual_platform &platformOf(const std::string &process)
+    {
+        return *m_fleet->processes.at(process).platform;
+    }
+
+    standin::virtual_worker &worker()
+    {
+        return m_fleet->world.workers.at(fullWorker);
+    }
+
+    void submit(fleet_world::process &through, const std::string &path, const job_spec &spec)
+    {
+        const auto answer = m_fleet->ask(through, caller_operation::submit, path, spec);
+        CPPUNIT_ASSERT(answer.kind == answer_kind::accepted);
+    }
+
+    void checkNothingRanTwice()
+    {
+        const auto &violations = m_fleet->world.violations;
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(violations.empty() ? std::string() : violations.front(),
+                                     std::size_t {0}, violations.size());
+    }
+
+    /// Runs all tasks on one worker; none of their ends is stored. Then ends the coordinator.
+    void endTasksAndCoordinator()
+    {
+        platformOf("one").refuseCommits = true;
+        CPPUNIT_ASSERT(m_fleet->loop.runUntil(
+            [this] { return worker().ended.size() == static_cast<std::size_t>(tasks); }, 5s));
+        m_fleet->kill("one", false);
+    }
+
+public:
+    void setUp() override
+    {
+        m_fleet = std::make_unique<fleet_world>(2);
+        m_fleet->world.behaviourOf = [](const task_name &task) {
+            return virtual_world::behaviour {task.job == jobId ? 2000ms : 200ms};
+        };
+        auto &first = m_fleet->addProcess("one");
+        CPPUNIT_ASSERT(m_fleet->waitForLeader());
+        m_fleet->addProcess("two");
+        submit(first, jobPath, simpleJob(tasks, 10));
+        CPPUNIT_ASSERT(m_fleet->loop.runUntil(
+            [this] { return worker().running.size() == static_cast<std::size_t>(tasks); }, 1500ms));
+    }
+
+    void finishedTasksDoNotRunAgainAfterATakeOver()
+    {
+        endTasksAndCoordinator();
+        CPPUNIT_ASSERT(m_fleet->waitForLeader());
+        CPPUNIT_ASSERT(m_fleet->waitForState(successor(), jobPath, job_state::completed, 15s));
+        checkNothingRanTwice();
+        CPPUNIT_ASSERT_EQUAL(tasks, m_fleet->world.starts);
+    }
+
+    /// The further ends stay unlisted for longer than the leases of the former coordinator last.
+    void finishedTasksWaitForASlowStore()
+    {
+        endTasksAndCoordinator();
+        CPPUNIT_ASSERT(m_fleet->waitForLeader());
+        platformOf("two").refuseCommits = true;
+        m_fleet->loop.run(8s);
+        platformOf("two").refuseCommits = false;
+        CPPUNIT_ASSERT(m_fleet->waitForState(successor(), jobPath, job_state::completed, 15s));
+        checkNothingRanTwice();
+        CPPUNIT_ASSERT_EQUAL(tasks, m_fleet->world.starts);
+    }
+
+    /// Guards against a take-over that keeps new work waiting for the ends of earlier work.
+    void newJobsDoNotWait()
+    {
+        endTasksAndCoordinator();
+        CPPUNIT_ASSERT(m_fleet->waitForLeader());
+        submit(successor(), laterPath, simpleJob(1));
+        platformOf("two").refuseCommits = true;
+        CPPUNIT_ASSERT(
+            m_fleet->loop.runUntil([this] { return m_fleet->world.starts == tasks + 1; }, 500ms));
+        checkNothingRanTwice();
+    }
+
+    /// Guards against tasks that wait for ever for the ends of a worker that is gone.
+    void tasksOfALostWorkerAreReleased()
+    {
+        endTasksAndCoordinator();
+        CPPUNIT_ASSERT(m_fleet->waitForLeader());
+        platformOf("two").refuseCommits = true;
+        m_fleet->loop.run(1s);
+        m_fleet->world.crash(fullWorker);
+        platformOf("two").refuseCommits = false;
+        CPPUNIT_ASSERT(m_fleet->waitForState(successor(), jobPath, job_state::completed, 40s));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(truncated_report_test);
