Keep a host from planned work while its worker holds unread ends

Cause: a worker without known runs counted as idle once the ends it had listed were stored. If its list was truncated, the host could be maintained or moved to another pool before the other ends were listed, and they were lost with the worker.

Now a host counts as idle only when its worker has reported all its runs and ends and they are stored, or cannot be reached and holds no lease any more.

--- a/include/ibishinge/fleet/host_maintenance.h
+++ b/include/ibishinge/fleet/host_maintenance.h
@@ -67,9 +67,10 @@
 /// thread-safe.
 [[nodiscard]] worker_status *workerOf(fleet_tables &tables, const std::string &host);
 
-/// Returns true if it is certain that nothing runs on the worker: it has reported so to this
-/// coordinator, or the leases of an earlier coordinator have expired. A worker that has not
-/// answered yet may have runs although none is known. Thread-safe for a constant worker.
+/// Returns true if it is certain that nothing runs on the worker and that it holds no end whose
+/// effects are not in the store: it has reported so to this coordinator, or it cannot be reached
+/// and its leases have expired. A worker that has not answered yet may have runs although none is
+/// known. Thread-safe for a constant worker.
 [[nodiscard]] bool isConfirmedIdle(const worker_status &worker, instant now) noexcept;
 
 /// Returns the number of hosts of the wave that are or may be down for maintenance, whichever
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -264,8 +264,8 @@
     return worker.endsTruncated || worker.processedEnd > worker.storedEnd;
 }
 
-/// Returns true if the worker may have runs or ends of an earlier coordinator that it has not
-/// reported to this one. Thread-safe for a constant worker.
+/// Returns true if the worker may have runs or ends that it has not reported to this coordinator.
+/// Thread-safe for a constant worker.
 [[nodiscard]] constexpr bool mayHaveUnreportedRuns(const worker_status &worker,
                                                    instant now) noexcept
 {
--- a/src/fleet/host_maintenance.cpp
+++ b/src/fleet/host_maintenance.cpp
@@ -34,7 +34,7 @@
 bool isConfirmedIdle(const worker_status &worker, instant now) noexcept
 {
     return worker.runs.empty() && worker.storedEnd >= worker.processedEnd
-           && (worker.contacted || worker.leasesEndBy <= now);
+           && !mayHaveUnreportedRuns(worker, now);
 }
 
 int countUnavailableHosts(const fleet_tables &tables, const wave_progress &progress)
--- a/src/fleet/pool_sizing.cpp
+++ b/src/fleet/pool_sizing.cpp
@@ -93,7 +93,7 @@
 void updateIdleWorkers(const fleet_tables &tables, pool_sizing_state &state, instant now)
 {
     for (const auto &[id, worker] : tables.workers) {
-        if (worker.runs.empty() && worker.storedEnd >= worker.processedEnd) {
+        if (worker.runs.empty() && !mayHaveUnstoredEnds(worker)) {
             state.idleSince.emplace(id, now);
         } else {
             state.idleSince.erase(id);
--- a/tests/pool_sizing_test.cpp
+++ b/tests/pool_sizing_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(noMoveBeforeAllWorkersRegistered);
     CPPUNIT_TEST(assignedHostCountsSurviveRestart);
     CPPUNIT_TEST(movingHostIsNotSelectedForMaintenance);
+    CPPUNIT_TEST(hostWithUnreadEndsIsNotMoved);
     CPPUNIT_TEST(poolKeepsHostsWhileSubmissionsAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -226,6 +227,36 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {1}, pressed.size());
     }
 
+    /// Guards against a move that takes ends with it which the worker has not listed yet.
+    void hostWithUnreadEndsIsNotMoved()
+    {
+        fleet_tables tables;
+        pool_sizing_state state;
+        state.baselinesKnown = true;
+        state.settled = true;
+        state.pools["pool-a"].baselineHosts = 1;
+        state.pools["pool-b"].baselineHosts = 4;
+        for (const std::string pool : {"pool-a", "pool-b"}) {
+            tables.config.pools[pool] = {pool, true, false};
+        }
+        for (int i = 0; i < 4; ++i) {
+            const auto name = std::to_string(i);
+            auto &worker = tables.workers[name];
+            worker.entry.id = name;
+            worker.entry.host = "host-" + name;
+            worker.entry.pool = "pool-a";
+            worker.verified = true;
+            worker.contacted = true;
+            worker.onRoster = true;
+            worker.endsTruncated = i < 3;
+            tables.hosts[worker.entry.host] = {worker.entry.host, "pool-a", host_state::up, {"a"},
+                                               {32000, 1, 0},     name};
+        }
+        const auto moves = planMoves(tables, state, {}, 16, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, moves.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("host-3"), moves.front().host);
+    }
+
     /// Guards against a new coordinator that takes the pool sizes after a move for the assigned
     /// ones.
     void assignedHostCountsSurviveRestart()
--- a/tests/truncated_report_test.cpp
+++ b/tests/truncated_report_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(finishedTasksWaitForASlowStore);
     CPPUNIT_TEST(newJobsDoNotWait);
     CPPUNIT_TEST(tasksOfALostWorkerAreReleased);
+    CPPUNIT_TEST(hostIsNotMaintainedBeforeItsEndsAreStored);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<fleet_world> m_fleet;
@@ -132,6 +133,25 @@
         platformOf("two").refuseCommits = false;
         CPPUNIT_ASSERT(m_fleet->waitForState(successor(), jobPath, job_state::completed, 40s));
     }
+
+    /// Guards against planned work on a host that takes unread ends with it.
+    void hostIsNotMaintainedBeforeItsEndsAreStored()
+    {
+        platformOf("two").pollTime =
+            400ms; // the further ends are read after the check of the hosts
+        endTasksAndCoordinator();
+        maintenance_wave wave;
+        wave.number = 1;
+        wave.hosts = {worker().entry.host};
+        wave.deadline = 30s;
+        m_fleet->world.waves.push_back(wave);
+        m_fleet->world.putItem("waves/1", "", 0);
+        CPPUNIT_ASSERT(m_fleet->waitForLeader());
+        CPPUNIT_ASSERT(m_fleet->waitForState(successor(), jobPath, job_state::completed, 15s));
+        CPPUNIT_ASSERT(
+            m_fleet->loop.runUntil([this] { return !m_fleet->world.maintained.empty(); }, 15s));
+        checkNothingRanTwice();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(truncated_report_test);
