Ask the advice service about all workers of a pool in the end

Cause: a call named the 24 least loaded workers. Its empty answer was thrown away, and as nothing was started, the next call named the same ones. The same choice kept a step with a ticket for a full worker, and a gang whose permitted workers are spread over a large pool, from free permitted workers.

Now the answer for each worker of a step is kept, denials too, as long as a ticket is valid, and for one process of the worker. Calls name workers without a valid answer, those that were not named yet before the denied ones, so that each is named. While tickets are held but none of their workers can take a task, those that lack nothing but a ticket are asked about, one such call at a time. It works because the policy of a step does not change, so that a worker that was denied need not be named before all others have been.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -3,6 +3,7 @@
 #include <ibishinge/base/metrics.h>
 #include <ibishinge/base/processor_time.h>
 #include <ibishinge/base/scheduler.h>
+#include <ibishinge/fleet/advice.h>
 #include <ibishinge/fleet/answer_delay.h>
 #include <ibishinge/fleet/caller.h>
 #include <ibishinge/fleet/host_maintenance.h>
@@ -294,7 +295,12 @@
     /// Returns true if a later coordinator will know that tasks of the job may run in this pool;
     /// has that stored if need be.
     bool ensurePoolStored(job_entry &job, const std::string &pool);
-    bool ensureTickets(job_entry &job, const queue_config &queue, int occurrence, int step);
+    /// Asks the advice service for tickets for a step, unless it has just been asked. With the
+    /// scope `ready`, which is for steps that have tickets for other workers, one call is open at a
+    /// time: the service handles the calls of this process in turn, and first calls come before
+    /// further ones.
+    void requestTickets(const waiting_step &where, const pool_candidates &candidates,
+                        advice_scope scope);
     void tick();
     /// The parts of `tick` that can wait: pool sizes, maintenance, logs.
     void runDeferrableChecks();
@@ -382,6 +388,7 @@
     load_control m_load;
     answer_delay m_answerDelay; ///< of starts
     work_budget m_passBudget;
+    bool m_furtherAdvicePending = false; ///< a call for further tickets of a step is open
     work_budget m_checkBudget; ///< of the periodic checks that can wait
     int m_rejectedForLag = 0; ///< submissions since the last summary
     int m_unansweredStarts = 0; ///< since the last summary
--- a/include/ibishinge/fleet/placement.h
+++ b/include/ibishinge/fleet/placement.h
@@ -55,7 +55,8 @@
     quarantined,
     no_room,
     wrong_label,
-    no_ticket,
+    no_ticket, ///< the advice service has not been asked about it, or the ticket has expired
+    ticket_denied, ///< the advice service does not permit it to run the step
     step_limit, ///< `maxPerWorker` runs of the step are there
     crash_isolation, ///< a start would mix up the causes of a crash, see `crash_isolation.h`
     late_acknowledgement, ///< the end of the run might be forgotten unread, see `late_orders.h`
@@ -68,6 +69,12 @@
 [[nodiscard]] std::optional<start_obstacle> obstacleOf(const worker_status &worker,
                                                        instant now) noexcept;
 
+/// Returns true if the usable worker can be given the task with index `index` now. If `tickets` is
+/// not null, a ticket is required. Thread-safe for constant arguments.
+[[nodiscard]] bool canTakeTask(const fleet_tables &tables, const worker_status &worker,
+                               const waiting_step &where, int index, const step_tickets *tickets,
+                               instant now);
+
 /// Returns how many workers of `pool` cannot be given the task with index `index` now, by the
 /// reason. If `tickets` is not null, a ticket is required. Thread-safe for constant tables.
 [[nodiscard]] std::map<start_obstacle, int>
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -138,12 +138,20 @@
     int unfinishedTasks = 0;
 };
 
-/// Tickets of the advice service for one step.
-struct step_tickets
+/// Answer of the advice service whether one worker may run a step.
+struct worker_advice
 {
-    std::map<std::string, std::string> ticketByWorker;
+    std::int64_t incarnation = 0; ///< of the worker; its next process may be of another kind
+    std::string ticket; ///< empty: the worker may not run the step
     instant validUntil;
-    bool asked = false; ///< a call to the advice service is in progress
+};
+
+/// Answers of the advice service for one step.
+struct step_tickets
+{
+    std::map<std::string, worker_advice> adviceByWorker; ///< last answers, by id of the worker
+    /// Incarnations of the workers named in the call in progress, by id; empty if there is none.
+    std::map<std::string, std::int64_t> asked;
     instant nextRequestAt; ///< earliest time of the next call
 };
 
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include <ibishinge/base/logging.h>
 #include <ibishinge/base/processor_time.h>
+#include <ibishinge/fleet/advice.h>
 #include <ibishinge/fleet/crash_isolation.h>
 #include <ibishinge/fleet/late_orders.h>
 #include <ibishinge/fleet/placement.h>
@@ -50,8 +51,8 @@
 /// numbers.
 constexpr std::int64_t runsPerTerm = 100000;
 
-/// Maximum number of workers in one call of the advice service; each delays the answer.
-constexpr std::size_t maxAdvisedWorkers = 24;
+/// Delay of the next call of the advice service for a step after one that has failed, has brought
+/// tickets, or has named known workers only.
 constexpr milliseconds adviceRetryDelay {150};
 
 } // namespace
@@ -319,15 +320,18 @@
         auto &job = *waitingStep.job;
         const auto &queue = *m_tables.queues.at(job.queue);
         const auto &step = job.spec.steps[static_cast<std::size_t>(waitingStep.step)];
-        if (!ensureTickets(job, queue, waitingStep.occurrence, waitingStep.step)) {
-            continue;
+        const step_tickets *tickets = nullptr;
+        if (queue.advice) {
+            tickets = &job.tickets[{waitingStep.occurrence, waitingStep.step}];
+            if (!hasTicket(*tickets, now)) {
+                requestTickets(waitingStep, candidates, advice_scope::suitable);
+                continue;
+            }
         }
         if (step.gang) {
             startGang(waitingStep, candidates);
             continue;
         }
-        const step_tickets *tickets =
-            queue.advice ? &job.tickets.at({waitingStep.occurrence, waitingStep.step}) : nullptr;
         auto &tasks = job.occurrences.at(waitingStep.occurrence)
                           .steps[static_cast<std::size_t>(waitingStep.step)];
         auto placed = nlohmann::json::array();
@@ -344,6 +348,9 @@
             }
             auto *worker =
                 chooseWorker(m_tables, candidates, waitingStep, name.index, tickets, now);
+            if (worker == nullptr && tickets != nullptr) {
+                requestTickets(waitingStep, candidates, advice_scope::ready);
+            }
             if (worker == nullptr && isSuspected(job, name)) {
                 reserveWorker(m_tables, candidates, waitingStep, name, tickets, now);
                 continue; // others of the step may be started
@@ -352,7 +359,7 @@
                 break;
             }
             const auto proof =
-                tickets != nullptr ? tickets->ticketByWorker.at(worker->entry.id) : std::string();
+                tickets != nullptr ? *findTicket(*tickets, *worker, now) : std::string();
             const auto run = (m_leadership.term - 1) * runsPerTerm + ++task.startsInTerm;
             placed.push_back({index, worker->entry.id, run});
             startTask(job, name, *worker, proof, run);
@@ -466,6 +473,9 @@
             }
             // Removing the runs has freed their resources, so that a smaller task may still fit.
             candidates.maxFreeResources = freeResourcesBefore;
+            if (tickets != nullptr) {
+                requestTickets(waitingStep, candidates, advice_scope::ready);
+            }
             return;
         }
         const run_key key {{job.id, occurrence, stepNumber, static_cast<int>(index)}, run};
@@ -481,8 +491,7 @@
     }
     for (const auto &key : placed) {
         auto &worker = m_tables.workers.at(m_tables.runs.at(key).worker);
-        const auto proof =
-            tickets != nullptr ? tickets->ticketByWorker.at(worker.entry.id) : std::string();
+        const auto proof = tickets != nullptr ? *findTicket(*tickets, worker, now) : std::string();
         removeRun(m_tables, key);
         tasks[static_cast<std::size_t>(key.task.index)].startsInTerm = starts + 1;
         startTask(job, key.task, worker, proof, run);
@@ -509,60 +518,55 @@
     return found->second;
 }
 
-bool coordinator::ensureTickets(job_entry &job, const queue_config &queue, int occurrence, int step)
+void coordinator::requestTickets(const waiting_step &where, const pool_candidates &candidates,
+                                 advice_scope scope)
 {
-    if (!queue.advice) {
-        return true;
-    }
+    const auto &step = where.job->spec.steps[static_cast<std::size_t>(where.step)];
+    const bool further = scope == advice_scope::ready;
+    auto &tickets = where.job->tickets[{where.occurrence, where.step}];
     const auto now = m_timers.now();
-    auto &tickets = job.tickets[{occurrence, step}];
-    if (tickets.validUntil > now && !tickets.ticketByWorker.empty()) {
-        return true;
-    }
-    if (tickets.asked || tickets.nextRequestAt > now) {
-        return false;
-    }
-    std::vector<std::pair<std::int64_t, std::string>> byLoad;
-    for (const auto &[id, worker] : m_tables.workers) {
-        if (worker.entry.pool == queue.pool && isUsable(worker, now)) {
-            byLoad.emplace_back(worker.held.cpuMillis, id);
-        }
-    }
-    std::sort(byLoad.begin(), byLoad.end());
-    std::vector<std::string> ids;
-    for (const auto &[load, id] : byLoad) {
-        if (ids.size() < maxAdvisedWorkers) {
-            ids.push_back(id);
-        }
+    if (!tickets.asked.empty() || tickets.nextRequestAt > now
+        || (further
+            && (m_furtherAdvicePending || !fits(heldBy(step), candidates.maxFreeResources)))) {
+        return;
     }
-    if (ids.empty()) {
-        return false;
+    const auto workers = workersToAskAbout(m_tables, candidates, where, tickets, scope, now);
+    if (workers.empty()) {
+        return;
     }
-    tickets.asked = true;
+    const bool namesNew = recordAdviceCall(tickets, m_tables, workers);
+    m_furtherAdvicePending = m_furtherAdvicePending || further;
     m_platform.requestTickets(
-        job.id, occurrence, step, ids,
-        unlessClosed<ticket_reply>([this, id = job.id, occurrence, step,
-                                    sentAt = now](const result<ticket_reply> &answer) {
-            const auto found = m_tables.jobs.find(id);
-            if (found == m_tables.jobs.end()) {
-                return;
-            }
-            auto &known = found->second.tickets[{occurrence, step}];
-            known.asked = false;
-            known.nextRequestAt = m_timers.now() + adviceRetryDelay;
-            if (!answer) {
-                logEvent(log_level::warning, "advice_failed",
-                         {{"job", id}, {"error", describe(answer.error())}});
-                return;
-            }
-            known.ticketByWorker.clear();
-            for (const auto &each : answer->tickets) {
-                known.ticketByWorker[each.worker] = each.proof;
-            }
-            known.validUntil = sentAt + answer->validity;
-            requestSchedulingPass();
-        }));
-    return false;
+        where.job->id, where.occurrence, where.step, workers,
+        unlessClosed<ticket_reply>(
+            [this, id = where.job->id, at = std::pair(where.occurrence, where.step), further,
+             namesNew, asked = workers.size(), sentAt = now](const result<ticket_reply> &answer) {
+                m_furtherAdvicePending = m_furtherAdvicePending && !further;
+                const auto job = m_tables.jobs.find(id);
+                if (job == m_tables.jobs.end()) {
+                    return;
+                }
+                auto &known = job->second.tickets[at];
+                known.nextRequestAt = m_timers.now() + adviceRetryDelay;
+                if (!answer) {
+                    known.asked.clear();
+                    logEvent(log_level::warning, "advice_failed",
+                             {{"job", id}, {"error", describe(answer.error())}});
+                    return;
+                }
+                if (!recordAdvice(known, *answer, sentAt) && namesNew) {
+                    known.nextRequestAt = m_timers.now();
+                }
+                logEvent(log_level::info, "advice",
+                         {{"job", id},
+                          {"occurrence", at.first},
+                          {"step", at.second},
+                          {"asked", asked},
+                          {"granted", answer->tickets.size()},
+                          {"further", further},
+                          {"took_ms", since(sentAt, m_timers.now()).count()}});
+                requestSchedulingPass();
+            }));
 }
 
 void coordinator::expireWorkers()
--- a/src/fleet/coordinator_orders.cpp
+++ b/src/fleet/coordinator_orders.cpp
@@ -431,7 +431,8 @@
     if (answer->outcome == run_command_outcome::bad_ticket) {
         const auto job = m_tables.jobs.find(key.task.job);
         if (job != m_tables.jobs.end()) {
-            job->second.tickets.erase({key.task.occurrence, key.task.step});
+            job->second.tickets[{key.task.occurrence, key.task.step}].adviceByWorker.erase(
+                run.worker);
         }
     }
     abandonStart(key, false);
--- a/src/fleet/crash_isolation.cpp
+++ b/src/fleet/crash_isolation.cpp
@@ -1,5 +1,7 @@
 #include <ibishinge/fleet/crash_isolation.h>
 
+#include <ibishinge/fleet/advice.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -234,7 +236,7 @@
         }
         if (worker->observedRuns > 0 || !fits(heldBy(step), worker->entry.capacity)
             || (!step.requiredLabel.empty() && !hasLabel(worker->entry, step.requiredLabel))
-            || (tickets != nullptr && tickets->ticketByWorker.count(worker->entry.id) == 0)) {
+            || (tickets != nullptr && findTicket(*tickets, *worker, now) == nullptr)) {
             continue;
         }
         // A worker without room now has to finish runs first.
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -1,5 +1,6 @@
 #include <ibishinge/fleet/placement.h>
 
+#include <ibishinge/fleet/advice.h>
 #include <ibishinge/fleet/crash_isolation.h>
 #include <ibishinge/fleet/late_orders.h>
 #include <ibishinge/fleet/objective.h>
@@ -75,7 +76,7 @@
     });
 }
 
-constexpr std::array<std::pair<start_obstacle, std::string_view>, 12> obstacleNames {{
+constexpr std::array<std::pair<start_obstacle, std::string_view>, 13> obstacleNames {{
     {start_obstacle::unregistered, "unregistered"},
     {start_obstacle::silent, "silent"},
     {start_obstacle::not_on_roster, "not_on_roster"},
@@ -85,6 +86,7 @@
     {start_obstacle::no_room, "no_room"},
     {start_obstacle::wrong_label, "wrong_label"},
     {start_obstacle::no_ticket, "no_ticket"},
+    {start_obstacle::ticket_denied, "ticket_denied"},
     {start_obstacle::step_limit, "step_limit"},
     {start_obstacle::crash_isolation, "crash_isolation"},
     {start_obstacle::late_acknowledgement, "late_acknowledgement"},
@@ -102,8 +104,9 @@
     if (!step.requiredLabel.empty() && !hasLabel(worker.entry, step.requiredLabel)) {
         return start_obstacle::wrong_label;
     }
-    if (tickets != nullptr && tickets->ticketByWorker.count(worker.entry.id) == 0) {
-        return start_obstacle::no_ticket;
+    if (tickets != nullptr && findTicket(*tickets, worker, now) == nullptr) {
+        return isDenied(*tickets, worker) ? start_obstacle::ticket_denied
+                                          : start_obstacle::no_ticket;
     }
     if (step.maxPerWorker > 0 && countRunsOfStep(worker, where) >= step.maxPerWorker) {
         return start_obstacle::step_limit;
@@ -226,6 +229,13 @@
     return std::nullopt;
 }
 
+bool canTakeTask(const fleet_tables &tables, const worker_status &worker, const waiting_step &where,
+                 int index, const step_tickets *tickets, instant now)
+{
+    const task_name name {where.job->id, where.occurrence, where.step, index};
+    return !obstacleTo(tables, worker, where, name, tickets, now);
+}
+
 std::map<start_obstacle, int> countObstacles(const fleet_tables &tables, const std::string &pool,
                                              const waiting_step &where, int index,
                                              const step_tickets *tickets, instant now)
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -229,6 +229,9 @@
         if (order.leaseUntil <= clock) {
             return {run_command_outcome::lease_past, clock};
         }
+        if (!order.ticket.empty() && order.ticket != ticketFor(worker)) {
+            return {run_command_outcome::bad_ticket, clock};
+        }
         for (auto &[id, other] : workers) {
             if (other.leaseEnd < loop.now()) {
                 other.running.clear(); // lapsed
@@ -316,6 +319,12 @@
         return out;
     }
 
+    /// Returns the ticket of the advice service, which holds for one process of a worker.
+    [[nodiscard]] static std::string ticketFor(const virtual_worker &worker)
+    {
+        return worker.entry.id + "/" + std::to_string(worker.entry.incarnation);
+    }
+
     [[nodiscard]] std::int64_t clockOf(const virtual_worker &worker) const
     {
         return (loop.now() - worker.startedAt).count() + 1;
@@ -350,6 +359,9 @@
     std::function<behaviour(const task_name &)> behaviourOf = [](const task_name &) {
         return behaviour {};
     };
+    /// Policy of the advice service: which workers may run the steps of a job.
+    std::function<bool(const std::string &job, const virtual_worker &)> permits =
+        [](const std::string &, const virtual_worker &) { return true; };
     configuration config;
     std::vector<maintenance_wave> waves;
     int maxAttempts = 2;
@@ -422,6 +434,18 @@
     int breakPages = 0; ///< so many full pages break off half-way
     std::set<std::string> unansweredPages; ///< prefixes of which no page arrives
     std::vector<std::string> pagesRead; ///< prefix and last key before, of each page that arrived
+    /// Calls to the advice service, which handles those of one process in turn.
+    struct advice_call
+    {
+        instant sentAt;
+        std::string job;
+        std::vector<std::string> workers;
+    };
+    std::vector<advice_call> adviceCalls;
+    milliseconds adviceTime {2}; ///< fixed part of the time that a call to it takes
+    milliseconds adviceTimeOfWorker {0}; ///< added for each worker that a call names
+    milliseconds adviceValidity {3000};
+    bool refuseAdvice = false; ///< calls to the advice service fail
     milliseconds silence {300}; ///< until a call without an answer is given up
     int refuseStarts = 0; ///< so many starts find no connection
     int loseStartAnswers = 0; ///< so many starts are carried out without an answer
@@ -654,15 +678,28 @@
         });
     }
 
-    void requestTickets(const std::string & /*job*/, int /*occurrence*/, int /*step*/,
+    void requestTickets(const std::string &job, int /*occurrence*/, int /*step*/,
                         const std::vector<std::string> &workers, reply<ticket_reply> done) override
     {
-        ticket_reply answer;
-        for (const auto &id : workers) {
-            answer.tickets.push_back({id, "proof"});
-        }
-        answer.validity = milliseconds(3000);
-        m_world.loop.after(workerTime, [done, answer] { done(answer); });
+        const auto now = m_world.loop.now();
+        adviceCalls.push_back({now, job, workers});
+        m_adviceFreeAt = std::max(m_adviceFreeAt, now) + adviceTime
+                         + adviceTimeOfWorker * static_cast<std::int64_t>(workers.size());
+        m_world.loop.after(m_adviceFreeAt - now, [this, job, workers, done] {
+            if (refuseAdvice) {
+                done(makeError(error_kind::unavailable, "advice service", "refused"));
+                return;
+            }
+            ticket_reply answer;
+            for (const auto &id : workers) {
+                const auto worker = m_world.workers.find(id);
+                if (worker != m_world.workers.end() && m_world.permits(job, worker->second)) {
+                    answer.tickets.push_back({id, virtual_world::ticketFor(worker->second)});
+                }
+            }
+            answer.validity = adviceValidity;
+            done(answer);
+        });
     }
 
     void listHosts(reply<std::vector<host_entry>> done) override
@@ -949,6 +986,7 @@
     virtual_world &m_world;
     std::map<std::string, int> m_openCalls; ///< by worker
     milliseconds m_ttl {3000};
+    instant m_adviceFreeAt; ///< when the advice service has handled all calls of this process
     instant m_linkFreeAt; ///< when all answers on their way to this process have arrived
     int m_reads = 0; ///< number of times that reads of pages were cancelled
     bool m_frozen = false;
