Blame no worker for runs whose ends it could not list

Cause: while the store is slow, a worker lists its first 500 ends only. Its other ended runs were in no list, so that they seemed to make no progress: after 2.5 s they were ordered to stop, and the worker was quarantined.

Evidence: truncated_report_test::unlistedEndIsNoLackOfProgress on the commit before: 200 run_stopping, worker_set_aside, and a task for the whole worker does not start within 100 ms of its acceptance.

Now no run counts as standing still while the last report of its worker was truncated. The test passes.

--- a/src/fleet/coordinator_orders.cpp
+++ b/src/fleet/coordinator_orders.cpp
@@ -547,7 +547,8 @@
             static_cast<std::int64_t>(expectedRunMs(m_tables, job->second.queue, step)));
         const auto &worker = m_tables.workers.at(run.worker);
         const bool reportIsYoung = since(worker.reportAt, now) < maxReportAge;
-        if (worker.verified && reportIsYoung && !step.gang
+        // A truncated report may have left out the end of a run that it does not list.
+        if (worker.verified && reportIsYoung && !worker.endsTruncated && !step.gang
             && since(run.progressAt, now) > expected) {
             toStop.push_back(key);
         }
--- a/tests/truncated_report_test.cpp
+++ b/tests/truncated_report_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(newJobsDoNotWait);
     CPPUNIT_TEST(tasksOfALostWorkerAreReleased);
     CPPUNIT_TEST(hostIsNotMaintainedBeforeItsEndsAreStored);
+    CPPUNIT_TEST(unlistedEndIsNoLackOfProgress);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<fleet_world> m_fleet;
@@ -73,6 +74,16 @@
         m_fleet->kill("one", false);
     }
 
+    /// Runs all tasks on one worker; their ends are stored 2 s later.
+    void endTasksWithoutTheStore()
+    {
+        platformOf("one").refuseCommits = true;
+        m_fleet->loop.run(4s);
+        platformOf("one").refuseCommits = false;
+        CPPUNIT_ASSERT(
+            m_fleet->waitForState(m_fleet->processes.at("one"), jobPath, job_state::completed, 2s));
+    }
+
 public:
     void setUp() override
     {
@@ -152,6 +163,18 @@
             m_fleet->loop.runUntil([this] { return !m_fleet->world.maintained.empty(); }, 15s));
         checkNothingRanTwice();
     }
+
+    /// Guards against a sound worker that is quarantined for runs that ended while the store was
+    /// slow.
+    void unlistedEndIsNoLackOfProgress()
+    {
+        endTasksWithoutTheStore();
+        // Fills both workers.
+        submit(m_fleet->processes.at("one"), laterPath, simpleJob(2, 8000));
+        CPPUNIT_ASSERT(
+            m_fleet->loop.runUntil([this] { return m_fleet->world.starts == tasks + 2; }, 100ms));
+        checkNothingRanTwice();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(truncated_report_test);
