Learn no run times from ends that a truncated list held up

Cause: an end beyond a truncated list is learned of once the ends before it are stored and acknowledged, and the time until then counted as run time.

Now an end that the report before may have left out tells no run time, as one that a stall has delayed.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -221,7 +221,8 @@
     /// Opens the occurrence of a task of which a worker lists a run or an end, if it is not due by
     /// this process's clock.
     void openListedOccurrence(const task_name &name);
-    void applyEnd(worker_status &worker, const run_end &end);
+    /// `delayed`: the report before may have left the end out.
+    void applyEnd(worker_status &worker, const run_end &end, bool delayed);
     void finishTasks(job_entry &job, const task_name &name);
     void applyFailure(worker_status &worker, job_entry &job, task_entry &task, const run_end &end);
     void applyRunning(worker_status &worker, const running_task &seen);
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -219,7 +219,7 @@
                   {"stored_end", worker.storedEnd},
                   {"runs", worker.runs.size()}});
     }
-    worker.endsTruncated = isTruncated(report);
+    const bool endsDelayed = std::exchange(worker.endsTruncated, isTruncated(report));
 
     const auto endsBefore = worker.processedEnd;
     for (const auto &end : report.ended) {
@@ -228,7 +228,7 @@
                 worker.unstoredSince = now;
             }
             worker.processedEnd = end.number;
-            applyEnd(worker, end);
+            applyEnd(worker, end, endsDelayed);
         } else {
             ++m_endsListedAgain;
         }
@@ -327,17 +327,18 @@
     }
 }
 
-void coordinator::applyEnd(worker_status &worker, const run_end &end)
+void coordinator::applyEnd(worker_status &worker, const run_end &end, bool delayed)
 {
     openListedOccurrence(end.task);
     const run_key key {end.task, end.run};
     const auto found = m_tables.runs.find(key);
     const bool known = found != m_tables.runs.end() && found->second.worker == worker.entry.id;
-    // The run time is unknown if no answer told when the run began, or if a stall of this process
-    // delayed the report of the end.
+    // The run time is unknown if no answer told when the run began, or if the report of the end was
+    // delayed, by a stall of this process or by the ends before it.
     std::optional<milliseconds> ranFor;
     detectProcessStall();
-    if (known && found->second.beganAt && *found->second.beganAt > m_lastProcessStallAt) {
+    if (known && !delayed && found->second.beganAt
+        && *found->second.beganAt > m_lastProcessStallAt) {
         ranFor = since(*found->second.beganAt, m_timers.now());
     }
     m_endsToLog.push_back({end.number, end.task.job,
--- a/tests/truncated_report_test.cpp
+++ b/tests/truncated_report_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(tasksOfALostWorkerAreReleased);
     CPPUNIT_TEST(hostIsNotMaintainedBeforeItsEndsAreStored);
     CPPUNIT_TEST(unlistedEndIsNoLackOfProgress);
+    CPPUNIT_TEST(runTimesAreNotLearnedFromLateEnds);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<fleet_world> m_fleet;
@@ -175,6 +176,17 @@
             m_fleet->loop.runUntil([this] { return m_fleet->world.starts == tasks + 2; }, 100ms));
         checkNothingRanTwice();
     }
+
+    void runTimesAreNotLearnedFromLateEnds()
+    {
+        endTasksWithoutTheStore();
+        m_fleet->loop.run(2s);
+        const std::string name = "ibishinge_learned_run_seconds{queue=\"queue-pool-a\"} ";
+        const auto text = m_fleet->processes.at("one").metrics->text();
+        const auto at = text.find(name);
+        CPPUNIT_ASSERT(at != std::string::npos);
+        CPPUNIT_ASSERT(std::stod(text.substr(at + name.size())) < 2.2); // the tasks take 2 s
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(truncated_report_test);
