Reserve no worker for a suspect that cannot be given it

Cause: a suspected task may start only beside settled runs, and a worker is reserved for it if there is none. The choice looked at size, label and ticket; a start also observes the step's limit for each worker. A worker that ran another task of the step was reserved, and kept as long as the task waited.

Now the reservation and the start ask the same function, and a reservation ends when its worker can no longer be given the task.

--- a/include/ibishinge/fleet/crash_isolation.h
+++ b/include/ibishinge/fleet/crash_isolation.h
@@ -55,7 +55,8 @@
 
 /// Reserves a worker for a suspect, so that it starts nothing else until the runs on it have run
 /// for a while. Chooses the worker that is ready first; does nothing if the task has a reservation
-/// or too many of the workers are reserved.
+/// or too many of the workers are reserved. A reservation of a worker that can no longer be given
+/// the task is removed.
 void reserveWorker(const fleet_tables &tables, pool_candidates &candidates,
                    const waiting_step &where, const task_name &name, const step_tickets *tickets,
                    instant now);
--- a/include/ibishinge/fleet/placement.h
+++ b/include/ibishinge/fleet/placement.h
@@ -75,6 +75,12 @@
                                const waiting_step &where, int index, const step_tickets *tickets,
                                instant now);
 
+/// Returns true if the usable worker can be given tasks of the step, now or when other runs have
+/// left room or settled there. If `tickets` is not null, a ticket is required. Thread-safe for
+/// constant arguments.
+[[nodiscard]] bool isSuitable(const worker_status &worker, const waiting_step &where,
+                              const step_tickets *tickets, instant now);
+
 /// Returns how many workers of `pool` cannot be given the task with index `index` now, by the
 /// reason. If `tickets` is not null, a ticket is required. Thread-safe for constant tables.
 [[nodiscard]] std::map<start_obstacle, int>
--- a/src/fleet/advice.cpp
+++ b/src/fleet/advice.cpp
@@ -70,15 +70,12 @@
                                            const waiting_step &where, const step_tickets &tickets,
                                            advice_scope scope, instant now)
 {
-    const auto &step = where.job->spec.steps[static_cast<std::size_t>(where.step)];
     const int index = firstWaitingTask(where);
     std::vector<std::tuple<bool, advice_rank, std::int64_t, std::string>> ranked;
     for (const auto *const worker : candidates.usable) {
         const auto *const advice = findAdvice(tickets, *worker);
-        const bool suitable =
-            fits(heldBy(step), worker->entry.capacity)
-            && (step.requiredLabel.empty() || hasLabel(worker->entry, step.requiredLabel));
-        if (!suitable || (advice != nullptr && advice->validUntil > now)) {
+        if (!isSuitable(*worker, where, nullptr, now)
+            || (advice != nullptr && advice->validUntil > now)) {
             continue;
         }
         const bool ready = canTakeTask(tables, *worker, where, index, nullptr, now);
--- a/src/fleet/crash_isolation.cpp
+++ b/src/fleet/crash_isolation.cpp
@@ -1,7 +1,5 @@
 #include <ibishinge/fleet/crash_isolation.h>
 
-#include <ibishinge/fleet/advice.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -227,16 +225,18 @@
     std::pair<bool, instant> bestRank;
     std::size_t reserved = 0;
     for (auto *const worker : candidates.usable) {
+        const bool suitable = isSuitable(*worker, where, tickets, now);
         if (worker->reservedFor) {
-            if (shareCounter(tables, *worker->reservedFor, name)) {
+            if (!shareCounter(tables, *worker->reservedFor, name)) {
+                ++reserved;
+                continue;
+            }
+            if (suitable) {
                 return;
             }
-            ++reserved;
-            continue;
+            worker->reservedFor.reset();
         }
-        if (worker->observedRuns > 0 || !fits(heldBy(step), worker->entry.capacity)
-            || (!step.requiredLabel.empty() && !hasLabel(worker->entry, step.requiredLabel))
-            || (tickets != nullptr && findTicket(*tickets, *worker, now) == nullptr)) {
+        if (worker->observedRuns > 0 || !suitable) {
             continue;
         }
         // A worker without room now has to finish runs first.
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -92,13 +92,13 @@
     {start_obstacle::late_acknowledgement, "late_acknowledgement"},
 }};
 
-/// Returns why a usable worker cannot be given a task now; nothing if it can.
-std::optional<start_obstacle> obstacleTo(const fleet_tables &tables, const worker_status &worker,
-                                         const waiting_step &where, const task_name &name,
-                                         const step_tickets *tickets, instant now)
+/// Returns why a usable worker cannot be given tasks of a step even if other runs leave room there;
+/// nothing if it can.
+std::optional<start_obstacle> obstacleToStep(const worker_status &worker, const waiting_step &where,
+                                             const step_tickets *tickets, instant now)
 {
     const auto &step = where.job->spec.steps[static_cast<std::size_t>(where.step)];
-    if (!fits(heldBy(step), worker.entry.capacity - worker.held)) {
+    if (!fits(heldBy(step), worker.entry.capacity)) {
         return start_obstacle::no_room;
     }
     if (!step.requiredLabel.empty() && !hasLabel(worker.entry, step.requiredLabel)) {
@@ -111,9 +111,6 @@
     if (step.maxPerWorker > 0 && countRunsOfStep(worker, where) >= step.maxPerWorker) {
         return start_obstacle::step_limit;
     }
-    if (!permitsStart(tables, worker, name, isSuspected(*where.job, name), now)) {
-        return start_obstacle::crash_isolation;
-    }
     // A long-running task is started again however its run has ended.
     if (!step.longRunning && mayForgetUnreadEnds(worker, now)) {
         return start_obstacle::late_acknowledgement;
@@ -121,6 +118,24 @@
     return std::nullopt;
 }
 
+/// Returns why a usable worker cannot be given a task now; nothing if it can.
+std::optional<start_obstacle> obstacleTo(const fleet_tables &tables, const worker_status &worker,
+                                         const waiting_step &where, const task_name &name,
+                                         const step_tickets *tickets, instant now)
+{
+    const auto &step = where.job->spec.steps[static_cast<std::size_t>(where.step)];
+    if (!fits(heldBy(step), worker.entry.capacity - worker.held)) {
+        return start_obstacle::no_room;
+    }
+    if (const auto obstacle = obstacleToStep(worker, where, tickets, now)) {
+        return obstacle;
+    }
+    if (!permitsStart(tables, worker, name, isSuspected(*where.job, name), now)) {
+        return start_obstacle::crash_isolation;
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::string_view nameOf(start_obstacle obstacle) noexcept
@@ -236,6 +251,12 @@
     return !obstacleTo(tables, worker, where, name, tickets, now);
 }
 
+bool isSuitable(const worker_status &worker, const waiting_step &where, const step_tickets *tickets,
+                instant now)
+{
+    return !obstacleToStep(worker, where, tickets, now);
+}
+
 std::map<start_obstacle, int> countObstacles(const fleet_tables &tables, const std::string &pool,
                                              const waiting_step &where, int index,
                                              const step_tickets *tickets, instant now)
