Take a worker whose host was removed for ended

Cause: a run with an unanswered start is kept for 12 s and the longest lease unless its worker has ended. The list of hosts proved that for listed hosts only; a host that was removed, with its worker, is in no list.

Now a worker that does not answer, is not registered and whose host is missing in two lists in a row has ended. The list is complete, two are asked for because it comes in pages, and the registry and the worker's silence have to agree, so that a worker that is only cut off keeps its tasks.

--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -218,6 +218,7 @@
     bool verified = false; ///< the worker answered this coordinator, and no call has failed since
     bool contacted = false; ///< the worker has answered this coordinator at least once
     bool ended = false; ///< the list of hosts shows that the worker is no longer there
+    bool hostMissing = false; ///< its host is not in the last list of hosts
     std::int64_t incarnation = 0; ///< of the worker process that reported last
     std::int64_t clockAtReport = 0; ///< worker's clock in the last report, milliseconds
     instant reportAt; ///< when the last report was received
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -6,6 +6,7 @@
 #include <ibishinge/fleet/throttling.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace ibishinge::fleet {
 
@@ -360,19 +361,30 @@
     bool retired = false;
     for (auto &[id, worker] : m_tables.workers) {
         const auto host = m_tables.hosts.find(worker.entry.host);
+        const bool listed = host != m_tables.hosts.end();
+        const bool missing = !listed && !worker.entry.host.empty() && !m_tables.hosts.empty();
+        const bool missingBefore = std::exchange(worker.hostMissing, missing);
+        // Nothing is concluded for a worker that answers or that was silent only after the list was
+        // requested, as the list may be older.
+        if (worker.failedPolls == 0 || worker.verified
+            || worker.unreachableSince >= m_tables.hostsReadAt) {
+            continue;
+        }
         // A worker does not survive a restart of its host: if the list shows another worker on the
-        // host, or none because the host is off or restarting, this one has ended. That is not
-        // concluded for a worker that answers or that was silent only after the list was requested,
-        // as the list may be older.
-        if (host == m_tables.hosts.end() || worker.failedPolls == 0 || worker.verified
-            || worker.unreachableSince >= m_tables.hostsReadAt || host->second.worker == id) {
+        // host, or none because the host is off or restarting, this one has ended. A host that is
+        // not listed was removed, and its worker with it; a list may miss a host while others are
+        // being removed, so two lists and the registry have to agree.
+        const bool replaced = listed && host->second.worker != id;
+        const bool removed = missing && missingBefore && !worker.registered;
+        if (!replaced && !removed) {
             continue;
         }
         logEvent(log_level::info, "worker_replaced",
                  {{"worker", id},
                   {"host", worker.entry.host},
                   {"runs", worker.runs.size()},
-                  {"worker_now", host->second.worker}});
+                  {"host_listed", listed},
+                  {"worker_now", listed ? host->second.worker : ""}});
         worker.registered = false;
         worker.ended = true;
         worker.leasesEndBy = now;
--- a/src/fleet/coordinator_logs.cpp
+++ b/src/fleet/coordinator_logs.cpp
@@ -202,6 +202,7 @@
             return;
         }
         const auto late = worker.unansweredStarts.find(key);
+        const auto host = m_tables.hosts.find(worker.entry.host);
         const auto left = [now](instant until) {
             return std::max<std::int64_t>(0, (until - now).count());
         };
@@ -216,6 +217,10 @@
                   {"phase", static_cast<int>(run.phase)},
                   {"orders", run.orders},
                   {"failed_polls", worker.failedPolls},
+                  {"host", worker.entry.host},
+                  {"host_listed", host != m_tables.hosts.end()},
+                  {"worker_now", host == m_tables.hosts.end() ? "" : host->second.worker},
+                  {"host_list_age_ms", since(m_tables.hostsReadAt, now).count()},
                   {"leases_left_ms", left(worker.leasesEndBy)},
                   {"late_start_left_ms",
                    late == worker.unansweredStarts.end() ? 0 : left(late->second.possibleUntil)}});
