Send no start to a worker that is leaving

Cause: whether a worker leaves was looked at when a task was placed. A start that waited for an answer of the worker, or was repeated for want of one, was sent later without another look.

Now each place that sends a start asks whether the task is live and the worker stays. Otherwise an unanswered start is stopped and an unsent one given up, and the task is placed elsewhere.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -249,6 +249,9 @@
     bool repeatUnansweredOrders(worker_status &worker);
     /// Returns true if the task exists and its job is not ending.
     [[nodiscard]] bool isLive(const task_name &task);
+    /// Returns true if a start of the run may be sent: its task is live and its worker is not
+    /// leaving.
+    [[nodiscard]] bool mayStart(const run_entry &run);
     void stopGangMembers(const task_name &member);
     void stopRunsOf(const std::string &job, std::string_view reason);
     /// Stops a run. While no orders may be sent, the stop is remembered and sent later: what makes
--- a/src/fleet/coordinator_orders.cpp
+++ b/src/fleet/coordinator_orders.cpp
@@ -89,7 +89,7 @@
         if (found == m_tables.runs.end()) {
             continue; // removed with another member of its gang
         }
-        if (found->second.phase == run_phase::starting && isLive(key.task)) {
+        if (found->second.phase == run_phase::starting && mayStart(found->second)) {
             sendStart(key);
         } else {
             orderStop(key, "unanswered");
@@ -104,6 +104,12 @@
     return findTask(m_tables, task) != nullptr && !m_tables.jobs.at(task.job).ending;
 }
 
+bool coordinator::mayStart(const run_entry &run)
+{
+    return isLive(run.key.task)
+           && m_tables.workers.at(run.worker).entry.state == worker_state::ready;
+}
+
 bool coordinator::blockLateStarts(worker_status &worker)
 {
     if (!mayIssueOrders() || worker.unansweredStarts.empty()) {
@@ -248,7 +254,8 @@
     const auto &run = m_tables.runs.at(key);
     auto &worker = m_tables.workers.at(run.worker);
     const auto now = m_timers.now();
-    if (!worker.verified || (!run.longRunning && mayForgetUnreadEnds(worker, now))) {
+    if (!worker.verified || !mayStart(run)
+        || (!run.longRunning && mayForgetUnreadEnds(worker, now))) {
         abandonStart(key, true);
         return;
     }
@@ -282,7 +289,8 @@
         if (run == m_tables.runs.end()) {
             continue; // removed with another member of its gang
         }
-        if (!run->second.longRunning && mayForgetUnreadEnds(worker, now)) {
+        if (!mayStart(run->second)
+            || (!run->second.longRunning && mayForgetUnreadEnds(worker, now))) {
             abandonStart(key, true);
         } else {
             sendStart(key);
@@ -471,7 +479,7 @@
         if (run.phase == run_phase::starting) {
             // The order may have been carried out or may still be. Repeating it is safe: the worker
             // gives the same answer. On a silent worker the lease of the run expires.
-            if (!isLive(key.task)) {
+            if (!mayStart(run)) {
                 toStop.push_back(key);
             } else if (run.orders == 0) {
                 toStart.push_back(key);
