Calls of the advice service: one place for pacing, denied workers last

From reading the change as a newcomer: the open call and the pause before the next one are recorded in advice.cpp, the answer has a function of its own, names say what they hold.

--- a/include/ibishinge/fleet/advice.h
+++ b/include/ibishinge/fleet/advice.h
@@ -36,13 +36,14 @@
                                                          const step_tickets &tickets,
                                                          advice_scope scope, instant now);
 
-/// Records which workers the call in progress names. Returns true if any of them has not been named
-/// before. Precondition: the workers exist, and no call is in progress. Not thread-safe.
-bool recordAdviceCall(step_tickets &tickets, const fleet_tables &tables,
-                      const std::vector<std::string> &workers);
-
-/// Records the answer to the call in progress, which was sent at `sentAt`. Returns true if it has a
-/// ticket. Not thread-safe.
-bool recordAdvice(step_tickets &tickets, const ticket_reply &answer, instant sentAt);
+/// Records a call for a step that names `workers`. Preconditions: the workers exist, and no call
+/// for the step is open. Not thread-safe.
+void recordAdviceCall(step_tickets &tickets, const fleet_tables &tables,
+                      const std::vector<std::string> &workers, instant now);
+
+/// Records the answer to the open call, and from when on the next one may be sent: at once as long
+/// as the step has no ticket and workers remain that have not been named, else after a pause.
+/// Precondition: a call for the step is open. Not thread-safe.
+void recordAdvice(step_tickets &tickets, const result<ticket_reply> &answer, instant now);
 
 } // namespace ibishinge::fleet
--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -305,6 +305,8 @@
     /// further ones.
     void requestTickets(const waiting_step &where, const pool_candidates &candidates,
                         advice_scope scope);
+    /// Handles the answer of the advice service for the step of the task `first`.
+    void onAdvice(const task_name &first, const result<ticket_reply> &answer);
     void tick();
     /// The parts of `tick` that can wait: pool sizes, maintenance, logs.
     void runDeferrableChecks();
@@ -345,7 +347,7 @@
     void setBaselines(const std::map<std::string, int> &baselines);
     void orderMove(const host_move &move);
     void retireWorker(const std::string &host);
-    void retireReplacedWorkers();
+    void retireEndedWorkers();
 
     platform_api &m_platform;
     worker_calls &m_workerCalls;
@@ -392,8 +394,8 @@
     load_control m_load;
     answer_delay m_answerDelay; ///< of starts
     work_budget m_passBudget;
-    bool m_furtherAdvicePending = false; ///< a call for further tickets of a step is open
     work_budget m_checkBudget; ///< of the periodic checks that can wait
+    bool m_furtherAdvicePending = false; ///< a call for a step that has tickets is open
     int m_rejectedForLag = 0; ///< submissions since the last summary
     int m_unansweredStarts = 0; ///< since the last summary
     std::int64_t m_pollNumber = 0; ///< number of the last poll of any worker
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -146,12 +146,19 @@
     instant validUntil;
 };
 
+/// A call of the advice service that has not been answered yet.
+struct advice_call
+{
+    std::map<std::string, std::int64_t> incarnations; ///< of the workers that it names, by id
+    bool namesNew = false; ///< some of them had not been named before
+    instant sentAt;
+};
+
 /// Answers of the advice service for one step.
 struct step_tickets
 {
     std::map<std::string, worker_advice> adviceByWorker; ///< last answers, by id of the worker
-    /// Incarnations of the workers named in the call in progress, by id; empty if there is none.
-    std::map<std::string, std::int64_t> asked;
+    std::optional<advice_call> openCall;
     instant nextRequestAt; ///< earliest time of the next call
 };
 
--- a/include/ibishinge/fleet/takeover_progress.h
+++ b/include/ibishinge/fleet/takeover_progress.h
@@ -15,7 +15,7 @@
     progress, ///< reads the progress of the jobs
     ended, ///< reads the final states of ended jobs
     registry, ///< reads the registry of the workers
-    reports, ///< serves; workers have not reported all runs and ends that they may have
+    reports, ///< serves; not all workers have reported all their runs and ends
     complete,
 };
 
--- a/src/fleet/advice.cpp
+++ b/src/fleet/advice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace ibishinge::fleet {
 
@@ -10,6 +11,10 @@
 /// Maximum number of workers in one call of the advice service; each delays the answer.
 constexpr std::size_t maxAdvisedWorkers = 24;
 
+/// Pause between the answer to a call and the next call for the step, unless that names workers for
+/// the first time.
+constexpr milliseconds callPause {150};
+
 /// What is known of a worker from earlier answers, the most promising first.
 enum class advice_rank : std::uint8_t { permitted, unknown, denied };
 
@@ -71,7 +76,7 @@
                                            advice_scope scope, instant now)
 {
     const int index = firstWaitingTask(where);
-    std::vector<std::tuple<bool, advice_rank, std::int64_t, std::string>> ranked;
+    std::vector<std::tuple<bool, bool, advice_rank, std::int64_t, std::string>> ranked;
     for (const auto *const worker : candidates.usable) {
         const auto *const advice = findAdvice(tickets, *worker);
         if (!isSuitable(*worker, where, nullptr, now)
@@ -80,7 +85,9 @@
         }
         const bool ready = canTakeTask(tables, *worker, where, index, nullptr, now);
         if (ready || scope == advice_scope::suitable) {
-            ranked.emplace_back(!ready, rankOf(advice), worker->held.cpuMillis, worker->entry.id);
+            const auto rank = rankOf(advice);
+            ranked.emplace_back(rank == advice_rank::denied, !ready, rank, worker->held.cpuMillis,
+                                worker->entry.id);
         }
     }
     std::sort(ranked.begin(), ranked.end());
@@ -93,34 +100,39 @@
     return ids;
 }
 
-bool recordAdviceCall(step_tickets &tickets, const fleet_tables &tables,
-                      const std::vector<std::string> &workers)
+void recordAdviceCall(step_tickets &tickets, const fleet_tables &tables,
+                      const std::vector<std::string> &workers, instant now)
 {
-    bool namesNew = false;
+    advice_call call;
+    call.sentAt = now;
     for (const auto &id : workers) {
         const auto &worker = tables.workers.at(id);
-        namesNew = namesNew || findAdvice(tickets, worker) == nullptr;
-        tickets.asked.emplace(id, worker.incarnation);
+        call.namesNew = call.namesNew || findAdvice(tickets, worker) == nullptr;
+        call.incarnations.emplace(id, worker.incarnation);
     }
-    return namesNew;
+    tickets.openCall = std::move(call);
 }
 
-bool recordAdvice(step_tickets &tickets, const ticket_reply &answer, instant sentAt)
+void recordAdvice(step_tickets &tickets, const result<ticket_reply> &answer, instant now)
 {
+    const auto call = *std::exchange(tickets.openCall, std::nullopt);
+    tickets.nextRequestAt = now + callPause;
+    if (!answer) {
+        return;
+    }
     // A denial holds as long as a ticket.
-    const auto validUntil = sentAt + answer.validity;
-    for (const auto &[id, incarnation] : tickets.asked) {
+    const auto validUntil = call.sentAt + answer->validity;
+    for (const auto &[id, incarnation] : call.incarnations) {
         tickets.adviceByWorker[id] = {incarnation, {}, validUntil};
     }
-    bool granted = false;
-    for (const auto &each : answer.tickets) {
-        if (tickets.asked.count(each.worker) > 0) {
+    for (const auto &each : answer->tickets) {
+        if (call.incarnations.count(each.worker) > 0) {
             tickets.adviceByWorker.at(each.worker).ticket = each.proof;
-            granted = true;
         }
     }
-    tickets.asked.clear();
-    return granted;
+    if (call.namesNew && !hasTicket(tickets, now)) {
+        tickets.nextRequestAt = now;
+    }
 }
 
 } // namespace ibishinge::fleet
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -51,10 +51,6 @@
 /// numbers.
 constexpr std::int64_t runsPerTerm = 100000;
 
-/// Delay of the next call of the advice service for a step after one that has failed, has brought
-/// tickets, or has named known workers only.
-constexpr milliseconds adviceRetryDelay {150};
-
 } // namespace
 
 std::shared_ptr<coordinator> coordinator::make(platform_api &platform, worker_calls &workers,
@@ -238,7 +234,7 @@
             requestSchedulingPass();
         }
     }
-    releaseInheritedTasks(); // of workers whose leases have ended
+    releaseInheritedTasks(); // the leases of silent workers may have ended
     if (now >= m_checkBudget.notBefore) {
         const auto begin = m_timers.now();
         runDeferrableChecks();
@@ -525,7 +521,7 @@
     const bool further = scope == advice_scope::ready;
     auto &tickets = where.job->tickets[{where.occurrence, where.step}];
     const auto now = m_timers.now();
-    if (!tickets.asked.empty() || tickets.nextRequestAt > now
+    if (tickets.openCall || tickets.nextRequestAt > now
         || (further
             && (m_furtherAdvicePending || !fits(heldBy(step), candidates.maxFreeResources)))) {
         return;
@@ -534,39 +530,39 @@
     if (workers.empty()) {
         return;
     }
-    const bool namesNew = recordAdviceCall(tickets, m_tables, workers);
+    recordAdviceCall(tickets, m_tables, workers, now);
     m_furtherAdvicePending = m_furtherAdvicePending || further;
+    const task_name first {where.job->id, where.occurrence, where.step, 0};
     m_platform.requestTickets(
-        where.job->id, where.occurrence, where.step, workers,
-        unlessClosed<ticket_reply>(
-            [this, id = where.job->id, at = std::pair(where.occurrence, where.step), further,
-             namesNew, asked = workers.size(), sentAt = now](const result<ticket_reply> &answer) {
-                m_furtherAdvicePending = m_furtherAdvicePending && !further;
-                const auto job = m_tables.jobs.find(id);
-                if (job == m_tables.jobs.end()) {
-                    return;
-                }
-                auto &known = job->second.tickets[at];
-                known.nextRequestAt = m_timers.now() + adviceRetryDelay;
-                if (!answer) {
-                    known.asked.clear();
-                    logEvent(log_level::warning, "advice_failed",
-                             {{"job", id}, {"error", describe(answer.error())}});
-                    return;
-                }
-                if (!recordAdvice(known, *answer, sentAt) && namesNew) {
-                    known.nextRequestAt = m_timers.now();
-                }
-                logEvent(log_level::info, "advice",
-                         {{"job", id},
-                          {"occurrence", at.first},
-                          {"step", at.second},
-                          {"asked", asked},
-                          {"granted", answer->tickets.size()},
-                          {"further", further},
-                          {"took_ms", since(sentAt, m_timers.now()).count()}});
-                requestSchedulingPass();
-            }));
+        first.job, first.occurrence, first.step, workers,
+        unlessClosed<ticket_reply>([this, first, further](const result<ticket_reply> &answer) {
+            m_furtherAdvicePending = m_furtherAdvicePending && !further;
+            onAdvice(first, answer);
+        }));
+}
+
+void coordinator::onAdvice(const task_name &first, const result<ticket_reply> &answer)
+{
+    const auto job = m_tables.jobs.find(first.job);
+    if (job == m_tables.jobs.end()) {
+        return;
+    }
+    auto &tickets = job->second.tickets.at({first.occurrence, first.step});
+    const auto now = m_timers.now();
+    nlohmann::json line = {{"job", first.job},
+                           {"occurrence", first.occurrence},
+                           {"step", first.step},
+                           {"asked", tickets.openCall->incarnations.size()},
+                           {"took_ms", since(tickets.openCall->sentAt, now).count()}};
+    recordAdvice(tickets, answer, now);
+    if (!answer) {
+        line["error"] = describe(answer.error());
+        logEvent(log_level::warning, "advice_failed", line);
+        return;
+    }
+    line["granted"] = answer->tickets.size();
+    logEvent(log_level::info, "advice", line);
+    requestSchedulingPass();
 }
 
 void coordinator::expireWorkers()
--- a/src/fleet/coordinator_hosts.cpp
+++ b/src/fleet/coordinator_hosts.cpp
@@ -148,7 +148,7 @@
             m_tables.hosts[host.name] = host;
         }
         m_tables.hostsReadAt = sentAt;
-        retireReplacedWorkers();
+        retireEndedWorkers();
         maintainHosts();
     }));
 }
@@ -355,7 +355,7 @@
     }
 }
 
-void coordinator::retireReplacedWorkers()
+void coordinator::retireEndedWorkers()
 {
     const auto now = m_timers.now();
     bool retired = false;
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -197,7 +197,7 @@
         logEvent(log_level::info, "worker_answers",
                  {{"worker", id}, {"failed_looks", worker.failedPolls}});
     }
-    const bool unreportedBefore = mayHaveUnreportedRuns(worker, now);
+    const bool hadUnreportedRuns = mayHaveUnreportedRuns(worker, now);
     worker.failedPolls = 0;
     worker.clockAtReport = report.workerClockMs;
     worker.reportAt = now;
@@ -250,7 +250,7 @@
     if (worker.processedEnd > endsBefore) {
         requestFlush(lazyFlushDelay);
     }
-    if (unreportedBefore && !mayHaveUnreportedRuns(worker, now)) {
+    if (hadUnreportedRuns && !mayHaveUnreportedRuns(worker, now)) {
         releaseInheritedTasks();
     }
     // The connection of the poll is free now. A worker may reset any further one, so that an order
