Start nothing in a data centre that the operators evacuate

Cause: the operators' requests (op/evacuate/ZONE on the wire) were read by nobody, so that tasks were started in the data centre for as long as it was evacuated.

Change: the coordinator reads the requests once a second, marks the workers of the data centre, and places, restarts, repeats and moves nothing there. Starts need a read that is younger than the bound less the time of an order, so that a coordinator that cannot read the requests does not start past the bound for want of knowledge. Requests live in the store only, so that they outlive a coordinator and are forgotten when they are removed without one.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -6,6 +6,7 @@
 #include <ibishinge/fleet/advice.h>
 #include <ibishinge/fleet/answer_delay.h>
 #include <ibishinge/fleet/caller.h>
+#include <ibishinge/fleet/evacuation/evacuation_reader.h>
 #include <ibishinge/fleet/host_maintenance.h>
 #include <ibishinge/fleet/load_control.h>
 #include <ibishinge/fleet/placement.h>
@@ -46,6 +47,8 @@
     milliseconds maxTaskLease {10000}; ///< to which a worker shortens a longer lease
     milliseconds stopTime {200}; ///< in which a worker ends a run after a stop order
     milliseconds maintenanceTime {2000}; ///< for which a host is down for maintenance
+    /// Time within which an evacuation takes effect; 0: the platform has none.
+    milliseconds evacuationBound {0};
     int maxConcurrentWrites = 2; ///< transactions in flight while the store is not slow
     int maxConcurrentMoves = 16; ///< host moves in flight
 };
@@ -158,6 +161,8 @@
     }
     void callAfter(milliseconds delay, std::function<void()> function);
     [[nodiscard]] bool mayIssueOrders() const;
+    /// Returns true if starts may be sent: orders may, and the evacuations are known.
+    [[nodiscard]] bool mayIssueStarts() const;
 
     // coordinator_takeover.cpp
     void readRecords(const std::string &prefix, const std::string &after,
@@ -330,6 +335,15 @@
     /// Logs tasks whose run may exist on a worker that does not answer, with what proves its end.
     void logUnprovenRuns();
 
+    // evacuation/coordinator_evacuation.cpp
+    /// Reads the evacuations, if there are any on this platform.
+    void followEvacuations();
+    void onEvacuationsRead(const std::set<std::string> &dataCentres, instant readAt);
+    /// Takes back the starts that are decided and not sent to workers of evacuated data centres.
+    void abandonEvacuatedStarts();
+    /// Logs that no starts are sent, or are sent again, as the age of the last read demands.
+    void checkEvacuationAge();
+
     // coordinator_hosts.cpp
     void readWaves();
     void refreshHosts();
@@ -408,6 +422,8 @@
     std::map<work_kind, std::uint64_t> m_processorUsBefore;
     /// Submissions answered with `outcome_unknown` since the last summary, as the store was slow.
     int m_unresolvedSubmissions = 0;
+    std::unique_ptr<evacuation_reader> m_evacuationReader; ///< null: no evacuations
+    bool m_startsHeldBack = false; ///< the evacuations are not known
     bool m_hostListPending = false;
     bool m_waveReadPending = false;
     bool m_maintenanceOpen = false; ///< a maintenance wave is open
--- a/include/ibishinge/fleet/placement.h
+++ b/include/ibishinge/fleet/placement.h
@@ -51,6 +51,7 @@
     silent, ///< not verified by an answer since its last failure, or never
     not_on_roster,
     cordoned,
+    evacuated, ///< the data centre is evacuated
     draining,
     quarantined,
     no_room,
--- a/include/ibishinge/fleet/platform_api.h
+++ b/include/ibishinge/fleet/platform_api.h
@@ -140,9 +140,12 @@
     [[nodiscard]] virtual result<maintenance_wave> decodeWave(const store_item &item) const = 0;
     /// Returns the item that shows operators the progress of a wave.
     [[nodiscard]] virtual store_put encodeWaveStatus(std::int64_t wave, bool completed) const = 0;
+    /// Returns the data centre that an evacuation request names, see `parseEvacuatedDataCentre`.
+    [[nodiscard]] virtual result<std::string> decodeEvacuation(const store_item &item) const = 0;
     [[nodiscard]] virtual std::string configurationKey() const = 0;
     [[nodiscard]] virtual std::string workerPrefix() const = 0;
     [[nodiscard]] virtual std::string wavePrefix() const = 0;
+    [[nodiscard]] virtual std::string evacuationPrefix() const = 0;
 };
 
 } // namespace ibishinge::fleet
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <ibishinge/fleet/evacuation/evacuation.h>
 #include <ibishinge/fleet/types.h>
 
 #include <compare>
@@ -266,6 +267,7 @@
     bool maintenanceDue = false; ///< its host is part of an unfinished maintenance wave
     /// Gets no new tasks, because its host is being prepared for maintenance or a move.
     bool cordoned = false;
+    bool evacuated = false; ///< its data centre is evacuated: nothing starts there
     instant nextThrottlingAt;
     double failureScore = 0; ///< exponentially decayed count of failed runs
     double successScore = 0; ///< exponentially decayed count of successful runs
@@ -333,6 +335,7 @@
     std::vector<worker_crash> recentCrashes; ///< without old ones
     std::map<std::string, host_entry> hosts;
     instant hostsReadAt; ///< when the list of hosts was requested; epoch: never
+    evacuation_state evacuation;
 };
 
 /// Returns the queue with this host name and the longest prefix that matches `path`; null if there
--- a/include/ibishinge/fleet/types.h
+++ b/include/ibishinge/fleet/types.h
@@ -281,6 +281,7 @@
     std::vector<std::string> labels;
     resources capacity;
     std::string worker; ///< id of the worker on the host; empty: none
+    std::string dataCentre {}; ///< empty: not reported
 };
 
 /// Answer of the platform to a request for maintenance or a move of a host.
--- a/src/fleet/admission.cpp
+++ b/src/fleet/admission.cpp
@@ -21,6 +21,7 @@
     bool anyFits = false; ///< a host is large enough
     bool anyLabelled = false; ///< a host is large enough and has the label
     bool hostsKnown = false; ///< at least one worker or host is known
+    bool anyOpen = false; ///< a host is large enough, has the label and is not evacuated
     bool capacityMissing = false; ///< a worker's capacity is not known
 };
 
@@ -31,13 +32,16 @@
 {
     step_fit fit;
     // Returns true once a host is found that can run the step.
-    const auto consider = [&](const resources &capacity, const std::vector<std::string> &labels) {
+    const auto consider = [&](const resources &capacity, const std::vector<std::string> &labels,
+                              const std::string &dataCentre) {
         fit.hostsKnown = true;
         if (fits(heldBy(step), capacity) && step.need.cpuMillis <= capacity.cpuMillis) {
             fit.anyFits = true;
-            fit.anyLabelled = hasLabel(labels, step.requiredLabel);
+            const bool labelled = hasLabel(labels, step.requiredLabel);
+            fit.anyLabelled = fit.anyLabelled || labelled;
+            fit.anyOpen = labelled && !isEvacuated(tables.evacuation, dataCentre);
         }
-        return fit.anyLabelled;
+        return fit.anyOpen;
     };
     for (const auto &[id, worker] : tables.workers) {
         if (worker.entry.pool != pool) {
@@ -47,12 +51,12 @@
             // Known by the roster only; its host may be listed.
             fit.capacityMissing =
                 fit.capacityMissing || tables.hosts.find(worker.entry.host) == tables.hosts.end();
-        } else if (consider(worker.entry.capacity, worker.entry.labels)) {
+        } else if (consider(worker.entry.capacity, worker.entry.labels, worker.entry.dataCentre)) {
             return fit;
         }
     }
     for (const auto &[name, host] : tables.hosts) {
-        if (consider(host.capacity, host.labels)) {
+        if (consider(host.capacity, host.labels, host.dataCentre)) {
             return fit;
         }
     }
@@ -83,6 +87,12 @@
             decision.retryAfter = missingLabelRetry;
             return decision;
         }
+        if (fit.hostsKnown && !fit.anyOpen) {
+            decision.verdict = admission_verdict::later;
+            decision.reason = "the hosts that can run a task are evacuated";
+            decision.retryAfter = missingLabelRetry;
+            return decision;
+        }
     }
     return decision;
 }
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -80,6 +80,7 @@
     , m_checkBudget {checkShare, longestCheckPause, {}}
 {
     setConfiguration(m_tables, std::move(config));
+    m_tables.evacuation.bound = settings.evacuationBound;
 }
 
 void coordinator::start()
@@ -94,6 +95,7 @@
                                             }
                                         });
     loadRecords();
+    followEvacuations();
     m_tickDueAt = m_timers.now() + tickInterval;
     callAfter(tickInterval, [this] { tick(); });
     for (int i = 1; i <= lagProbes; ++i) {
@@ -122,6 +124,7 @@
         return;
     }
     m_closed = true;
+    m_evacuationReader.reset();
     m_platform.cancelPageReads();
     m_writer->close();
     for (auto &[id, handlers] : std::exchange(m_submitWaiters, {})) {
@@ -152,6 +155,11 @@
     return !m_closed && !m_suspended && m_timers.now() < m_leadershipProvenUntil;
 }
 
+bool coordinator::mayIssueStarts() const
+{
+    return mayIssueOrders() && permitsStarts(m_tables.evacuation, m_timers.now());
+}
+
 bool coordinator::isServing() const
 {
     return m_loaded && mayIssueOrders();
@@ -222,6 +230,7 @@
     if (!m_loaded) {
         return;
     }
+    checkEvacuationAge();
     checkRuns();
     evacuateDrainingWorkers();
     for (const auto &id : endObservations(m_tables)) {
@@ -284,7 +293,7 @@
 
 void coordinator::runSchedulingPass()
 {
-    if (!isServing()) {
+    if (!isServing() || !mayIssueStarts()) {
         return;
     }
     const processor_time_scope used(m_metrics, work_kind::scheduling);
@@ -414,7 +423,7 @@
             return;
         }
         run->second.callPending = false;
-        if (mayIssueOrders()) {
+        if (mayIssueStarts()) {
             startWhenContacted(key); // otherwise `checkRuns` sends it
         }
     };
--- a/src/fleet/coordinator_orders.cpp
+++ b/src/fleet/coordinator_orders.cpp
@@ -89,10 +89,10 @@
         if (found == m_tables.runs.end()) {
             continue; // removed with another member of its gang
         }
-        if (found->second.phase == run_phase::starting && mayStart(found->second)) {
-            sendStart(key);
-        } else {
+        if (found->second.phase != run_phase::starting || !mayStart(found->second)) {
             orderStop(key, "unanswered");
+        } else if (mayIssueStarts()) {
+            sendStart(key); // otherwise `checkRuns` does
         }
     }
     const bool blocked = blockLateStarts(worker);
@@ -106,8 +106,8 @@
 
 bool coordinator::mayStart(const run_entry &run)
 {
-    return isLive(run.key.task)
-           && m_tables.workers.at(run.worker).entry.state == worker_state::ready;
+    const auto &worker = m_tables.workers.at(run.worker);
+    return isLive(run.key.task) && worker.entry.state == worker_state::ready && !worker.evacuated;
 }
 
 bool coordinator::blockLateStarts(worker_status &worker)
@@ -273,7 +273,7 @@
 
 void coordinator::sendAwaitingStarts(const worker_status &worker)
 {
-    if (!mayIssueOrders()) {
+    if (!mayIssueStarts()) {
         return; // `checkRuns` sends them
     }
     std::vector<run_key> awaiting;
@@ -472,6 +472,7 @@
     std::vector<run_key> toResend;
     std::vector<run_key> toStop;
     const auto now = m_timers.now();
+    const bool startsPermitted = mayIssueStarts();
     for (auto &[key, run] : m_tables.runs) {
         if (run.callPending || run.phase == run_phase::running) {
             continue;
@@ -481,6 +482,8 @@
             // gives the same answer. On a silent worker the lease of the run expires.
             if (!mayStart(run)) {
                 toStop.push_back(key);
+            } else if (!startsPermitted) {
+                continue;
             } else if (run.orders == 0) {
                 toStart.push_back(key);
             } else if (m_tables.workers.at(run.worker).verified) {
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -420,6 +420,7 @@
     const bool draining =
         entry->state == worker_state::draining && worker.entry.state != worker_state::draining;
     worker.entry = *entry;
+    worker.evacuated = isEvacuated(m_tables.evacuation, entry->dataCentre);
     worker.registered = true;
     if (!worker.onRoster || addressChanged) {
         m_changedRosterKeys.insert(rosterKeyOf(id));
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -76,11 +76,12 @@
     });
 }
 
-constexpr std::array<std::pair<start_obstacle, std::string_view>, 13> obstacleNames {{
+constexpr std::array<std::pair<start_obstacle, std::string_view>, 14> obstacleNames {{
     {start_obstacle::unregistered, "unregistered"},
     {start_obstacle::silent, "silent"},
     {start_obstacle::not_on_roster, "not_on_roster"},
     {start_obstacle::cordoned, "cordoned"},
+    {start_obstacle::evacuated, "evacuated"},
     {start_obstacle::draining, "draining"},
     {start_obstacle::quarantined, "quarantined"},
     {start_obstacle::no_room, "no_room"},
@@ -235,6 +236,9 @@
     if (worker.cordoned) {
         return start_obstacle::cordoned;
     }
+    if (worker.evacuated) {
+        return start_obstacle::evacuated;
+    }
     if (worker.entry.state != worker_state::ready) {
         return start_obstacle::draining;
     }
--- a/src/fleet/pool_sizing.cpp
+++ b/src/fleet/pool_sizing.cpp
@@ -144,7 +144,8 @@
 {
     for (const auto &[id, worker] : tables.workers) {
         const auto pool = pools.find(worker.entry.pool);
-        if (pool == pools.end() || !worker.registered || worker.entry.state != worker_state::ready
+        if (pool == pools.end() || !worker.registered || worker.evacuated
+            || worker.entry.state != worker_state::ready
             || worker.failedPolls >= failedPollsOfLostWorker) {
             continue;
         }
@@ -261,7 +262,8 @@
     std::vector<std::string> spare;
     for (const auto &[name, host] : tables.hosts) {
         if (host.pool == spareName && !spareName.empty() && host.state == host_state::up
-            && state.moves.count(name) == 0 && !isInMaintenance(maintenance, name)) {
+            && !isEvacuated(tables.evacuation, host.dataCentre) && state.moves.count(name) == 0
+            && !isInMaintenance(maintenance, name)) {
             spare.push_back(name);
         }
     }
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -2,6 +2,7 @@
 
 #include "standins/virtual_loop.h"
 
+#include <ibishinge/fleet/evacuation/evacuation.h>
 #include <ibishinge/fleet/platform_api.h>
 #include <ibishinge/fleet/tables.h>
 
@@ -37,6 +38,7 @@
     std::int64_t fence = 0;
     instant leaseEnd;
     instant startedAt;
+    instant lastStartAt; ///< of a run; epoch: never
     std::map<task_name, live_run> running;
     std::map<task_name, std::int64_t> closedRuns; ///< highest run stopped or ended
     std::vector<run_end> ended;
@@ -66,8 +68,8 @@
         worker.entry.incarnation = ++lives;
         worker.startedAt = loop.now();
         auto &host = hosts[worker.entry.host];
-        host = {worker.entry.host,     pool, host_state::up, worker.entry.labels,
-                worker.entry.capacity, id};
+        host = {worker.entry.host,     pool, host_state::up,         worker.entry.labels,
+                worker.entry.capacity, id,   worker.entry.dataCentre};
         putItem("workers/" + id, id, 0);
         return worker;
     }
@@ -248,6 +250,7 @@
             violations.push_back("start beyond the attempts of " + order.task.job);
         }
         ++starts;
+        worker.lastStartAt = loop.now();
         startsWithTicket += order.ticket.empty() ? 0 : 1;
         extendLease(worker, order.leaseUntil);
         const auto planned = behaviourOf(order.task);
@@ -761,6 +764,10 @@
     {
         return {"wave-status/" + std::to_string(wave), completed ? "completed" : "running", 0};
     }
+    [[nodiscard]] result<std::string> decodeEvacuation(const store_item &item) const override
+    {
+        return parseEvacuatedDataCentre(item.key.substr(evacuationPrefix().size()));
+    }
     [[nodiscard]] std::string configurationKey() const override
     {
         return "configuration";
@@ -773,6 +780,10 @@
     {
         return "waves/";
     }
+    [[nodiscard]] std::string evacuationPrefix() const override
+    {
+        return "evacuations/";
+    }
 
 private:
     static constexpr milliseconds workerTime {2};
--- a/standins/virtual_processor.h
+++ b/standins/virtual_processor.h
@@ -227,6 +227,10 @@
     {
         return m_platform.encodeWaveStatus(wave, completed);
     }
+    [[nodiscard]] result<std::string> decodeEvacuation(const store_item &item) const override
+    {
+        return m_platform.decodeEvacuation(item);
+    }
     [[nodiscard]] std::string configurationKey() const override
     {
         return m_platform.configurationKey();
@@ -239,6 +243,10 @@
     {
         return m_platform.wavePrefix();
     }
+    [[nodiscard]] std::string evacuationPrefix() const override
+    {
+        return m_platform.evacuationPrefix();
+    }
 
 private:
     template <class T>
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -161,6 +161,7 @@
     virtual_loop loop;
     virtual_world world;
     std::map<std::string, process> processes;
+    coordinator_settings coordination; ///< of processes that are started from now on
     int exchanges = 0; ///< messages that relays have received
     std::set<std::string> frozen; ///< names of processes that answer no forwarded request
     /// Names of processes whose answers to forwarded requests are lost, which the senders notice.
@@ -348,6 +349,7 @@
         settings.peerAddress = each.name + ":7000";
         settings.processorShare = shares.count(each.name) > 0 ? shares.at(each.name) : 1;
         settings.seed = static_cast<std::uint64_t>(m_runs);
+        settings.coordination = coordination;
         each.node = std::make_unique<fleet_node>(*each.chargedPlatform, *each.peers,
                                                  *each.processor, *each.metrics, settings);
         each.node->start();
