Soak: evacuate data centres

Cause: the soak of real processes knew no evacuations, so that starts past the bound under overlapping faults would have gone unseen.

Change: workers of the soak are in two data centres, a fault evacuates one of them for 6 to 14 s, and a start there later than the bound breaks the promise.

--- a/tests/process/fleet_soak.py
+++ b/tests/process/fleet_soak.py
@@ -6,7 +6,8 @@
 Callers hand jobs in through all processes and try again as the platform's callers do; meanwhile
 faults come in series and overlap. What callers are answered and what workers start and end is
 checked against the promises. The exit status is 1 if one was broken. Without `--faults`, links
-between the processes fail too if the seed is even. With `--weak`, all hosts or all but one have
+between the processes fail too if the seed is even, and data centres are evacuated if it is a
+multiple of five. With `--weak`, all hosts or all but one have
 narrow links to the store or a share of a processor, large records are stored before the faults,
 and the strong lose elections. `--logs` keeps the record and the logs of the processes of each seed.
 """
@@ -29,6 +30,7 @@
 import lab as stand  # noqa: E402
 from soak_callers import (Caller, CallerWhoGivesUp, CancellingCaller,  # noqa: E402
                           KeptConnections, LastingCaller, ScheduledCaller)
+from soak_evacuation import ZONES, Evacuations, ZonedStore, launcher  # noqa: E402
 from soak_links import LinkedProcess  # noqa: E402
 from soak_weak import (SHARES, PagedStore, WeakLinkedProcess, WeakProcess,  # noqa: E402
                        draw_hosts)
@@ -51,7 +53,7 @@
 STRONG_HELD_BACK_S = 6  # longest time for which the strong wait for the election of a weak one
 
 
-class FaultyStore(stand.Store):
+class FaultyStore(ZonedStore, stand.Store):
     """A store whose answers to transactions can be lost."""
 
     def __init__(self, record):
@@ -101,6 +103,7 @@
         self.until = 0.0  # when the load ends
         self.callers = {}
         self.kept = KeptConnections(self)
+        self.evacuations = Evacuations(lab)
         self.started = set()  # jobs of which a task was started
         self.restarting = set()  # processes that a fault is about to start again
         self.signals = {}  # by process and its start: [(time, signal)]
@@ -124,6 +127,7 @@
             if late_s > CANCEL_S:
                 self.lab.violate(f"UNASKED: run {run} of {task} starts {late_s:.1f} s after the "
                                  "cancellation was acknowledged")
+        self.evacuations.check_start(worker, task, run)
         for other in self.lab.minions:
             if other is not worker and other.up and task in other.running:
                 self.lab.violate(f"TWICE: run {run} of {task} starts on {worker.id} while it runs "
@@ -291,6 +295,9 @@
             await asyncio.sleep(self.rng.uniform(0.5, 5.5))
             worker.silent = False
 
+    async def data_centre_evacuated(self):
+        await self.evacuations.evacuate(self.rng.choice(ZONES), self.rng.uniform(6.0, 14.0))
+
     def hand_in_lasting(self):
         job = self.lab.new_id()
         self.lab.jobs[job] = {"spec": "lasting", "steps": [
@@ -505,6 +512,7 @@
           "process_stopped", "leader_frozen", "worker_crashes", "worker_cut_off",
           "all_processes_killed", "power_lost", "process_frozen", "draining_process_frozen",
           "two_processes_signalled"]
+FAULTS_OF_EVACUATION = ["data_centre_evacuated"]
 FAULTS_OF_LINKS = ["peers_cut", "peer_answers_lost", "peer_answers_late"]
 FAULTS_OF_WEAK = ["weak_elected", "link_narrowed", "processor_shared"]
 WEAK_WEIGHT = 3  # such a fault is drawn so many times as often as another
@@ -517,6 +525,8 @@
     if faults is None:
         # Not in all plays: a link hides that a process that has ended refuses connections.
         faults = FAULTS + FAULTS_OF_LINKS if seed % 2 == 0 else FAULTS
+        if seed % 5 == 0:
+            faults = faults + FAULTS_OF_EVACUATION
         if weak:
             faults = faults + WEAK_WEIGHT * FAULTS_OF_WEAK
     with_links = bool(set(faults) & set(FAULTS_OF_LINKS))
@@ -527,6 +537,7 @@
     lab = stand.Lab(folder / "record.txt")
     os.rmdir(lab.folder)
     lab.folder = str(folder)
+    stand.PROGRAM = launcher(stand.PROGRAM, folder)
     lab.rng = random.Random(seed)
     lab.store = (PagedFaultyStore if weak else FaultyStore)(lab.record)
     lab.store.rng = random.Random(seed + 1)
--- a/tests/process/fleet_soak_test.py
+++ b/tests/process/fleet_soak_test.py
@@ -39,6 +39,13 @@
                                  "process_frozen", "draining_process_frozen",
                                  "two_processes_signalled"])
 
+    def test_nothing_starts_in_an_evacuated_data_centre(self):
+        """Guards against starts past the bound while coordinators change, are suspended or cannot
+        read the request."""
+        self.soak([5, 6], 30, ["data_centre_evacuated", "data_centre_evacuated", "leader_killed",
+                               "leader_cut_from_store", "leader_frozen", "store_busy",
+                               "worker_crashes"])
+
     def test_promises_hold_under_all_faults(self):
         self.soak([11, 12], 25)
 
