Pass over idle hosts of a kind that a pool cannot take

Cause: planMoves looked at the longest idle host of each pool only. If the receiving pool could not take its kind, the other idle hosts of that pool were passed over, and the receiver got none although its jobs waited.

Change: the longest idle host that the receiver can take is moved.

Result: hostOfAnIncompatibleKindIsPassedOver in pool_sizing_test: 0 moves before, 3 after. Found by reading; not seen on a deployment.

--- a/src/fleet/pool_sizing.cpp
+++ b/src/fleet/pool_sizing.cpp
@@ -276,6 +276,11 @@
         return listed != tables.hosts.end()
                && state.incompatible.count({kindOf(listed->second), to}) == 0;
     };
+    // Returns the longest idle host that the pool `to` can take.
+    const auto findIdle = [&](pool_demand &donor, const std::string &to) {
+        return std::find_if(donor.idle.begin(), donor.idle.end(),
+                            [&](const auto &host) { return isCompatible(host.name, to); });
+    };
     // The pools with the most recent peak are the last to need their hosts again.
     std::vector<pool_demand *> donors;
     donors.reserve(pools.size());
@@ -308,14 +313,15 @@
                 continue;
             }
             const auto donor = std::find_if(donors.begin(), donors.end(), [&](pool_demand *each) {
-                return each != receiver && each->hosts > each->wanted && !each->idle.empty()
-                       && isCompatible(each->idle.front().name, receiver->name);
+                return each != receiver && each->hosts > each->wanted
+                       && findIdle(*each, receiver->name) != each->idle.end();
             });
             if (donor == donors.end()) {
                 break;
             }
-            add((*donor)->idle.front().name, (*donor)->name, receiver->name);
-            (*donor)->idle.erase((*donor)->idle.begin());
+            const auto idle = findIdle(**donor, receiver->name);
+            add(idle->name, (*donor)->name, receiver->name);
+            (*donor)->idle.erase(idle);
             --(*donor)->hosts;
             ++receiver->hosts;
         }
--- a/tests/pool_sizing_test.cpp
+++ b/tests/pool_sizing_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(assignedHostCountsSurviveRestart);
     CPPUNIT_TEST(movingHostIsNotSelectedForMaintenance);
     CPPUNIT_TEST(hostWithUnreadEndsIsNotMoved);
+    CPPUNIT_TEST(hostOfAnIncompatibleKindIsPassedOver);
     CPPUNIT_TEST(poolKeepsHostsWhileSubmissionsAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -257,6 +258,42 @@
         CPPUNIT_ASSERT_EQUAL(std::string("host-3"), moves.front().host);
     }
 
+    /// Guards against a pool that gets no host because the longest idle one of another pool is of a
+    /// kind that it cannot take.
+    void hostOfAnIncompatibleKindIsPassedOver()
+    {
+        fleet_tables tables;
+        pool_sizing_state state;
+        state.baselinesKnown = true;
+        state.settled = true;
+        state.pools["pool-a"].baselineHosts = 1;
+        state.pools["pool-b"].baselineHosts = 4;
+        state.incompatible.insert({"special", "pool-b"});
+        for (const std::string pool : {"pool-a", "pool-b"}) {
+            tables.config.pools[pool] = {pool, true, false};
+        }
+        for (int i = 0; i < 4; ++i) {
+            const auto name = std::to_string(i);
+            auto &worker = tables.workers[name];
+            worker.entry.id = name;
+            worker.entry.host = "host-" + name;
+            worker.entry.pool = "pool-a";
+            worker.verified = true;
+            worker.contacted = true;
+            worker.onRoster = true;
+            state.idleSince[name] = m_now - 10s + i * 1s;
+            auto &host = tables.hosts[worker.entry.host];
+            host.name = worker.entry.host;
+            host.pool = "pool-a";
+            host.labels = {i == 0 ? "special" : "usual"};
+            host.capacity = {32000, 1, 0};
+            host.worker = name;
+        }
+        const auto moves = planMoves(tables, state, {}, 16, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {3}, moves.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("host-1"), moves.front().host);
+    }
+
     /// Guards against a new coordinator that takes the pool sizes after a move for the assigned
     /// ones.
     void assignedHostCountsSurviveRestart()
