Let the unanswered start of the evacuation test outlast the bound

Cause: the workers answered again before the bound, so that the case passed also if evacuated workers were not told apart. Change: they stay cut off until after it. Result: with isEvacuated always false, eight of the ten cases fail, this one among them; before, seven did.

--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -203,7 +203,7 @@
         fleet.world.deleteItem("evacuations/south");
         fleet.world.putItem(northKey, "{}", 0);
         const auto requestedAt = fleet.loop.now();
-        fleet.loop.run(2500ms);
+        fleet.loop.run(bound + 500ms);
         process.platform->workersCut = false;
         fleet.loop.run(15s);
         CPPUNIT_ASSERT(fleet.lastStartIn("north") < requestedAt + bound);
