--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ibishinge/fleet/evacuation/evacuation.h>
+#include <ibishinge/fleet/queueing/locality.h>
 #include <ibishinge/fleet/types.h>
 
 #include <compare>
@@ -300,6 +301,7 @@
     double meanRunMs = 0; ///< mean run time of runs that ended `done`, milliseconds
     double meanRatio = 1; ///< mean ratio of run time to the caller's estimate
     int samples = 0; ///< number of runs observed
+    distance_statistics distance;
 };
 
 /// Crash of a worker that had runs.
