Let tasks wait for a place in the rack of their data or group

Change: the coordinator asks for the decision before it places a task. A step that waits holds nothing; its waits together are bounded by the cost, and end early if the rack has no usable worker. One timer wakes the next scheduling pass when a wait ends. A group is sent to the rack in which all its waiting tasks fit soonest.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -12,6 +12,7 @@
 #include <ibishinge/fleet/placement.h>
 #include <ibishinge/fleet/platform_api.h>
 #include <ibishinge/fleet/pool_sizing.h>
+#include <ibishinge/fleet/queueing/locality.h>
 #include <ibishinge/fleet/record_writer.h>
 #include <ibishinge/fleet/tables.h>
 #include <ibishinge/fleet/takeover_progress.h>
@@ -49,6 +50,9 @@
     milliseconds maintenanceTime {2000}; ///< for which a host is down for maintenance
     /// Time within which an evacuation takes effect; 0: the platform has none.
     milliseconds evacuationBound {0};
+    /// Factor by which a task takes longer outside the rack of its data or its group, until it has
+    /// been measured; 0: no task waits for a place in its rack.
+    double farFactor = 0;
     int maxConcurrentWrites = 2; ///< transactions in flight while the store is not slow
     int maxConcurrentMoves = 16; ///< host moves in flight
 };
@@ -323,6 +327,46 @@
     void expireWorkers();
     void adjustThrottling();
 
+    // queueing/coordinator_locality.cpp
+    /// Racks of one scheduling pass, by pool and label. Forecasts are made when a step asks.
+    using rack_forecasts = std::map<std::pair<std::string, std::string>, rack_forecast>;
+    /// A step of the scheduling pass that has a preferred rack.
+    struct rack_visit
+    {
+        rack_forecast *forecast = nullptr; ///< null: the step does not wait for a rack
+        rack_question question; ///< without `expectedAt`
+        milliseconds runTime {0}; ///< expected in the rack
+        std::string rack;
+        const step_tickets *tickets = nullptr;
+        int held = 0; ///< tasks that wait for the rack
+        no_wait_reason reason = no_wait_reason::none; ///< why tasks go elsewhere
+    };
+    /// Begins the placement of a step. Sets the preferred rack of `where` if the step is a group.
+    [[nodiscard]] rack_visit visitRack(waiting_step &where, pool_candidates &candidates,
+                                       const step_tickets *tickets);
+    /// Returns the rack for the tasks of a group that wait; empty if there is none.
+    std::string chooseGroupRack(const waiting_step &where, const pool_candidates &candidates,
+                                const step_tickets *tickets, rack_wait &wait);
+    rack_forecast &forecastOf(const std::string &pool, const std::string &rack,
+                              const pool_candidates &candidates);
+    /// Returns true if the task, or the gang that it begins, waits for a place in its rack.
+    bool waitsForRack(rack_visit &visit, const waiting_step &where, int index);
+    /// Ends the placement of a step: its wait ends if no task of it waits for the rack any more.
+    void leaveRack(const rack_visit &visit, const waiting_step &where);
+    /// Applies the start of a run to the forecasts of the pass.
+    void recordRackPlacement(const job_entry &job, const task_name &name,
+                             const worker_status &worker);
+    void endRackWait(const task_name &step, rack_wait &wait, std::string_view outcome,
+                     no_wait_reason reason);
+    /// Ends the waits of steps that no longer wait, or whose rack has no usable worker, and forgets
+    /// steps that are complete.
+    void checkRackWaits();
+    /// Has a scheduling pass run at `until`, when a wait ends.
+    void wakeForRack(instant until);
+    /// Learns how much longer runs take outside the preferred rack.
+    void observeRack(const job_entry &job, const task_name &name, const worker_status &worker,
+                     milliseconds duration);
+
     // coordinator_logs.cpp
     void logSummary();
     void logCoordinatorLoad();
@@ -409,6 +453,11 @@
     answer_delay m_answerDelay; ///< of starts
     work_budget m_passBudget;
     work_budget m_checkBudget; ///< of the periodic checks that can wait
+    rack_forecasts m_rackForecasts; ///< of the present scheduling pass
+    std::map<task_name, rack_wait> m_rackWaits; ///< by the first task of the step
+    /// By pool and label of the rack.
+    std::map<std::pair<std::string, std::string>, rack_demand> m_rackDemands;
+    instant m_rackWakeAt; ///< pending scheduling pass for the end of a wait
     bool m_furtherAdvicePending = false; ///< a call for a step that has tickets is open
     int m_rejectedForLag = 0; ///< submissions since the last summary
     int m_unansweredStarts = 0; ///< since the last summary
--- a/include/ibishinge/fleet/placement.h
+++ b/include/ibishinge/fleet/placement.h
@@ -18,6 +18,8 @@
     job_entry *job = nullptr;
     int occurrence = 0;
     int step = 0;
+    /// Rack chosen for the tasks of the step; empty: none.
+    std::string preferredRack {};
 };
 
 /// The workers of a pool that can be given tasks during one placement pass. Valid until a worker is
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -237,6 +237,7 @@
         markDirty(id);
     }
     adjustThrottling();
+    checkRackWaits();
     const auto wall = m_timers.wallMs();
     for (auto &[id, job] : m_tables.jobs) {
         if (job.stored && openDueOccurrences(job, wall)) {
@@ -307,6 +308,7 @@
         return;
     }
     removeStaleReservations(m_tables);
+    m_rackForecasts.clear();
     auto candidatesOfPools = candidatesByPool(m_tables, now);
     for (const auto &[name, steps] : waiting) {
         const auto pool = m_tables.config.pools.find(name);
@@ -321,7 +323,7 @@
 {
     const auto now = m_timers.now();
     int starts = 0;
-    for (const auto &waitingStep : steps) {
+    for (auto waitingStep : steps) {
         auto &job = *waitingStep.job;
         const auto &queue = *m_tables.queues.at(job.queue);
         const auto &step = job.spec.steps[static_cast<std::size_t>(waitingStep.step)];
@@ -333,8 +335,12 @@
                 continue;
             }
         }
+        auto rack = visitRack(waitingStep, candidates, tickets);
         if (step.gang) {
-            startGang(waitingStep, candidates);
+            if (!waitsForRack(rack, waitingStep, 0)) {
+                startGang(waitingStep, candidates);
+            }
+            leaveRack(rack, waitingStep);
             continue;
         }
         auto &tasks = job.occurrences.at(waitingStep.occurrence)
@@ -351,6 +357,9 @@
             if (!isWithinLimit(m_tables, job.customer, heldBy(step))) {
                 break;
             }
+            if (waitsForRack(rack, waitingStep, name.index)) {
+                continue; // others of the step may be started elsewhere
+            }
             auto *worker =
                 chooseWorker(m_tables, candidates, waitingStep, name.index, tickets, now);
             if (worker == nullptr && tickets != nullptr) {
@@ -372,6 +381,7 @@
                 break;
             }
         }
+        leaveRack(rack, waitingStep);
         if (!placed.empty()) {
             logEvent(log_level::info, "tasks_placed",
                      {{"job", job.id},
@@ -399,6 +409,7 @@
     entry.ticket = proof;
     const bool suspected = entry.observed;
     addRun(m_tables, std::move(entry));
+    recordRackPlacement(job, name, worker);
     task.phase = task_phase::placed;
     task.currentRun = run;
     job.begun = true;
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -371,6 +371,7 @@
             learnRunTime(m_tables, worker, job.queue, step, *ranFor, task->checkpoint.empty());
             if (task->checkpoint.empty()) {
                 observeRunTime(m_tables, job, end.task, *ranFor);
+                observeRack(job, end.task, worker, *ranFor);
             }
         }
         finishTasks(job, end.task);
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -339,6 +339,9 @@
         if (!step.dataRack.empty() && hasLabel(worker.entry, step.dataRack)) {
             score += dataRackBonus;
         }
+        if (!where.preferredRack.empty() && hasLabel(worker.entry, where.preferredRack)) {
+            score += dataRackBonus;
+        }
         const auto rack = racks.find(rackOf(worker.entry));
         if (rack != racks.end()) {
             score += step.sameRack ? sameRackBonus : -crowdedRackPenalty * rack->second;
