Test waits for a rack in virtual time

Change: virtual workers can slow tasks down and report progress; tasks that take long and report none count as stuck.

--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -253,7 +253,9 @@
         worker.lastStartAt = loop.now();
         startsWithTicket += order.ticket.empty() ? 0 : 1;
         extendLease(worker, order.leaseUntil);
-        const auto planned = behaviourOf(order.task);
+        auto planned = behaviourOf(order.task);
+        planned.duration = milliseconds(static_cast<std::int64_t>(
+            static_cast<double>(planned.duration.count()) * slowdownOf(order.task, worker)));
         virtual_worker::live_run run;
         run.run = order.run;
         run.startedAt = loop.now();
@@ -314,7 +316,12 @@
         out.workerClockMs = clockOf(worker);
         out.incarnation = worker.entry.incarnation;
         for (const auto &[task, run] : worker.running) {
-            out.running.push_back({task, run.run, "", 100, 0});
+            int percent = 100;
+            if (reportsProgress && run.endsAt > run.startedAt) {
+                percent = static_cast<int>(100 * (loop.now() - run.startedAt)
+                                           / (run.endsAt - run.startedAt));
+            }
+            out.running.push_back({task, run.run, "", percent, 0});
         }
         const auto listed = std::min(worker.ended.size(), maxReportedEnds);
         out.ended.assign(worker.ended.begin(),
@@ -362,6 +369,10 @@
     std::function<behaviour(const task_name &)> behaviourOf = [](const task_name &) {
         return behaviour {};
     };
+    /// Factor on the duration of a task by the worker.
+    std::function<double(const task_name &, const virtual_worker &)> slowdownOf =
+        [](const task_name &, const virtual_worker &) { return 1.0; };
+    bool reportsProgress = false; ///< else runs that take long count as stuck
     /// Policy of the advice service: which workers may run the steps of a job.
     std::function<bool(const std::string &job, const virtual_worker &)> permits =
         [](const std::string &, const virtual_worker &) { return true; };
