Order waiting work by customers' weights and queues' priorities

Weights and priorities of the configuration were decoded and not used: when not all work fitted, a customer with five times its usual load delayed all others of its pool. An invalid weight refused the whole document.

Where weights or priorities differ, waitingSteps orders by queue priority, class, weighted dominant-resource fairness within the pool and objective, and steps that have waited for over 10 s go first on a tenth of the pool. An invalid weight or priority keeps its value, or its default if it had none.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -296,7 +296,7 @@
     void requestSchedulingPass();
     void runSchedulingPass();
     void scheduleWaitingSteps(const std::vector<waiting_step> &steps, pool_candidates &candidates);
-    bool startTask(job_entry &job, const task_name &name, worker_status &worker,
+    bool startTask(const waiting_step &where, const task_name &name, worker_status &worker,
                    const std::string &proof, std::int64_t run);
     /// Sends the start of a suspected task once the store holds where it is started.
     void startWhenStored(const run_key &key);
@@ -325,12 +325,15 @@
 
     // coordinator_logs.cpp
     void logSummary();
+    /// Logs the pools in which a customer holds more than its share while work waits.
+    void logShares();
     void logCoordinatorLoad();
     void logLearnedRunTimes();
     /// Logs tasks that wait although a worker of their pool may have room, with the reasons for
     /// which each worker is not given one.
     void logWaitingTasks();
-    /// Logs why the task waits, unless its pool is full. Precondition: its queue is configured.
+    /// Logs why the task waits, unless its pool is full, the queues there have the same priority
+    /// and its customer is within its share. Precondition: its queue is configured.
     void logWaitingTask(const waiting_step &where, int index);
     /// Logs tasks whose run may exist on a worker that does not answer, with what proves its end.
     void logUnprovenRuns();
--- a/include/ibishinge/fleet/placement.h
+++ b/include/ibishinge/fleet/placement.h
@@ -12,14 +12,6 @@
 
 namespace ibishinge::fleet {
 
-/// A step with tasks that wait to be placed. Valid until the job is erased.
-struct waiting_step
-{
-    job_entry *job = nullptr;
-    int occurrence = 0;
-    int step = 0;
-};
-
 /// The workers of a pool that can be given tasks during one placement pass. Valid until a worker is
 /// erased.
 struct pool_candidates
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ibishinge/fleet/evacuation/evacuation.h>
+#include <ibishinge/fleet/queueing/shares.h>
 #include <ibishinge/fleet/types.h>
 
 #include <compare>
@@ -54,6 +55,8 @@
     std::optional<instant> beganAt;
     resources held; ///< resources counted against the worker and the customer
     std::string customer;
+    std::string pool; ///< in which the resources are counted, set by `addRun`
+    bool pastBound = false; ///< was started because of `starvationBound`
     std::string checkpoint;
     int percent = 0; ///< reported progress
     instant progressAt; ///< when `percent` last changed
@@ -128,12 +131,21 @@
     double meanMs = 0; ///< milliseconds
 };
 
+/// How long a step has had tasks that wait. Not stored: a new coordinator begins with the
+/// submission, or with what it knows of later steps.
+struct step_wait
+{
+    instant readySince; ///< epoch: no task waits
+    instant lastStartAt; ///< of a task of the step since then; epoch: none
+};
+
 /// Tasks of one occurrence of a job.
 struct occurrence_entry
 {
     /// Latest completion that meets the objective; unset until `updateObjective`.
     std::optional<instant> objectiveAt;
     std::vector<step_run_times> runTimes; ///< by step; empty until the first run has ended
+    std::vector<step_wait> waits; ///< by step; empty unless `order_rules` ask for any
     std::vector<std::vector<task_entry>> steps; ///< tasks by step and index
     std::vector<int> unfinished; ///< number of unfinished tasks by step
     int unfinishedTasks = 0;
@@ -331,6 +343,8 @@
     std::map<run_key, run_entry> runs;
     std::map<std::string, worker_status> workers;
     std::map<std::string, resources> customerHeld; ///< resources of all runs, by customer
+    std::map<std::string, pool_use> poolUse; ///< resources of all runs, by pool of the worker
+    std::map<std::string, pool_shares> shares; ///< at the last scheduling pass, by pool
     std::map<std::string, queue_statistics> statistics; ///< by queue
     std::vector<worker_crash> recentCrashes; ///< without old ones
     std::map<std::string, host_entry> hosts;
@@ -343,6 +357,10 @@
 [[nodiscard]] const queue_config *findQueue(const configuration &config, std::string_view host,
                                             std::string_view path) noexcept;
 
+/// Gives each invalid field of `config` the value that it has in `before`, or its default if
+/// `before` is null or does not have the queue or customer. Not thread-safe.
+void keepFieldsOf(const configuration *before, configuration &config);
+
 /// Replaces the configuration and rebuilds the index of queues. Not thread-safe.
 void setConfiguration(fleet_tables &tables, configuration config);
 
--- a/include/ibishinge/fleet/types.h
+++ b/include/ibishinge/fleet/types.h
@@ -121,11 +121,23 @@
 {
     std::string name;
     std::vector<std::string> keys; ///< API keys that identify the customer
-    double weight = 1; ///< relative share under overload, in jobs per second
+    double weight = 1; ///< relative share under overload; 0: only what others leave
     /// Upper limit of the resources of all its running tasks; a component of 0 is unlimited.
     resources limit;
 };
 
+/// A field of the configuration whose invalid value leaves the rest of the document valid.
+enum class configuration_field : std::uint8_t { priority, weight };
+
+/// A field of a configuration document that has no valid value.
+struct invalid_field
+{
+    configuration_field field = configuration_field::priority;
+    std::string path; ///< of the field in the document, as a JSON pointer
+    std::string entity; ///< name of the queue or customer
+    std::string reason;
+};
+
 /// One version of the configuration that the operators publish.
 struct configuration
 {
@@ -134,6 +146,8 @@
     std::map<std::string, pool_config> pools; ///< by name
     std::map<std::string, customer_config> customers; ///< by name
     std::map<std::string, std::string> customerOfKey; ///< name of the customer by API key
+    /// Fields that have their defaults for want of a valid value.
+    std::vector<invalid_field> invalidFields;
 };
 
 /// State of a worker in the registry.
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -340,6 +340,7 @@
         auto &tasks = job.occurrences.at(waitingStep.occurrence)
                           .steps[static_cast<std::size_t>(waitingStep.step)];
         auto placed = nlohmann::json::array();
+        int startsOfStep = 0;
         for (std::size_t index = 0; index < tasks.size(); ++index) {
             auto &task = tasks[index];
             const task_name name {job.id, waitingStep.occurrence, waitingStep.step,
@@ -367,8 +368,9 @@
                 tickets != nullptr ? *findTicket(*tickets, *worker, now) : std::string();
             const auto run = (m_leadership.term - 1) * runsPerTerm + ++task.startsInTerm;
             placed.push_back({index, worker->entry.id, run});
-            startTask(job, name, *worker, proof, run);
-            if (++starts >= maxStartsPerPass) {
+            startTask(waitingStep, name, *worker, proof, run);
+            ++startsOfStep;
+            if (++starts >= maxStartsPerPass || startsOfStep >= waitingStep.maxTasks) {
                 break;
             }
         }
@@ -387,16 +389,25 @@
     }
 }
 
-bool coordinator::startTask(job_entry &job, const task_name &name, worker_status &worker,
+bool coordinator::startTask(const waiting_step &where, const task_name &name, worker_status &worker,
                             const std::string &proof, std::int64_t run)
 {
+    auto &job = *where.job;
     auto &task = *findTask(m_tables, name);
     const auto now = m_timers.now();
+    auto &waits = job.occurrences.at(where.occurrence).waits;
+    if (!waits.empty()) { // the configuration asks for shares or priorities
+        auto &wait = waits[static_cast<std::size_t>(where.step)];
+        m_metrics.observe("ibishinge_wait_seconds", {{"customer", job.customer}},
+                          now - std::max(wait.readySince, task.waitsSince));
+        wait.lastStartAt = now;
+    }
     auto entry = makeRun(job, {name, run}, worker.entry.id);
     entry.orderedAt = now;
     entry.progressAt = now;
     entry.checkpoint = task.checkpoint;
     entry.ticket = proof;
+    entry.pastBound = !where.key.withinBound;
     const bool suspected = entry.observed;
     addRun(m_tables, std::move(entry));
     task.phase = task_phase::placed;
@@ -499,7 +510,7 @@
         const auto proof = tickets != nullptr ? *findTicket(*tickets, worker, now) : std::string();
         removeRun(m_tables, key);
         tasks[static_cast<std::size_t>(key.task.index)].startsInTerm = starts + 1;
-        startTask(job, key.task, worker, proof, run);
+        startTask(waitingStep, key.task, worker, proof, run);
     }
 }
 
--- a/src/fleet/coordinator_logs.cpp
+++ b/src/fleet/coordinator_logs.cpp
@@ -22,6 +22,12 @@
 constexpr milliseconds longWait {2000};
 constexpr int maxWaitsExamined = 20;
 
+/// Returns the value, or null if it is infinite.
+nlohmann::json finiteOrNull(double value)
+{
+    return std::isfinite(value) ? nlohmann::json(value) : nlohmann::json();
+}
+
 } // namespace
 
 nlohmann::json describeRun(const run_key &key)
@@ -52,12 +58,41 @@
                   {"waiting_tasks", load.waitingTasks},
                   {"jobs", load.liveJobs}});
     }
+    logShares();
     logCoordinatorLoad();
     logLearnedRunTimes();
     logWaitingTasks();
     logUnprovenRuns();
 }
 
+void coordinator::logShares()
+{
+    const auto capacities = usableCapacityByPool(m_tables, m_timers.now());
+    for (const auto &[pool, use] : m_tables.poolUse) {
+        const auto found = capacities.find(pool);
+        const auto capacity = found == capacities.end() ? resources {} : found->second;
+        for (const auto &[customer, held] : use.byCustomer) {
+            m_metrics.set("ibishinge_customer_share", {{"pool", pool}, {"customer", customer}},
+                          dominantShare(held, capacity));
+        }
+    }
+    for (const auto &[pool, shares] : m_tables.shares) {
+        auto above = nlohmann::json::array();
+        for (const auto &[customer, share] : shares.customers) {
+            if (isAboveShare(share)) {
+                above.push_back({{"customer", customer},
+                                 {"weight", share.weight},
+                                 {"share", share.dominantShare},
+                                 {"entitlement", finiteOrNull(share.entitlement)}});
+            }
+        }
+        if (!above.empty()) {
+            logEvent(log_level::info, "shares",
+                     {{"pool", pool}, {"level", finiteOrNull(shares.level)}, {"above", above}});
+        }
+    }
+}
+
 void coordinator::logCoordinatorLoad()
 {
     const auto now = m_timers.now();
@@ -160,7 +195,14 @@
                return each.first <= start_obstacle::no_room
                       && each.first != start_obstacle::not_on_roster;
            });
-    if (poolIsFull) {
+    const auto shares = m_tables.shares.find(queue.pool);
+    const customer_share *share = nullptr;
+    if (shares != m_tables.shares.end()) {
+        const auto found = shares->second.customers.find(job.customer);
+        share = found == shares->second.customers.end() ? nullptr : &found->second;
+    }
+    const bool byPriority = orderRulesByPool(m_tables.config).at(queue.pool).byPriority;
+    if (poolIsFull && !byPriority && (share == nullptr || !isAboveShare(*share))) {
         return;
     }
     auto workers = nlohmann::json::object();
@@ -174,8 +216,22 @@
         }
     }
     const auto &spec = job.spec.steps[static_cast<std::size_t>(where.step)];
+    const auto &waits = job.occurrences.at(where.occurrence).waits;
+    const auto wait = static_cast<std::size_t>(where.step) < waits.size()
+                          ? waits[static_cast<std::size_t>(where.step)]
+                          : step_wait {};
+    const auto waitsSince = std::max(wait.readySince, wait.lastStartAt);
+    const auto stepWait = waitsSince == instant {} ? milliseconds(0) : since(waitsSince, now);
+    const auto ownShare =
+        share == nullptr ? nlohmann::json() : nlohmann::json(share->dominantShare);
+    const auto entitlement = share == nullptr ? nlohmann::json() : finiteOrNull(share->entitlement);
     logEvent(log_level::info, "task_waits",
              {{"job", job.id},
+              {"customer", job.customer},
+              {"priority", queue.priority},
+              {"share", ownShare},
+              {"entitlement", entitlement},
+              {"step_waits_ms", stepWait.count()},
               {"occurrence", where.occurrence},
               {"step", where.step},
               {"index", index},
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -80,7 +80,7 @@
         }
         for (const auto &entry : *workers) {
             auto &worker = findOrAddWorker(entry.id);
-            worker.entry = entry;
+            setWorkerEntry(m_tables, worker, entry);
             worker.registered = false;
             worker.onRoster = item.key == rosterKeyOf(entry.id);
         }
@@ -419,7 +419,7 @@
         entry->incarnation != 0 && worker.contacted && entry->incarnation != worker.incarnation;
     const bool draining =
         entry->state == worker_state::draining && worker.entry.state != worker_state::draining;
-    worker.entry = *entry;
+    setWorkerEntry(m_tables, worker, *entry);
     worker.evacuated = isEvacuated(m_tables.evacuation, entry->dataCentre);
     worker.registered = true;
     if (!worker.onRoster || addressChanged) {
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -150,6 +150,15 @@
               {"version_before", m_config ? m_config->version : 0},
               {"revision", item.revision},
               {"queues", config->queues.size()}});
+    keepFieldsOf(m_config ? &*m_config : nullptr, *config);
+    for (const auto &invalid : config->invalidFields) {
+        m_metrics.add("ibishinge_invalid_entries_total", {{"kind", "configuration"}});
+        logEvent(log_level::error, "configuration_field_invalid",
+                 {{"version", config->version},
+                  {"field", invalid.path},
+                  {"entity", invalid.entity},
+                  {"reason", invalid.reason}});
+    }
     m_config = std::move(*config);
     if (m_coordinator) {
         m_coordinator->onConfiguration(*m_config);
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -7,7 +7,7 @@
 
 #include <algorithm>
 #include <array>
-#include <tuple>
+#include <unordered_map>
 #include <utility>
 
 namespace ibishinge::fleet {
@@ -93,6 +93,47 @@
     {start_obstacle::late_acknowledgement, "late_acknowledgement"},
 }};
 
+/// Returns true if the task can be placed now.
+bool waits(const task_entry &task, instant now) noexcept
+{
+    return task.phase == task_phase::waiting && task.notBefore <= now;
+}
+
+/// Returns the number of tasks that can be placed now. All those of a job that has not begun can,
+/// which saves the look at each; whether an inherited one has, only its tasks tell.
+int countWaitingTasks(const job_entry &job, const std::vector<task_entry> &tasks, instant now)
+{
+    if (!job.begun && !job.fromRecord) {
+        return static_cast<int>(tasks.size());
+    }
+    return static_cast<int>(std::count_if(
+        tasks.begin(), tasks.end(), [now](const task_entry &task) { return waits(task, now); }));
+}
+
+/// Returns how long the step has had tasks that wait. Precondition: it has any now.
+step_wait &waitOf(const job_entry &job, occurrence_entry &occurrence, std::size_t step, instant now)
+{
+    occurrence.waits.resize(occurrence.steps.size());
+    auto &wait = occurrence.waits[step];
+    if (wait.readySince == instant {}) {
+        const bool sinceSubmission =
+            !job.begun && job.spec.repetitions == 0 && job.spec.steps[step].after.empty();
+        wait.readySince = sinceSubmission ? job.submittedAt : now;
+    }
+    return wait;
+}
+
+/// Returns the class of a step with waiting tasks. Precondition: its objective is set.
+step_class classOf(const fleet_tables &tables, const job_entry &job,
+                   const occurrence_entry &occurrence, std::size_t step, instant now)
+{
+    if (job.spec.steps[step].longRunning) {
+        return step_class::long_running;
+    }
+    const auto need = remainingTime(tables, job, occurrence, step);
+    return now + need <= *occurrence.objectiveAt ? step_class::timely : step_class::late;
+}
+
 /// Returns why a usable worker cannot be given tasks of a step even if other runs leave room there;
 /// nothing if it can.
 std::optional<start_obstacle> obstacleToStep(const worker_status &worker, const waiting_step &where,
@@ -148,12 +189,11 @@
 
 std::map<std::string, std::vector<waiting_step>> waitingSteps(fleet_tables &tables, instant now)
 {
-    struct row
-    {
-        std::tuple<int, instant> rank;
-        waiting_step where;
-    };
-    std::map<std::string, std::vector<row>> rowsByPool;
+    const auto rules = orderRulesByPool(tables.config);
+    std::map<std::string, std::vector<queued_step>> stepsByPool;
+    // Found by address: the names of pools would be compared for each job.
+    std::unordered_map<const queue_config *, std::pair<order_rules, std::vector<queued_step> *>>
+        poolOfQueue;
     for (auto &[id, job] : tables.jobs) {
         if (!job.stored || job.ending || job.inherited) {
             continue;
@@ -162,7 +202,12 @@
         if (queue == tables.queues.end()) {
             continue;
         }
-        for (const auto &[number, occurrence] : job.occurrences) {
+        auto &[rulesOfPool, ofPool] = poolOfQueue[queue->second];
+        if (ofPool == nullptr) {
+            rulesOfPool = rules.at(queue->second->pool);
+            ofPool = &stepsByPool[queue->second->pool];
+        }
+        for (auto &[number, occurrence] : job.occurrences) {
             if (!occurrence.objectiveAt) {
                 updateObjective(tables, job, number);
             }
@@ -172,38 +217,33 @@
                     continue;
                 }
                 const auto &tasks = occurrence.steps[step];
-                const bool waits =
-                    std::any_of(tasks.begin(), tasks.end(), [now](const task_entry &task) {
-                        return task.phase == task_phase::waiting && task.notBefore <= now;
-                    });
-                if (!waits) {
+                if (std::none_of(tasks.begin(), tasks.end(),
+                                 [now](const task_entry &task) { return waits(task, now); })) {
+                    if (step < occurrence.waits.size()) {
+                        occurrence.waits[step] = {};
+                    }
                     continue;
                 }
-                // Long-running tasks come first, as their value depends on how long they run. A job
-                // that can no longer meet its objective has little value and comes after those that
-                // can: if jobs were ordered by objective only, an overloaded pool would finish
-                // every job a little late.
-                const bool longRunning = job.spec.steps[step].longRunning;
-                const auto need =
-                    longRunning ? milliseconds(0) : remainingTime(tables, job, occurrence, step);
-                const auto objectiveAt = *occurrence.objectiveAt;
-                const int rank = longRunning ? 0 : (now + need <= objectiveAt ? 1 : 2);
-                rowsByPool[queue->second->pool].push_back(
-                    {{rank, objectiveAt}, {&job, number, static_cast<int>(step)}});
+                auto &queued = ofPool->emplace_back();
+                queued.where = {&job, number, static_cast<int>(step)};
+                auto &key = queued.where.key;
+                key.priority = queue->second->priority;
+                key.objectiveAt = *occurrence.objectiveAt;
+                key.stepClass = classOf(tables, job, occurrence, step, now);
+                // What the order does not need is not looked at: the pass visits all live jobs.
+                if (rulesOfPool.any()) {
+                    const auto &spec = job.spec.steps[step];
+                    const auto &wait = waitOf(job, occurrence, step, now);
+                    queued.waitingTasks = countWaitingTasks(job, tasks, now);
+                    queued.need = heldBy(spec);
+                    queued.gang = spec.gang;
+                    queued.waitsSince = std::max(wait.readySince, wait.lastStartAt);
+                }
             }
         }
     }
-    std::map<std::string, std::vector<waiting_step>> steps;
-    for (auto &[pool, rows] : rowsByPool) {
-        std::stable_sort(rows.begin(), rows.end(),
-                         [](const row &a, const row &b) { return a.rank < b.rank; });
-        auto &ofPool = steps[pool];
-        ofPool.reserve(rows.size());
-        for (const auto &each : rows) {
-            ofPool.push_back(each.where);
-        }
-    }
-    return steps;
+    std::erase_if(stepsByPool, [](const auto &each) { return each.second.empty(); });
+    return orderWaitingSteps(tables, std::move(stepsByPool), rules, now);
 }
 
 std::map<std::string, pool_candidates> candidatesByPool(fleet_tables &tables, instant now)
--- a/src/fleet/tables.cpp
+++ b/src/fleet/tables.cpp
@@ -76,6 +76,31 @@
     return best;
 }
 
+void keepFieldsOf(const configuration *before, configuration &config)
+{
+    for (const auto &invalid : config.invalidFields) {
+        const auto isNamed = [&](const queue_config &queue) {
+            return queue.name == invalid.entity;
+        };
+        if (invalid.field == configuration_field::priority) {
+            const auto queue = std::find_if(config.queues.begin(), config.queues.end(), isNamed);
+            if (queue == config.queues.end()) {
+                continue;
+            }
+            queue->priority = queue_config {}.priority;
+            if (before != nullptr) {
+                const auto old =
+                    std::find_if(before->queues.begin(), before->queues.end(), isNamed);
+                queue->priority = old == before->queues.end() ? queue->priority : old->priority;
+            }
+        } else if (const auto customer = config.customers.find(invalid.entity);
+                   customer != config.customers.end()) {
+            customer->second.weight =
+                before == nullptr ? customer_config {}.weight : weightOf(*before, invalid.entity);
+        }
+    }
+}
+
 void setConfiguration(fleet_tables &tables, configuration config)
 {
     tables.config = std::move(config);
@@ -235,6 +260,8 @@
     worker.observedRuns += run.observed ? 1 : 0;
     auto &customer = tables.customerHeld[run.customer];
     customer = customer + run.held;
+    run.pool = worker.entry.pool;
+    countPoolUse(tables, run, true);
     return tables.runs.insert_or_assign(key, std::move(run)).first->second;
 }
 
@@ -250,6 +277,7 @@
     worker.observedRuns -= found->second.observed ? 1 : 0;
     auto &customer = tables.customerHeld[found->second.customer];
     customer = customer - found->second.held;
+    countPoolUse(tables, found->second, false);
     tables.runs.erase(found);
 }
 
--- a/tests/wire_codec_test.cpp
+++ b/tests/wire_codec_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(oddNumbersAreRejected);
     CPPUNIT_TEST(deeplyNestedDocumentsAreRejected);
     CPPUNIT_TEST(decodesConfiguration);
+    CPPUNIT_TEST(invalidConfigurationFieldsAreListed);
     CPPUNIT_TEST(decodesJobs);
     CPPUNIT_TEST(callerAnswersAndRequests);
     CPPUNIT_TEST(decodesStorePages);
@@ -213,6 +214,35 @@
         CPPUNIT_ASSERT(!decodeConfiguration(R"({"version":"seven"})"));
     }
 
+    /// Guards against a document that is refused, or takes effect with a wrong number, because of
+    /// one invalid weight or priority.
+    void invalidConfigurationFieldsAreListed()
+    {
+        for (const char *bad : {"-1", "\"high\"", "null", "true", "1e300", "[]"}) {
+            const auto config = decodeConfiguration(
+                std::string(
+                    R"({"version":7,"routes":[{"name":"q","host":"h","prefix":"/","service":"s",
+                "priority":1},{"name":"r","host":"h","prefix":"/r","service":"s","priority":)")
+                + bad
+                + R"(}],"services":[],"tenants":[{"name":"m","weight":5},{"name":"n","weight":)"
+                + bad + "}]}");
+            CPPUNIT_ASSERT_MESSAGE(bad, config.has_value());
+            CPPUNIT_ASSERT_EQUAL(std::size_t {2}, config->invalidFields.size());
+            const auto &priority = config->invalidFields.at(0);
+            const auto &weight = config->invalidFields.at(1);
+            CPPUNIT_ASSERT(priority.field == configuration_field::priority);
+            CPPUNIT_ASSERT_EQUAL(std::string("/routes/1/priority"), priority.path);
+            CPPUNIT_ASSERT_EQUAL(std::string("r"), priority.entity);
+            CPPUNIT_ASSERT(weight.field == configuration_field::weight);
+            CPPUNIT_ASSERT_EQUAL(std::string("/tenants/1/weight"), weight.path);
+            CPPUNIT_ASSERT(!weight.reason.empty());
+            CPPUNIT_ASSERT_EQUAL(1, config->queues.at(0).priority);
+            CPPUNIT_ASSERT_EQUAL(5.0, config->customers.at("m").weight);
+        }
+        CPPUNIT_ASSERT(!decodeConfiguration(R"({"version":7,"routes":[{"priority":-1}],
+            "services":[]})")); // a queue without a name
+    }
+
     void decodesJobs()
     {
         const auto spec = decodeJob(R"({"spec":"text","unknown":1,"steps":[{"count":4,"cpu":500,
