--- a/include/ibishinge/fleet/placement.h
+++ b/include/ibishinge/fleet/placement.h
@@ -12,16 +12,6 @@
 
 namespace ibishinge::fleet {
 
-/// A step with tasks that wait to be placed. Valid until the job is erased.
-struct waiting_step
-{
-    job_entry *job = nullptr;
-    int occurrence = 0;
-    int step = 0;
-    /// Rack chosen for the tasks of the step; empty: none.
-    std::string preferredRack {};
-};
-
 /// The workers of a pool that can be given tasks during one placement pass. Valid until a worker is
 /// erased.
 struct pool_candidates
