Bound the memory of requests of the fleet program

Cause: each connection could hold a body up to the limit, with twice that as the string grew, and nothing bounded the sum; a refused body kept its capacity; a body stayed in memory until its answer was written. At its connection limit, libmicrohttpd watches the listening socket again only from the beginning of its next run, which nothing started, so that the process accepted no connection any more.

A body that does not fit reclaims the slowest unfinished requests or is refused with 503, Retry-After and attempt_not_run. Bodies and headers are freed once the handler has decoded them. Near the connection limit, the connections that have waited longest are closed. After each closed connection the library runs again.

--- a/include/ibishinge/outside/async_http_server.h
+++ b/include/ibishinge/outside/async_http_server.h
@@ -12,12 +12,17 @@
 
 namespace ibishinge {
 
+class receive_budget;
+
 struct async_http_server_options
 {
     std::string address = "127.0.0.1"; ///< IPv4 address to listen on
     std::uint16_t port = 0; ///< 0: any free port
     unsigned int maxConnections = 1024; ///< further ones wait in the listen queue
     std::size_t maxBodyBytes = 1U << 20U;
+    /// Bounds the memory of requests together with other servers; must outlive the server. None: a
+    /// budget of the server's own, of `defaultReceiveBytes`.
+    receive_budget *budget = nullptr;
     /// Memory of one connection while it receives: bounds the request line and the headers.
     std::size_t connectionBytes = 16U << 10U;
     /// Bound on a slow peer: for a whole body, and for reading a whole response.
@@ -29,19 +34,24 @@
     std::chrono::milliseconds handlerTimeout {35000};
 };
 
+/// Memory of requests that are being read or have no answer yet.
+inline constexpr std::size_t defaultReceiveBytes = 24U << 20U;
+
 /// Passes on the response to a request, on the loop's thread, at any time. Without effect if the
 /// connection is gone or a response was passed on before.
 using http_responder = std::function<void(http_response)>;
 
-/// Handles one request on the loop's thread. Must not block.
+/// Handles one request on the loop's thread. Must not block. The request is valid until it returns.
 using async_http_handler = std::function<void(const http_request &, http_responder)>;
 
 /// An HTTP server on the thread of an event loop, on libmicrohttpd. A request that waits for its
 /// response occupies a connection but no thread.
 ///
 /// Malformed requests and those with an ambiguous length are answered with 400, bodies above the
-/// bound with 413 if their length is announced; the connection is closed if it is not. Peers that
-/// are slower than the bounds are disconnected. Not thread-safe: used on the loop's thread.
+/// bound with 413, at their end if their length is not announced; bodies that do not fit the memory
+/// budget with 503. A connection that sends on for long after that is closed. Peers that are slower
+/// than the bounds are disconnected, and near `maxConnections` those that have waited longest
+/// without a complete request. Not thread-safe: used on the loop's thread.
 class async_http_server
 {
 public:
--- a/include/ibishinge/outside/request_framing.h
+++ b/include/ibishinge/outside/request_framing.h
@@ -4,6 +4,7 @@
 #include <ibishinge/outside/http_message.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -15,6 +16,13 @@
 [[nodiscard]] std::optional<http_response> refuseByFraming(const http_request &request,
                                                            std::size_t maxBodyBytes);
 
+/// Returns the announced length of the body; nothing if there is none or it cannot be read.
+/// Thread-safe.
+[[nodiscard]] std::optional<std::uint64_t> announcedLength(const http_request &request);
+
+/// Returns the response to a request whose body does not fit the memory budget. Thread-safe.
+[[nodiscard]] http_response overBudgetResponse();
+
 /// Returns the response for a process that is stopping. Thread-safe.
 [[nodiscard]] http_response shuttingDownResponse();
 
--- a/src/outside/async_http_server.cpp
+++ b/src/outside/async_http_server.cpp
@@ -1,6 +1,7 @@
 #include <ibishinge/outside/async_http_server.h>
 
 #include <ibishinge/base/logging.h>
+#include <ibishinge/outside/receive_budget.h>
 #include <ibishinge/outside/request_framing.h>
 
 #include <arpa/inet.h>
@@ -34,6 +35,21 @@
 
 constexpr std::size_t longestLibraryMessage = 200;
 
+/// First capacity for a body whose length is not announced.
+constexpr std::size_t firstBodyBytes = 4096;
+
+/// What the containers of a header field take besides its text.
+constexpr std::size_t headerOverheadBytes = sizeof(http_header);
+
+std::size_t memoryOf(const http_request &request)
+{
+    std::size_t bytes = request.path.size() + request.query.size();
+    for (const auto &header : request.headers) {
+        bytes += headerOverheadBytes + header.name.size() + header.value.size();
+    }
+    return bytes;
+}
+
 } // namespace
 
 struct async_http_server::impl
@@ -49,6 +65,10 @@
         bool headersRead = false;
         bool handed = false; ///< the handler has been called
         bool suspended = false;
+        bool ended = false; ///< reclaimed: the connection is being closed
+        receive_number charge = 0; ///< in the budget; 0: none
+        std::optional<std::size_t> announcedBytes; ///< of the body, charged with the headers
+        std::size_t readBytes = 0; ///< of the body
     };
     using exchange_ptr = std::shared_ptr<exchange>;
 
@@ -63,23 +83,32 @@
         : loop(eventLoop)
         , options(std::move(serverOptions))
         , handler(std::move(function))
+        , ownBudget(defaultReceiveBytes)
+        , budget(options.budget != nullptr ? *options.budget : ownBudget)
     {
     }
 
     MHD_Result onAccess(exchange_ptr &current, const char *method, const char *upload,
                         std::size_t *uploadSize);
     MHD_Result onHeaders(exchange &current, const char *method);
-    MHD_Result onBody(exchange &current, const char *upload, std::size_t *uploadSize) const;
+    MHD_Result onBody(exchange &current, const char *upload, std::size_t *uploadSize);
+    void keepBody(exchange &current, const char *upload, std::size_t size);
+    void refuseBody(exchange &current, http_response response);
     MHD_Result onComplete(const exchange_ptr &current);
     MHD_Result queue(exchange &current) const;
     void respond(const exchange_ptr &current, http_response response);
     void run();
     void planRun();
     void sweep();
+    void closeLongestWaiting(instant now);
+    void shed(const connection_state &place, MHD_Connection *connection, shed_reason reason,
+              instant now) const;
 
     io_loop &loop;
     const async_http_server_options options;
     const async_http_handler handler;
+    receive_budget ownBudget;
+    receive_budget &budget;
     MHD_Daemon *daemon = nullptr;
     int epoll = -1;
     int listener = -1;
@@ -131,6 +160,7 @@
     place.current = nullptr;
     place.idleSince = state.loop.now();
     if (current) {
+        state.budget.release((*current)->charge);
         (*current)->connection = nullptr;
         state.handled.erase(*current);
     }
@@ -143,6 +173,9 @@
     auto &state = *static_cast<Impl *>(user);
     if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
         state.connections.erase(connection);
+        // At the connection limit, the library watches its listening socket again only from the
+        // beginning of its next run. Without one, it would accept no connection any more.
+        state.planRun();
         return;
     }
     const auto *const info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -220,31 +253,82 @@
         current.response = *refused;
         return queue(current);
     }
+    const bool needsBody = request.method != "GET" && request.method != "DELETE";
+    const int descriptor = connections[current.connection].descriptor;
+    current.charge =
+        budget.open(request.remoteAddress, current.since, needsBody, [&current, descriptor] {
+            current.request = {};
+            current.ended = true;
+            shutdown(descriptor, SHUT_RDWR); // the library sees the end and closes it
+        });
+    if (const auto announced = announcedLength(request)) {
+        current.announcedBytes = static_cast<std::size_t>(*announced);
+    }
+    const auto bytes = memoryOf(request) + current.announcedBytes.value_or(0);
+    if (!budget.charge(current.charge, bytes, loop.now())) {
+        current.response = overBudgetResponse();
+        return queue(current);
+    }
     return MHD_YES;
 }
 
 MHD_Result async_http_server::impl::onBody(exchange &current, const char *upload,
-                                           std::size_t *uploadSize) const
+                                           std::size_t *uploadSize)
 {
-    if (loop.now() > current.since + options.transferTimeout) {
+    if (current.ended || loop.now() > current.since + options.transferTimeout) {
         return MHD_NO; // closes the connection
     }
-    auto &body = current.request.body;
-    if (current.response || body.size() + *uploadSize > options.maxBodyBytes) {
-        // The library takes a response only before a body or after it: what comes is passed over.
-        body.clear();
-        current.response = unreadRequestResponse(error_kind::too_large, "body above the bound");
-    } else {
-        body.append(upload, *uploadSize);
+    current.readBytes += *uploadSize;
+    if (!current.response) {
+        keepBody(current, upload, *uploadSize);
+    } else if (current.readBytes > 2 * options.maxBodyBytes) {
+        return MHD_NO; // reading on for the sake of the response takes too much time
     }
     *uploadSize = 0;
     return MHD_YES;
 }
 
+void async_http_server::impl::keepBody(exchange &current, const char *upload, std::size_t size)
+{
+    auto &body = current.request.body;
+    const auto needed = body.size() + size;
+    if (needed > options.maxBodyBytes) {
+        refuseBody(current, unreadRequestResponse(error_kind::too_large, "body above the bound"));
+        return;
+    }
+    if (current.announcedBytes) {
+        body.reserve(*current.announcedBytes);
+    } else if (needed > body.capacity()) {
+        const auto before = body.empty() ? 0 : body.capacity();
+        const auto capacity =
+            std::min(std::max({needed, 2 * body.capacity(), firstBodyBytes}), options.maxBodyBytes);
+        if (!budget.charge(current.charge, capacity - before, loop.now())) {
+            refuseBody(current, overBudgetResponse());
+            return;
+        }
+        body.reserve(capacity);
+    }
+    body.append(upload, size);
+    budget.addRead(current.charge, size);
+}
+
+/// The library takes a response only before a body or after it: the rest is read and not kept.
+void async_http_server::impl::refuseBody(exchange &current, http_response response)
+{
+    current.request.body = {};
+    current.request.body.shrink_to_fit();
+    current.response = std::move(response);
+    budget.release(current.charge);
+}
+
 MHD_Result async_http_server::impl::onComplete(const exchange_ptr &current)
 {
+    if (current->ended) {
+        return MHD_NO;
+    }
     if (!current->response && !std::exchange(current->handed, true)) {
         current->handedAt = loop.now();
+        budget.setComplete(current->charge);
         handled.insert(current);
         const auto answer = [this, current,
                              alive = std::weak_ptr<int>(alive)](http_response value) {
@@ -259,6 +343,9 @@
                      {{"path", current->request.path}, {"reason", problem.what()}});
             respond(current, failedResponse());
         }
+        // The handler has decoded it. It stays charged until the answer, for what came of it.
+        std::string().swap(current->request.body);
+        std::vector<http_header>().swap(current->request.headers);
     }
     if (current->response) {
         return queue(*current);
@@ -278,6 +365,7 @@
     }
     current->response = std::move(response);
     current->since = loop.now();
+    budget.release(current->charge);
     if (std::exchange(current->suspended, false)) {
         MHD_resume_connection(current->connection);
         planRun();
@@ -286,7 +374,7 @@
 
 MHD_Result async_http_server::impl::queue(exchange &current) const
 {
-    const auto &response = *current.response;
+    auto &response = *current.response;
     if (response.status == noResponseStatus) {
         return MHD_NO;
     }
@@ -296,6 +384,7 @@
     if (made == nullptr) {
         return MHD_NO;
     }
+    std::string().swap(response.body);
     for (const auto &header : response.headers) {
         MHD_add_response_header(made, header.name.c_str(), header.value.c_str());
     }
@@ -345,10 +434,17 @@
         }
         const bool late = current != nullptr ? now > current->since + options.transferTimeout
                                              : now > place.idleSince + options.keepAliveTimeout;
-        if (late) {
+        const bool stuck = current != nullptr && current->headersRead && !current->response
+                           && isWithoutProgress(current->readBytes, current->since, now)
+                           && !hasUnreadBytes(place.descriptor);
+        if (stuck && !late) {
+            shed(place, connection, shed_reason::no_progress, now);
+        }
+        if (late || stuck) {
             shutdown(place.descriptor, SHUT_RDWR); // the library sees the end and closes it
         }
     }
+    closeLongestWaiting(now);
     for (const auto &current : forgotten) {
         logEvent(log_level::error, "request_not_answered", {{"path", current->request.path}});
         respond(current, unansweredResponse());
@@ -360,6 +456,40 @@
     });
 }
 
+void async_http_server::impl::closeLongestWaiting(instant now)
+{
+    if (connections.size() <= options.maxConnections - options.maxConnections / 8) {
+        return;
+    }
+    std::vector<waiting_connection> waiting;
+    for (const auto &[connection, place] : connections) {
+        const auto *const current = place.current;
+        const bool waits = current != nullptr ? !current->handed && !current->ended
+                                              : !hasUnreadBytes(place.descriptor);
+        if (waits) {
+            waiting.push_back(
+                {place.descriptor, current != nullptr ? current->since : place.idleSince});
+        }
+    }
+    const auto closed =
+        chooseClosed(std::move(waiting), connections.size(), options.maxConnections, now);
+    const std::set<int> descriptors(closed.begin(), closed.end());
+    for (const auto &[connection, place] : connections) {
+        if (descriptors.count(place.descriptor) > 0) {
+            shed(place, connection, shed_reason::connections, now);
+            shutdown(place.descriptor, SHUT_RDWR);
+        }
+    }
+}
+
+void async_http_server::impl::shed(const connection_state &place, MHD_Connection *connection,
+                                   shed_reason reason, instant now) const
+{
+    const auto *const current = place.current;
+    budget.report({addressOf(connection), current != nullptr ? current->readBytes : 0,
+                   now - (current != nullptr ? current->since : place.idleSince), reason});
+}
+
 result<std::unique_ptr<async_http_server>>
 async_http_server::start(io_loop &loop, const async_http_server_options &options,
                          async_http_handler handler)
--- a/src/outside/request_framing.cpp
+++ b/src/outside/request_framing.cpp
@@ -19,7 +19,8 @@
         });
 }
 
-/// Returns the announced length; nothing if there is none or it cannot be read.
+} // namespace
+
 std::optional<std::uint64_t> announcedLength(const http_request &request)
 {
     const auto length = findHeader(request.headers, "Content-Length");
@@ -32,8 +33,6 @@
     return parsed.ec == std::errc {} && parsed.ptr == end ? std::optional(value) : std::nullopt;
 }
 
-} // namespace
-
 bool hasAmbiguousLength(const http_request &request)
 {
     if (countFramingFields(request) > 1) {
@@ -74,6 +73,14 @@
     return std::nullopt;
 }
 
+http_response overBudgetResponse()
+{
+    auto response =
+        unreadRequestResponse(error_kind::overloaded, "no memory for the body at present");
+    response.headers.push_back({"Retry-After", "1"});
+    return response;
+}
+
 http_response shuttingDownResponse()
 {
     return unreadRequestResponse(error_kind::shutting_down, "the process is stopping");
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -3,6 +3,7 @@
 
 #include <ibishinge/outside/async_http_server.h>
 #include <ibishinge/outside/http_client.h>
+#include <ibishinge/outside/receive_budget.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -38,6 +39,8 @@
     CPPUNIT_TEST(requestIsOpenUntilItsResponseIsWritten);
     CPPUNIT_TEST(requestThatArrivedDuringAStallIsAnswered);
     CPPUNIT_TEST(callerThatSendsAndDoesNotReadIsDisconnected);
+    CPPUNIT_TEST(bodyThatDoesNotFitIsRefused);
+    CPPUNIT_TEST(newCallerIsServedBesideIdleConnections);
     CPPUNIT_TEST(pathAndQueryAreKeptAsSent);
     CPPUNIT_TEST_SUITE_END();
 
@@ -51,6 +54,8 @@
     std::string m_lastTarget;
     std::vector<http_responder> m_waiting; ///< on the loop's thread
 
+    static constexpr int maxConnections = 320;
+
     static async_http_server_options options()
     {
         async_http_server_options o;
@@ -58,6 +63,7 @@
         o.connectionBytes = 8192;
         o.transferTimeout = 400ms;
         o.keepAliveTimeout = 400ms;
+        o.maxConnections = maxConnections;
         o.handlerTimeout = 700ms;
         return o;
     }
@@ -367,6 +373,54 @@
         waitForOpenRequests(0);
     }
 
+    /// Guards against a refusal without the time of a repetition, and one of a request that ran.
+    void bodyThatDoesNotFitIsRefused()
+    {
+        receive_budget budget(1000);
+        std::unique_ptr<async_http_server> server;
+        auto limited = options();
+        limited.budget = &budget;
+        onLoop([&] {
+            server = std::move(async_http_server::start(*m_loop, limited,
+                                                        [this](const auto &request, auto respond) {
+                                                            handle(request, respond);
+                                                        })
+                                   .value());
+        });
+        const std::string body(900, 'x');
+        for (const auto &bytes :
+             {post("Content-Length: 900\r\n", body),
+              post("Transfer-Encoding: chunked\r\n", "384\r\n" + body + "\r\n0\r\n\r\n")}) {
+            raw_socket client({"127.0.0.1", server->port()});
+            client.write(bytes);
+            const auto response = client.readToEnd();
+            CPPUNIT_ASSERT(response.has_value());
+            CPPUNIT_ASSERT_EQUAL(503, statusOf(*response));
+            CPPUNIT_ASSERT(response->find("Retry-After: 1\r\n") != std::string::npos);
+            CPPUNIT_ASSERT(response->find("attempt_not_run") != std::string::npos);
+            CPPUNIT_ASSERT_EQUAL(0, m_calls.load());
+        }
+        raw_socket client({"127.0.0.1", server->port()});
+        client.write(post("Content-Length: 3\r\nConnection: close\r\n", "abc"));
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(client.readToEnd().value_or("")));
+        std::size_t used = 1;
+        onLoop([&] {
+            server.reset();
+            used = budget.usedBytes();
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, used);
+    }
+
+    /// Guards against a server that accepts no connection any more once its limit was reached.
+    void newCallerIsServedBesideIdleConnections()
+    {
+        std::vector<std::unique_ptr<raw_socket>> idle;
+        for (int i = 0; i < 2 * maxConnections; ++i) {
+            idle.push_back(std::make_unique<raw_socket>(m_where));
+        }
+        checkServes("more idle connections than the limit");
+    }
+
     void pathAndQueryAreKeptAsSent()
     {
         raw_socket client(m_where);
