Bound what decoding a request takes

Cause: a body of 1 MB can hold hundreds of thousands of elements, each of which takes many times its text. An array of small elements was taken for as many forwarded requests, each of them answered. A job was checked only by the coordinator; until then the entry process held copies of texts and lists of any length.

Change: documents and messages have at most 262,144 arrays and objects. A call of another process holds at most 1,024 requests (senders put 32 in one) and its nesting is bounded as elsewhere.

--- a/include/ibishinge/base/json.h
+++ b/include/ibishinge/base/json.h
@@ -12,8 +12,9 @@
 namespace ibishinge {
 
 /// Parses JSON text from outside the process. Throws `nlohmann::json::exception` if it is malformed
-/// or nested deeper than any document: copying and writing a value use the stack for each level.
-/// Thread-safe.
+/// or nested deeper than any document: copying and writing a value use the stack for each level. So
+/// is one with more arrays and objects than any document: they take many times the memory of their
+/// text. Thread-safe.
 [[nodiscard]] nlohmann::json parseJson(const std::string &text);
 
 /// Integers that a decoder accepts.
@@ -42,7 +43,8 @@
 [[nodiscard]] std::string encodeCbor(const nlohmann::json &value);
 
 /// Decodes what `encodeCbor` returned. Nothing if the bytes are malformed, go on behind the value,
-/// or are nested deeper than any message: the library's reader would use up the stack. Thread-safe.
+/// are nested deeper than any message (the library's reader would use up the stack), or have more
+/// arrays and objects than any message. Thread-safe.
 [[nodiscard]] std::optional<nlohmann::json> decodeCbor(const std::string &bytes);
 
 } // namespace ibishinge
--- a/include/ibishinge/fleet/types.h
+++ b/include/ibishinge/fleet/types.h
@@ -81,6 +81,7 @@
 
 /// Maximum size of a job's payload in bytes, as set by the protocol of the callers.
 inline constexpr std::size_t maxPayloadBytes = 4000;
+inline constexpr std::size_t maxSteps = 64; ///< of a job
 
 /// Duration of calls to the advice service, which tells which workers may run a step; see
 /// `queue_config::advice`.
--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -13,10 +13,15 @@
 /// Messages and documents are nested about six levels deep.
 constexpr int deepestNesting = 32;
 
-/// Returns true if arrays and objects in `text` are nested too deep.
-bool isNestedTooDeep(const std::string &text) noexcept
+/// Each array or object takes up to 80 bytes of memory, and one byte of a message. No document with
+/// so many fits into a body of the usual length, unless most of them are empty.
+constexpr int mostContainers = 1 << 18;
+
+/// Returns true if arrays and objects in `text` are nested too deep or too many.
+bool isTooComplex(const std::string &text) noexcept
 {
     int depth = 0;
+    int containers = 0;
     bool inString = false;
     for (std::size_t i = 0; i < text.size(); ++i) {
         const char c = text[i];
@@ -26,7 +31,7 @@
         } else if (c == '"') {
             inString = true;
         } else if (c == '[' || c == '{') {
-            if (++depth > deepestNesting) {
+            if (++depth > deepestNesting || ++containers > mostContainers) {
                 return true;
             }
         } else if (c == ']' || c == '}') {
@@ -41,7 +46,7 @@
     throw json::other_error::create(599, "number out of range: " + value.dump(), nullptr);
 }
 
-/// Reads a value without keeping it and stops where it is nested too deep.
+/// Reads a value without keeping it and stops where it is nested too deep or has too many parts.
 class nesting_check final : public nlohmann::json_sax<json>
 {
 public:
@@ -75,7 +80,7 @@
     }
     bool start_object(std::size_t /*size*/) override // NOLINT
     {
-        return ++m_depth <= deepestNesting;
+        return ++m_depth <= deepestNesting && ++m_containers <= mostContainers;
     }
     bool key(string_t & /*value*/) override
     {
@@ -88,7 +93,7 @@
     }
     bool start_array(std::size_t /*size*/) override // NOLINT
     {
-        return ++m_depth <= deepestNesting;
+        return ++m_depth <= deepestNesting && ++m_containers <= mostContainers;
     }
     bool end_array() override // NOLINT
     {
@@ -103,14 +108,16 @@
 
 private:
     int m_depth = 0;
+    int m_containers = 0;
 };
 
 } // namespace
 
 json parseJson(const std::string &text)
 {
-    if (isNestedTooDeep(text)) {
-        throw json::other_error::create(599, "the document is nested too deep", nullptr);
+    if (isTooComplex(text)) {
+        throw json::other_error::create(
+            599, "the document is nested too deep or has too many arrays and objects", nullptr);
     }
     return json::parse(text);
 }
--- a/src/fleet/http_peer_link.cpp
+++ b/src/fleet/http_peer_link.cpp
@@ -31,6 +31,9 @@
 /// Maximum number of requests in one call. A call is answered when all its requests are.
 constexpr std::size_t maxRequestsPerCall = 32;
 
+/// A call with more requests is rejected: each takes far more memory than its bytes in the body.
+constexpr std::size_t maxRequestsAccepted = 32 * maxRequestsPerCall;
+
 /// A silent call fails if a call that was sent at least this much later has been answered.
 constexpr milliseconds clearlyLater {silentCallTime / 2};
 
@@ -296,9 +299,15 @@
 
 void serveRequests(fleet_node &node, const std::string &body, http_responder respond)
 {
-    const auto requests = json::parse(body, nullptr, false);
-    if (!requests.is_array()) {
-        respond(jsonResponse(400, R"({"message":"body is not a JSON array of requests"})"));
+    json requests;
+    try {
+        requests = parseJson(body);
+    } catch (const json::exception &) {
+        requests = nullptr; // rejected below
+    }
+    if (!requests.is_array() || requests.size() > maxRequestsAccepted) {
+        respond(jsonResponse(400,
+                             R"({"message":"body is not a JSON array of at most 1024 requests"})"));
         return;
     }
     const auto answers = std::make_shared<batch_answers>();
--- a/src/fleet/tables.cpp
+++ b/src/fleet/tables.cpp
@@ -28,7 +28,6 @@
 }};
 
 /// Limits of one job, so that a malformed or hostile specification cannot exhaust the memory.
-constexpr std::size_t maxSteps = 64;
 constexpr int maxTasksOfStep = 1000;
 constexpr int maxTasksOfJob = 4000;
 constexpr int maxRepetitions = 100000;
@@ -108,6 +107,11 @@
         if (need.cpuMillis < 0 || need.memoryMb < 0 || need.accelerators < 0) {
             return "step " + std::to_string(i) + " has a negative need";
         }
+        const auto longest =
+            std::max({step.requiredLabel.size(), step.dataRack.size(), step.image.size()});
+        if (longest > maxPayloadBytes || step.after.size() > maxSteps) {
+            return "step " + std::to_string(i) + " has a text or a list that is too long";
+        }
         for (const int earlier : step.after) {
             if (earlier < 0 || static_cast<std::size_t>(earlier) >= i) {
                 return "step " + std::to_string(i) + " waits for a step that is not before it";
--- a/tests/wire_codec_test.cpp
+++ b/tests/wire_codec_test.cpp
@@ -1,6 +1,8 @@
 #include "platform/callers_api.h"
 #include "platform/wire_codec.h"
 
+#include <ibishinge/fleet/tables.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
 
@@ -24,6 +26,7 @@
     CPPUNIT_TEST(oddRegistryEntriesAreRejected);
     CPPUNIT_TEST(oddNumbersAreRejected);
     CPPUNIT_TEST(deeplyNestedDocumentsAreRejected);
+    CPPUNIT_TEST(largeJobsAreNotKept);
     CPPUNIT_TEST(decodesConfiguration);
     CPPUNIT_TEST(decodesJobs);
     CPPUNIT_TEST(callerAnswersAndRequests);
@@ -180,6 +183,36 @@
     }
 
     /// Guards against the end of a process whose stack a nested document uses up.
+    /// Guards against jobs that take many times the memory of their text while they wait.
+    void largeJobsAreNotKept()
+    {
+        const auto job = [](const std::string &text, const std::string &steps) {
+            return R"({"spec":")" + text + R"(","steps":[{"count":1)" + steps + "}]}";
+        };
+        const std::string text(500'000, 'x');
+        std::string steps;
+        std::string after = R"(,"after":[0)";
+        for (int i = 0; i < 20'000; ++i) {
+            steps += R"(},{"count":1)";
+            after += ",0";
+        }
+        for (const auto &body :
+             {job(text, ""), job("", R"(,"image":")" + text + "\""), job("", steps),
+              job("", R"(,"affinity":")" + text + "\""), job("", after + "]")}) {
+            const auto spec = decodeJob(body);
+            CPPUNIT_ASSERT(spec && findProblem(*spec));
+            caller_request request;
+            request.spec = *spec;
+            CPPUNIT_ASSERT(encodeRequest(request).size() < 20'000);
+        }
+        CPPUNIT_ASSERT(!findProblem(*decodeJob(job(std::string(4000, 'x'), ""))));
+        std::string lists = "[[]";
+        for (int i = 0; i < 300'000; ++i) {
+            lists += ",[]";
+        }
+        CPPUNIT_ASSERT(!decodeJob(R"({"spec":"a","steps":)" + lists + "]}"));
+    }
+
     void deeplyNestedDocumentsAreRejected()
     {
         constexpr std::size_t depth = 200'000;
