Bound the bodies that the older daemons hold

Cause: each thread of ibishinge-entry and ibishinge-control may hold a body up to the limit: 256 MB with the default settings.

Change: the servers of a process count the bodies that they hold. Beyond 24 MB, or four of the largest allowed if that is more, a body is refused with 503, Retry-After and attempt_not_run; an eighth is kept for requests of up to 16 kB. No request is ended in favour of another one: slow senders are bounded by the receive timeout, as before.

unfinishedBodiesAreBoundedTogether opens 40 requests that announce 1 MB each: at least 18 are refused and an ordinary request is answered.

--- a/src/outside/http_server.cpp
+++ b/src/outside/http_server.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <exception>
@@ -63,16 +64,62 @@
 /// Reads that take longer do not increase the size of the next one.
 constexpr std::chrono::milliseconds fastRead {1};
 
-enum class body_status { complete, cut, too_large, malformed };
+enum class body_status { complete, cut, too_large, over_budget, malformed };
+
+/// Memory of the bodies that all servers of the process hold: each thread may hold one.
+constexpr std::size_t heldBytesBound = 24U << 20U;
+
+/// An eighth of the bound is kept for requests of this size.
+constexpr std::size_t smallBodyBytes = 16U << 10U;
+
+std::atomic<std::size_t> heldBytes {0};
+
+/// The share of one request in `heldBytes`.
+class held_body
+{
+public:
+    explicit held_body(std::size_t maxBodyBytes)
+        : m_bound(std::max(heldBytesBound, 4 * maxBodyBytes))
+    {
+    }
+    held_body(const held_body &) = delete;
+    held_body &operator=(const held_body &) = delete;
+    ~held_body()
+    {
+        heldBytes -= m_bytes;
+    }
+
+    /// Returns false if `bytes` more do not fit.
+    bool add(std::size_t bytes)
+    {
+        const auto bound = m_bytes + bytes <= smallBodyBytes ? m_bound : m_bound - m_bound / 8;
+        if ((heldBytes += bytes) > bound) {
+            heldBytes -= bytes;
+            return false;
+        }
+        m_bytes += bytes;
+        return true;
+    }
+
+private:
+    std::size_t m_bound;
+    std::size_t m_bytes = 0;
+};
 
 body_status readBody(mg_connection *connection, long long contentLength,
-                     const http_server_options &options, std::string &body)
+                     const http_server_options &options, held_body &held, std::string &body)
 {
     using steady = std::chrono::steady_clock;
     const std::size_t limit = options.maxBodyBytes;
     if (contentLength >= 0 && static_cast<unsigned long long>(contentLength) > limit) {
         return body_status::too_large;
     }
+    if (contentLength > 0) {
+        if (!held.add(static_cast<std::size_t>(contentLength))) {
+            return body_status::over_budget;
+        }
+        body.reserve(static_cast<std::size_t>(contentLength));
+    }
     const auto deadline = steady::now() + options.receiveTimeout;
     std::array<char, readChunkBytes> chunk;
     std::size_t wanted = firstReadBytes;
@@ -88,6 +135,10 @@
         if (count == 0) {
             break;
         }
+        // A body without an announced length grows to twice its size at most.
+        if (contentLength < 0 && !held.add(2 * static_cast<std::size_t>(count))) {
+            return body_status::over_budget;
+        }
         body.append(chunk.data(), static_cast<std::size_t>(count));
         if (body.size() > limit) {
             return body_status::too_large;
@@ -152,10 +203,11 @@
     auto &state = *static_cast<Impl *>(data);
     const mg_request_info &info = *mg_get_request_info(connection);
     http_request request = toRequest(info);
+    held_body held(state.options.maxBodyBytes);
     auto status = body_status::malformed;
     const bool tooManyHeaders = request.headers.size() >= maxHeaderCount;
     if (!tooManyHeaders && !hasAmbiguousLength(request)) {
-        status = readBody(connection, bodyLength(request, info), state.options, request.body);
+        status = readBody(connection, bodyLength(request, info), state.options, held, request.body);
     }
     switch (status) {
     case body_status::cut:
@@ -164,6 +216,9 @@
     case body_status::too_large:
         send(connection, unreadRequestResponse(error_kind::too_large, "body above the bound"));
         return 413;
+    case body_status::over_budget:
+        send(connection, overBudgetResponse());
+        return answerFor(error_kind::overloaded).httpStatus;
     case body_status::malformed:
         send(connection,
              unreadRequestResponse(error_kind::invalid_request,
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -414,9 +414,9 @@
     /// Guards against a server that accepts no connection any more once its limit was reached.
     void newCallerIsServedBesideIdleConnections()
     {
-        std::vector<std::unique_ptr<raw_socket>> idle;
-        for (int i = 0; i < 2 * maxConnections; ++i) {
-            idle.push_back(std::make_unique<raw_socket>(m_where));
+        std::vector<std::unique_ptr<raw_socket>> idle(std::size_t {2} * maxConnections);
+        for (auto &each : idle) {
+            each = std::make_unique<raw_socket>(m_where);
         }
         checkServes("more idle connections than the limit");
     }
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(slowSenderIsBounded);
     CPPUNIT_TEST(chunkedRequestArrivesComplete);
     CPPUNIT_TEST(toleratedInputIsComplete);
+    CPPUNIT_TEST(unfinishedBodiesAreBoundedTogether);
     CPPUNIT_TEST(responsesAreSentWhenTheServerStops);
     CPPUNIT_TEST_SUITE_END();
 
@@ -114,6 +115,37 @@
     }
 
     /// Guards against a graceful stop that cuts the responses in progress.
+    /// Guards against threads that hold a large unfinished body each. A bound on all bodies would
+    /// refuse ordinary callers too if it kept nothing for them.
+    void unfinishedBodiesAreBoundedTogether()
+    {
+        constexpr int crowd = 40; // of 1 MB each, for which there are 21 MB
+        auto limited = options();
+        limited.threads = crowd + 8;
+        limited.maxBodyBytes = 1U << 20U;
+        limited.receiveTimeout = 60s;
+        const auto server = std::move(
+            http_server::start(limited, [](const auto &) { return http_response {}; }).value());
+        const endpoint where {"127.0.0.1", server->port()};
+        std::vector<std::unique_ptr<raw_socket>> clients;
+        int refused = 0;
+        for (int i = 0; i < crowd; ++i) {
+            clients.push_back(std::make_unique<raw_socket>(where));
+            clients.back()->write(post("Content-Length: 1000000\r\n"));
+        }
+        const auto end = std::chrono::steady_clock::now() + 20s;
+        while (refused < crowd - 22 && std::chrono::steady_clock::now() < end) {
+            for (const auto &client : clients) {
+                const auto response = client->read(10ms);
+                refused += response && statusOf(*response) == 503 ? 1 : 0;
+            }
+        }
+        CPPUNIT_ASSERT(refused >= crowd - 22);
+        raw_socket caller(where);
+        caller.write(post("Content-Length: 3\r\nConnection: close\r\n", "abc"));
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(caller.readToEnd().value_or("")));
+    }
+
     void responsesAreSentWhenTheServerStops()
     {
         std::promise<void> entered;
