Limit the cost of a run elsewhere to what milliseconds can express

The far factor has no upper limit. With 1e300 the conversion of the cost to milliseconds was undefined, and no task waited. Times are now limited to 1e12 ms.

Measured: the case decisionComparesWaitAndDistance fails without the change and passes with it.

--- a/src/fleet/queueing/locality.cpp
+++ b/src/fleet/queueing/locality.cpp
@@ -44,9 +44,13 @@
     {no_wait_reason::objective, "objective"},
 }};
 
+/// Longest time that is calculated with, in ms: 30 years. The far factor has no upper limit, and
+/// the product with a run time would not fit into the type otherwise.
+constexpr double maxMs = 1e12;
+
 milliseconds wholeMs(double value)
 {
-    return milliseconds(static_cast<std::int64_t>(value));
+    return milliseconds(static_cast<std::int64_t>(std::min(value, maxMs)));
 }
 
 double decayed(const rack_demand &demand, instant now)
--- a/tests/locality_test.cpp
+++ b/tests/locality_test.cpp
@@ -225,6 +225,8 @@
         CPPUNIT_ASSERT(decideRack(question).until == now + 750ms);
         question.objectiveAt = now + 500ms; // missed anyway
         check(question, rack_decision::wait, no_wait_reason::none);
+        question.factor = 1e300; // the cost exceeds what milliseconds can express
+        check(question, rack_decision::wait, no_wait_reason::none);
     }
 
     /// A factor from few runs, or from the longer tasks that wait, would be wrong.
