Wait for a place that a stopping run still holds

A run that is being stopped is expected to end now. A place expected now was taken for a free one, so that the task did not wait; without room in the rack it was placed elsewhere at once. Without room, a place is now expected 1 ms later at the earliest.

Measured: the case stoppingRunIsWaitedFor fails without the change and passes with it.

--- a/src/fleet/queueing/coordinator_locality.cpp
+++ b/src/fleet/queueing/coordinator_locality.cpp
@@ -275,6 +275,10 @@
                 }
             }
         }
+        // A run that is being stopped holds its resources until it has ended.
+        if (question.expectedAt) {
+            question.expectedAt = std::max(*question.expectedAt, now + milliseconds(1));
+        }
     }
     const auto answer = decideRack(question);
     if (avoided.empty() || step.gang) {
--- a/tests/locality_test.cpp
+++ b/tests/locality_test.cpp
@@ -176,6 +176,7 @@
     CPPUNIT_TEST(lostRackEndsTheWait);
     CPPUNIT_TEST(objectiveComesBeforeTheRack);
     CPPUNIT_TEST(farRunsCountForTheObjective);
+    CPPUNIT_TEST(stoppingRunIsWaitedFor);
     CPPUNIT_TEST(cancelledJobAbandonsItsWait);
     CPPUNIT_TEST(groupWaitsForItsRack);
     CPPUNIT_TEST(factorIsLearnedFromRuns);
@@ -486,6 +487,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {1}, fleet.runsIn(otherRack));
     }
 
+    /// Failure: the runs in the rack have been told to stop, and have not ended yet.
+    void stoppingRunIsWaitedFor()
+    {
+        hot_world fleet;
+        fleet.only().platform->unansweredStops.insert("pool-a-0");
+        const auto path = fleet.submit(jobNearData(8, 2s));
+        fleet.loop.run(1s);
+        fleet.ask(fleet.only(), caller_operation::cancel, path);
+        fleet.loop.run(20ms);
+        fleet.submit(jobNearData(1, 2s));
+        fleet.loop.run(100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {8}, fleet.runsIn(hotRack));
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, fleet.runsIn(otherRack));
+    }
+
     void cancelledJobAbandonsItsWait()
     {
         hot_world fleet;
