Do not learn from groups that were spread before a rack was chosen for them

A group that fits into no rack is spread over several. When some of its tasks still waited, the rack with the most of its runs was chosen, and the runs there counted as near, although all tasks of the group may be slower. The learned factor fell to 1, and tasks of the queue no longer waited. A step with runs in several racks now counts as spread.

Measured: the case spreadGroupsAreNotNear fails without the change (2 tasks placed elsewhere) and passes with it.

--- a/src/fleet/queueing/coordinator_locality.cpp
+++ b/src/fleet/queueing/coordinator_locality.cpp
@@ -65,9 +65,9 @@
     candidates.maxFreeResources = largest;
 }
 
-/// Returns the last label, which names the rack, of the worker with the most runs of the step;
-/// empty if there are none.
-std::string rackOfRuns(const fleet_tables &tables, const waiting_step &where)
+/// Returns the last label, which names the rack, of the worker with the most runs of the step,
+/// empty if there are none, and whether the step has runs in several racks.
+std::pair<std::string, bool> rackOfRuns(const fleet_tables &tables, const waiting_step &where)
 {
     std::map<std::string, int> racks;
     const auto first = firstTaskOf(where);
@@ -83,7 +83,7 @@
     const auto most =
         std::max_element(racks.begin(), racks.end(),
                          [](const auto &a, const auto &b) { return a.second < b.second; });
-    return most == racks.end() ? std::string() : most->first;
+    return {most == racks.end() ? std::string() : most->first, racks.size() > 1};
 }
 
 } // namespace
@@ -161,7 +161,8 @@
                                          const step_tickets *tickets, rack_wait &wait)
 {
     const auto now = m_timers.now();
-    const auto placedIn = rackOfRuns(m_tables, where);
+    const auto [placedIn, spread] = rackOfRuns(m_tables, where);
+    wait.spread = wait.spread || spread;
     if (!placedIn.empty()) {
         wait.rack = placedIn;
         return wait.rack;
--- a/tests/locality_test.cpp
+++ b/tests/locality_test.cpp
@@ -180,6 +180,7 @@
     CPPUNIT_TEST(cancelledJobAbandonsItsWait);
     CPPUNIT_TEST(groupWaitsForItsRack);
     CPPUNIT_TEST(factorIsLearnedFromRuns);
+    CPPUNIT_TEST(spreadGroupsAreNotNear);
     CPPUNIT_TEST(waitIsBoundedAfterATakeOver);
     CPPUNIT_TEST(hotRackFigures);
     CPPUNIT_TEST_SUITE_END();
@@ -551,6 +552,33 @@
         CPPUNIT_ASSERT_EQUAL(local, fleet.waits("local"));
     }
 
+    /// Load: groups that are too large for any rack, all tasks of which are slower. If those in the
+    /// rack with the most tasks counted as near, the learned factor would be 1.
+    void spreadGroupsAreNotNear()
+    {
+        hot_world fleet;
+        std::string filler;
+        fleet.world.slowdownOf = [&filler](const task_name &task, const virtual_worker &) {
+            return filler.ends_with(task.job) ? 0.1 : 3;
+        };
+        for (int round = 0; round < 3; ++round) {
+            auto spec = simpleJob(8);
+            spec.steps.front().requiredLabel = otherRack;
+            filler = fleet.submit(spec);
+            fleet.loop.run(50ms);
+            spec = simpleJob(40);
+            spec.steps.front().sameRack = true;
+            spec.steps.front().estimate = 2s;
+            fleet.submit(spec);
+            fleet.loop.run(14s);
+        }
+        fleet.submit(jobNearData(8, 2s));
+        fleet.loop.run(5s);
+        fleet.submit(jobNearData(2, 2s));
+        fleet.loop.run(100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, fleet.runsIn(otherRack));
+    }
+
     /// Failure: the coordinator is replaced while a step waits for a rack that stays busy.
     void waitIsBoundedAfterATakeOver()
     {
