--- a/src/fleet/queueing/coordinator_locality.cpp
+++ b/src/fleet/queueing/coordinator_locality.cpp
@@ -65,9 +65,9 @@
     candidates.maxFreeResources = largest;
 }
 
-/// Returns the last label, which names the rack, of the worker with the most runs of the step;
-/// empty if there are none.
-std::string rackOfRuns(const fleet_tables &tables, const waiting_step &where)
+/// Returns the last label, which names the rack, of the worker with the most runs of the step,
+/// empty if there are none, and whether the step has runs in several racks.
+std::pair<std::string, bool> rackOfRuns(const fleet_tables &tables, const waiting_step &where)
 {
     std::map<std::string, int> racks;
     const auto first = firstTaskOf(where);
@@ -83,7 +83,7 @@
     const auto most =
         std::max_element(racks.begin(), racks.end(),
                          [](const auto &a, const auto &b) { return a.second < b.second; });
-    return most == racks.end() ? std::string() : most->first;
+    return {most == racks.end() ? std::string() : most->first, racks.size() > 1};
 }
 
 } // namespace
@@ -116,9 +116,11 @@
     auto &question = visit.question;
     question.now = now;
     question.factor = farFactorOf(seen, m_settings.farFactor);
-    question.nearRunMs =
-        nearRunMs(seen, expectedStepMs(m_tables, job, occurrence, number), question.factor);
-    question.remaining = remainingTime(m_tables, job, occurrence, number);
+    const double meanMs = expectedStepMs(m_tables, job, occurrence, number);
+    question.nearRunMs = nearRunMs(seen, meanMs, question.factor);
+    // All that remains begins with this step, whose mean includes far runs.
+    question.remaining = remainingTime(m_tables, job, occurrence, number)
+                         - scaled(milliseconds(1), meanMs - question.nearRunMs);
     question.objectiveAt = *occurrence.objectiveAt;
     visit.runTime = scaled(milliseconds(1), question.nearRunMs);
     visit.tickets = tickets;
@@ -159,7 +161,8 @@
                                          const step_tickets *tickets, rack_wait &wait)
 {
     const auto now = m_timers.now();
-    const auto placedIn = rackOfRuns(m_tables, where);
+    const auto [placedIn, spread] = rackOfRuns(m_tables, where);
+    wait.spread = wait.spread || spread;
     if (!placedIn.empty()) {
         wait.rack = placedIn;
         return wait.rack;
@@ -273,6 +276,10 @@
                 }
             }
         }
+        // A run that is being stopped holds its resources until it has ended.
+        if (question.expectedAt) {
+            question.expectedAt = std::max(*question.expectedAt, now + milliseconds(1));
+        }
     }
     const auto answer = decideRack(question);
     if (avoided.empty() || step.gang) {
