Compute shares for weights of any scale

Growth rates were compared with an absolute tolerance and reduced by subtraction. Weights below about 1e-9 therefore gave an infinite level, and the rounding errors of a large weight distorted the level of small ones. The rates are now sums over the customers that still grow.

--- a/src/fleet/queueing/shares.cpp
+++ b/src/fleet/queueing/shares.cpp
@@ -53,20 +53,31 @@
     double stoppedAt = unlimited; ///< level at which a resource that it needs was used up
 };
 
+/// Returns the use of each resource for a level of 1 by all that still grow among the shares from
+/// each index on. These are sums, because differences of them would have rounding errors of the
+/// size of the largest weight.
+std::vector<amounts> ratesFrom(const std::vector<growing_share> &shares)
+{
+    std::vector<amounts> rates(shares.size() + 1, amounts {});
+    for (std::size_t i = shares.size(); i-- > 0;) {
+        rates[i] = rates[i + 1];
+        for (std::size_t kind = 0; kind < kinds; ++kind) {
+            rates[i][kind] += std::isinf(shares[i].stoppedAt) ? shares[i].rate[kind] : 0;
+        }
+    }
+    return rates;
+}
+
 /// Stops the growth of those that need a resource that is used up.
 void stopGrowth(std::vector<growing_share> &shares, std::size_t begin, std::size_t scarce,
-                double level, amounts &rates) noexcept
+                double level) noexcept
 {
     for (std::size_t i = begin; i < shares.size(); ++i) {
         auto &each = shares[i];
         if (each.rate[scarce] > 0 && std::isinf(each.stoppedAt)) {
             each.stoppedAt = level;
-            for (std::size_t kind = 0; kind < kinds; ++kind) {
-                rates[kind] -= each.rate[kind];
-            }
         }
     }
-    rates[scarce] = 0; // without the rounding errors of the differences
 }
 
 /// Returns the number of tasks that bring a customer that holds `used` to `entitlement`, at most
@@ -321,12 +332,7 @@
               [](const auto &a, const auto &b) { return a.met < b.met; });
     amounts left;
     left.fill(1);
-    amounts rates {}; // of all that grow
-    for (const auto &each : growing) {
-        for (std::size_t kind = 0; kind < kinds; ++kind) {
-            rates[kind] += each.rate[kind];
-        }
-    }
+    auto ratesByBegin = ratesFrom(growing);
     double level = 0;
     shares.level = unlimited;
     for (std::size_t i = 0; i < growing.size();) {
@@ -334,11 +340,11 @@
             ++i;
             continue;
         }
+        const auto &rates = ratesByBegin[i];
         double full = unlimited;
         std::size_t scarce = 0;
         for (std::size_t kind = 0; kind < kinds; ++kind) {
-            const double end =
-                rates[kind] > tolerance ? level + left[kind] / rates[kind] : unlimited;
+            const double end = rates[kind] > 0 ? level + left[kind] / rates[kind] : unlimited;
             if (end < full) {
                 full = end;
                 scarce = kind;
@@ -350,14 +356,12 @@
         }
         level = next;
         if (growing[i].met <= full * (1 + tolerance)) {
-            for (std::size_t kind = 0; kind < kinds; ++kind) {
-                rates[kind] -= growing[i].rate[kind];
-            }
             ++i;
             continue;
         }
         shares.level = level;
-        stopGrowth(growing, i, scarce, level, rates);
+        stopGrowth(growing, i, scarce, level);
+        ratesByBegin = ratesFrom(growing);
     }
     for (auto &[name, share] : shares.customers) {
         share.entitlement = share.weight > 0 ? share.weight * shares.level : 0;
--- a/tests/shares_test.cpp
+++ b/tests/shares_test.cpp
@@ -210,6 +210,7 @@
     CPPUNIT_TEST(weightZeroGetsWhatOthersLeave);
     CPPUNIT_TEST(stepsAreSplitAtTheEntitlement);
     CPPUNIT_TEST(lowPriorityWaitsUntilTheStarvationBound);
+    CPPUNIT_TEST(weightsOfAnyScaleShare);
     CPPUNIT_TEST(equalWeightsAndPrioritiesKeepTheFormerOrder);
     CPPUNIT_TEST(movedWorkerIsCountedInItsPool);
     CPPUNIT_TEST(invalidFieldsKeepTheirValues);
@@ -355,6 +356,34 @@
         CPPUNIT_ASSERT_EQUAL(3, most); // a tenth of 32 cores
     }
 
+    /// Guards against shares that are not computed for very small weights, or that rounding errors
+    /// of a very large one distort.
+    void weightsOfAnyScaleShare()
+    {
+        for (const double scale : {1e-300, 1e-12, 1.0, 1e11}) {
+            pool_shares shares;
+            shares.capacity = {9000, 18000, 0};
+            shares.customers["a"].weight = scale;
+            shares.customers["b"].weight = 2 * scale;
+            shares.customers["a"].waiting = {100'000, 100, 0};
+            shares.customers["b"].waiting = {100'000, 100, 0};
+            computeEntitlements(shares);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0 / 3, shares.customers["a"].entitlement, 1e-6);
+        }
+        pool_shares shares;
+        shares.capacity = {10000, 30000, 0};
+        const auto ask = [&shares](const char *name, double weight, std::int64_t cpuMillis) {
+            shares.customers[name].weight = weight;
+            shares.customers[name].waiting = {cpuMillis, 10, 0};
+        };
+        ask("huge", 1e12 / 3, 700);
+        ask("small", 1e-6, 100'000);
+        ask("small too", 2e-6, 100'000);
+        computeEntitlements(shares);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.31, shares.customers["small"].entitlement, 1e-6);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.62, shares.customers["small too"].entitlement, 1e-6);
+    }
+
     /// Guards against any other order where the configuration does not ask for one.
     void equalWeightsAndPrioritiesKeepTheFormerOrder()
     {
