Limit the demand of a customer in proportion

A customer's limit of one resource left its waiting demand for the others as it was, although its tasks cannot start.

--- a/src/fleet/queueing/shares.cpp
+++ b/src/fleet/queueing/shares.cpp
@@ -246,16 +246,21 @@
     return terms;
 }
 
-/// Returns `waiting` without what the customer's limit does not permit.
+/// Returns the part of `waiting` that the customer's limit permits. All components are reduced in
+/// proportion, because tasks that the limit of one resource keeps waiting use none of the others.
 resources withinLimit(const customer_terms &terms, const resources &waiting)
 {
-    const auto atMost = [](std::int64_t amount, std::int64_t limit, std::int64_t used) {
-        return limit == 0 ? amount : std::clamp<std::int64_t>(limit - used, 0, amount);
-    };
-    const auto &limit = terms.limit;
-    return {atMost(waiting.cpuMillis, limit.cpuMillis, terms.held.cpuMillis),
-            atMost(waiting.memoryMb, limit.memoryMb, terms.held.memoryMb),
-            atMost(waiting.accelerators, limit.accelerators, terms.held.accelerators)};
+    const auto limit = amountsOf(terms.limit);
+    const auto held = amountsOf(terms.held);
+    const auto asked = amountsOf(waiting);
+    double part = 1;
+    for (std::size_t kind = 0; kind < kinds; ++kind) {
+        if (limit[kind] > 0 && asked[kind] > 0) {
+            part = std::min(part, std::max(0.0, limit[kind] - held[kind]) / asked[kind]);
+        }
+    }
+    return {std::llround(asked[0] * part), std::llround(asked[1] * part),
+            std::llround(asked[2] * part)};
 }
 
 /// Returns the shares of the customers that hold resources of the pool or wait for them, and sets
--- a/tests/shares_test.cpp
+++ b/tests/shares_test.cpp
@@ -173,6 +173,45 @@
     }
 }
 
+/// A pool of one worker with 10 cores and 10,000 MB, and two waiting jobs of queues of different
+/// priorities: `stuck` of the customer `a`, which waits longest, and `waits` of `b`.
+void fillPool(fleet_tables &tables, instant now, int tasks = 4)
+{
+    configuration config;
+    config.pools["pool"] = {"pool", true, false};
+    for (const int priority : {0, 1}) {
+        queue_config queue;
+        queue.name = "q" + std::to_string(priority);
+        queue.pool = "pool";
+        queue.priority = priority;
+        queue.objectiveFactor = 1.6;
+        config.queues.push_back(queue);
+    }
+    config.customers["a"] = {"a", {}, 2, {}};
+    config.customers["b"] = {"b", {}, 1, {}};
+    setConfiguration(tables, config);
+    auto &worker = tables.workers["w"];
+    worker.registered = worker.verified = worker.onRoster = true;
+    worker.entry.id = "w";
+    worker.entry.pool = "pool";
+    worker.entry.capacity = {10'000, 10'000, 0};
+    worker.entry.state = worker_state::ready;
+    const auto add = [&](const char *id, const char *queue, const char *customer,
+                         milliseconds age) {
+        job_entry job;
+        job.id = id;
+        job.queue = queue;
+        job.customer = customer;
+        job.spec = simpleJob(tasks);
+        job.stored = true;
+        job.submittedAt = now - age;
+        openDueOccurrences(job, 0);
+        tables.jobs.emplace(id, job);
+    };
+    add("stuck", "q0", "a", 30s);
+    add("waits", "q1", "b", 20s);
+}
+
 /// Returns the waiting steps in the order of the releases before shares: class, objective, id.
 std::vector<std::tuple<int, instant, std::string, int>> formerOrder(fleet_tables &tables,
                                                                     instant now)
@@ -210,6 +249,7 @@
     CPPUNIT_TEST(weightZeroGetsWhatOthersLeave);
     CPPUNIT_TEST(stepsAreSplitAtTheEntitlement);
     CPPUNIT_TEST(lowPriorityWaitsUntilTheStarvationBound);
+    CPPUNIT_TEST(demandIsLimitedInProportion);
     CPPUNIT_TEST(weightsOfAnyScaleShare);
     CPPUNIT_TEST(equalWeightsAndPrioritiesKeepTheFormerOrder);
     CPPUNIT_TEST(movedWorkerIsCountedInItsPool);
@@ -356,6 +396,20 @@
         CPPUNIT_ASSERT_EQUAL(3, most); // a tenth of 32 cores
     }
 
+    /// Load: the limit of `a` permits one of its 100 tasks. Guards against the memory of the others
+    /// counting as its demand and leaving less to `b`.
+    void demandIsLimitedInProportion()
+    {
+        fleet_tables tables;
+        const auto now = instant {} + 1h;
+        fillPool(tables, now, 100);
+        tables.config.customers["a"].limit = {1000, 0, 0};
+        static_cast<void>(waitingSteps(tables, now));
+        const auto &shares = tables.shares.at("pool").customers;
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.9, shares.at("b").entitlement, 1e-9);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t {100}, shares.at("a").waiting.memoryMb);
+    }
+
     /// Guards against shares that are not computed for very small weights, or that rounding errors
     /// of a very large one distort.
     void weightsOfAnyScaleShare()
