Leave out steps that cannot start from the starvation bound

The oldest step past the bound used up the bound's part of the pool in every pass even if nothing could start it: its customer was at its limit, no worker had its label, or no worker got free enough for its task or gang. All other steps past the bound then waited for ever in a pool that work of a higher priority kept full. Such steps no longer count. Free resources are looked at only after a second bound, so that a large step still gets a turn.

--- a/include/ibishinge/fleet/queueing/shares.h
+++ b/include/ibishinge/fleet/queueing/shares.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <map>
 #include <string>
@@ -137,11 +138,12 @@
 /// Orders the waiting steps of a pool, splits those that are within a share or the starvation bound
 /// only in part, and fills in their keys. Precondition: the entitlements of the customers are
 /// computed. `capacity` is that of the pool, of which `pastBound` is held by runs that went first
-/// because of the starvation bound. Thread-safe.
-[[nodiscard]] std::vector<waiting_step> orderSteps(std::vector<queued_step> steps,
-                                                   const order_rules &rules,
-                                                   const resources &capacity,
-                                                   const resources &pastBound, instant now);
+/// because of the starvation bound. That bound puts a step first only if `mayStart` returns true
+/// for it. Thread-safe.
+[[nodiscard]] std::vector<waiting_step>
+orderSteps(std::vector<queued_step> steps, const order_rules &rules, const resources &capacity,
+           const resources &pastBound, const std::function<bool(const queued_step &)> &mayStart,
+           instant now);
 
 /// Returns the capacity of the usable workers by pool. Thread-safe for constant tables.
 [[nodiscard]] std::map<std::string, resources> usableCapacityByPool(const fleet_tables &tables,
--- a/src/fleet/queueing/shares.cpp
+++ b/src/fleet/queueing/shares.cpp
@@ -1,5 +1,6 @@
 #include <ibishinge/fleet/queueing/shares.h>
 
+#include <ibishinge/fleet/advice.h>
 #include <ibishinge/fleet/placement.h>
 #include <ibishinge/fleet/tables.h>
 
@@ -100,10 +101,12 @@
 /// Moves steps that have waited past the starvation bound from `steps` to the result, the longest
 /// wait first: by priority, a step that the bound is to help could still wait for ever. They stop
 /// at the first that the pool's part for them has no room for, so that small tasks do not keep a
-/// large one waiting.
-std::vector<waiting_step> takeStepsPastBound(std::vector<queued_step> &steps,
-                                             const resources &capacity, const resources &pastBound,
-                                             instant now)
+/// large one waiting. Those that `mayStart` excludes are left, as they would use up the part
+/// without a start.
+std::vector<waiting_step>
+takeStepsPastBound(std::vector<queued_step> &steps, const resources &capacity,
+                   const resources &pastBound,
+                   const std::function<bool(const queued_step &)> &mayStart, instant now)
 {
     std::vector<queued_step *> waiting;
     for (auto &step : steps) {
@@ -122,6 +125,9 @@
     for (auto end = waiting.end(); end != waiting.begin(); --end) {
         std::pop_heap(waiting.begin(), end, goesAfter);
         auto *const step = *(end - 1);
+        if (!mayStart(*step)) {
+            continue;
+        }
         const double each = dominantShare(step->need, capacity);
         const double room = starvationPart - dominantShare(held, capacity);
         int tasks = step->waitingTasks;
@@ -153,6 +159,42 @@
     return first;
 }
 
+/// Returns true if the limit of the customer and at least one of the workers permit a start of a
+/// task or gang. Their free resources are considered only after another starvation bound: until
+/// then, the step waits for a place without being overtaken.
+bool mayStartPastBound(const fleet_tables &tables, const std::vector<worker_status *> &workers,
+                       const queued_step &step, instant now)
+{
+    const auto &job = *step.where.job;
+    const int tasks = step.gang ? step.waitingTasks : 1;
+    if (!isWithinLimit(tables, job.customer, multiply(step.need, tasks))) {
+        return false;
+    }
+    const step_tickets *tickets = nullptr;
+    if (tables.queues.at(job.queue)->advice) {
+        const auto found = job.tickets.find({step.where.occurrence, step.where.step});
+        if (found == job.tickets.end()) {
+            return false;
+        }
+        tickets = &found->second;
+    }
+    const bool needsPlace = now - step.waitsSince > 2 * starvationBound;
+    int places = 0;
+    for (const auto *worker : workers) {
+        auto free = needsPlace ? worker->entry.capacity - worker->held : worker->entry.capacity;
+        if (!fits(step.need, free) || !isSuitable(*worker, step.where, tickets, now)) {
+            continue;
+        }
+        for (; places < tasks && fits(step.need, free); ++places) {
+            free = free - step.need;
+        }
+        if (places == tasks) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /// Appends the parts of a step that have different positions towards the customer's entitlement.
 /// `used` is what the customer holds and what its steps that go before need.
 void assignPositions(const queued_step &step, resources &used, const resources &capacity,
@@ -398,11 +440,12 @@
 
 std::vector<waiting_step> orderSteps(std::vector<queued_step> steps, const order_rules &rules,
                                      const resources &capacity, const resources &pastBound,
+                                     const std::function<bool(const queued_step &)> &mayStart,
                                      instant now)
 {
     std::vector<waiting_step> ordered;
     if (rules.any()) {
-        ordered = takeStepsPastBound(steps, capacity, pastBound, now);
+        ordered = takeStepsPastBound(steps, capacity, pastBound, mayStart, now);
     }
     const auto rows = sortedRows(steps);
     ordered.reserve(ordered.size() + steps.size());
@@ -464,8 +507,14 @@
         all = all + capacity;
     }
     const auto terms = ordersAny ? termsByCustomer(tables, all) : terms_by_customer {};
+    auto candidates =
+        ordersAny ? candidatesByPool(tables, now) : std::map<std::string, pool_candidates> {};
     std::map<std::string, std::vector<waiting_step>> ordered;
     for (auto &[pool, ofPool] : steps) {
+        const auto &workers = candidates[pool].usable;
+        const auto mayStart = [&](const queued_step &step) {
+            return mayStartPastBound(tables, workers, step, now);
+        };
         const auto &rulesOfPool = rules.at(pool);
         const auto use = tables.poolUse.find(pool);
         const auto found = capacities.find(pool);
@@ -474,9 +523,9 @@
         if (rulesOfPool.byShare) {
             shares = sharesOfPool(tables, pool, ofPool, capacity, terms);
         }
-        ordered[pool] =
-            orderSteps(std::move(ofPool), rulesOfPool, capacity,
-                       use == tables.poolUse.end() ? resources {} : use->second.pastBound, now);
+        ordered[pool] = orderSteps(
+            std::move(ofPool), rulesOfPool, capacity,
+            use == tables.poolUse.end() ? resources {} : use->second.pastBound, mayStart, now);
         if (rulesOfPool.byShare) {
             tables.shares[pool] = std::move(shares);
         }
--- a/tests/shares_test.cpp
+++ b/tests/shares_test.cpp
@@ -249,6 +249,7 @@
     CPPUNIT_TEST(weightZeroGetsWhatOthersLeave);
     CPPUNIT_TEST(stepsAreSplitAtTheEntitlement);
     CPPUNIT_TEST(lowPriorityWaitsUntilTheStarvationBound);
+    CPPUNIT_TEST(stepThatCannotStartDoesNotUseUpTheBound);
     CPPUNIT_TEST(demandIsLimitedInProportion);
     CPPUNIT_TEST(weightsOfAnyScaleShare);
     CPPUNIT_TEST(equalWeightsAndPrioritiesKeepTheFormerOrder);
@@ -396,6 +397,35 @@
         CPPUNIT_ASSERT_EQUAL(3, most); // a tenth of 32 cores
     }
 
+    /// Load: the longest wait is that of a step that nothing in the pool can start. Guards against
+    /// it taking the starvation bound's part of the pool from steps that can start, which would
+    /// then wait for ever.
+    void stepThatCannotStartDoesNotUseUpTheBound()
+    {
+        enum class reason { limit, label, room, gang };
+        for (const auto why : {reason::limit, reason::label, reason::room, reason::gang}) {
+            fleet_tables tables;
+            const auto now = instant {} + 1h;
+            fillPool(tables, now);
+            auto &stuck = tables.jobs.at("stuck");
+            auto &step = stuck.spec.steps.front();
+            tables.workers.at("w").held = {7000, 0, 0};
+            if (why == reason::limit) {
+                tables.config.customers["a"].limit = {500, 0, 0};
+            } else if (why == reason::label) {
+                step.requiredLabel = "none";
+            } else if (why == reason::room) {
+                step.need.cpuMillis = 5000;
+            } else {
+                step.gang = true;
+            }
+            const auto steps = waitingSteps(tables, now)["pool"];
+            CPPUNIT_ASSERT_EQUAL(std::string("waits"), steps.front().job->id);
+            CPPUNIT_ASSERT(!steps.front().key.withinBound);
+            CPPUNIT_ASSERT_EQUAL(1, steps.front().maxTasks);
+        }
+    }
+
     /// Load: the limit of `a` permits one of its 100 tasks. Guards against the memory of the others
     /// counting as its demand and leaving less to `b`.
     void demandIsLimitedInProportion()
