--- a/src/fleet/queueing/shares.cpp
+++ b/src/fleet/queueing/shares.cpp
@@ -1,5 +1,6 @@
 #include <ibishinge/fleet/queueing/shares.h>
 
+#include <ibishinge/fleet/advice.h>
 #include <ibishinge/fleet/placement.h>
 #include <ibishinge/fleet/tables.h>
 
@@ -53,20 +54,31 @@
     double stoppedAt = unlimited; ///< level at which a resource that it needs was used up
 };
 
+/// Returns the use of each resource for a level of 1 by all that still grow among the shares from
+/// each index on. These are sums, because differences of them would have rounding errors of the
+/// size of the largest weight.
+std::vector<amounts> ratesFrom(const std::vector<growing_share> &shares)
+{
+    std::vector<amounts> rates(shares.size() + 1, amounts {});
+    for (std::size_t i = shares.size(); i-- > 0;) {
+        rates[i] = rates[i + 1];
+        for (std::size_t kind = 0; kind < kinds; ++kind) {
+            rates[i][kind] += std::isinf(shares[i].stoppedAt) ? shares[i].rate[kind] : 0;
+        }
+    }
+    return rates;
+}
+
 /// Stops the growth of those that need a resource that is used up.
 void stopGrowth(std::vector<growing_share> &shares, std::size_t begin, std::size_t scarce,
-                double level, amounts &rates) noexcept
+                double level) noexcept
 {
     for (std::size_t i = begin; i < shares.size(); ++i) {
         auto &each = shares[i];
         if (each.rate[scarce] > 0 && std::isinf(each.stoppedAt)) {
             each.stoppedAt = level;
-            for (std::size_t kind = 0; kind < kinds; ++kind) {
-                rates[kind] -= each.rate[kind];
-            }
         }
     }
-    rates[scarce] = 0; // without the rounding errors of the differences
 }
 
 /// Returns the number of tasks that bring a customer that holds `used` to `entitlement`, at most
@@ -89,10 +101,12 @@
 /// Moves steps that have waited past the starvation bound from `steps` to the result, the longest
 /// wait first: by priority, a step that the bound is to help could still wait for ever. They stop
 /// at the first that the pool's part for them has no room for, so that small tasks do not keep a
-/// large one waiting.
-std::vector<waiting_step> takeStepsPastBound(std::vector<queued_step> &steps,
-                                             const resources &capacity, const resources &pastBound,
-                                             instant now)
+/// large one waiting. Those that `mayStart` excludes are left, as they would use up the part
+/// without a start.
+std::vector<waiting_step>
+takeStepsPastBound(std::vector<queued_step> &steps, const resources &capacity,
+                   const resources &pastBound,
+                   const std::function<bool(const queued_step &)> &mayStart, instant now)
 {
     std::vector<queued_step *> waiting;
     for (auto &step : steps) {
@@ -111,6 +125,9 @@
     for (auto end = waiting.end(); end != waiting.begin(); --end) {
         std::pop_heap(waiting.begin(), end, goesAfter);
         auto *const step = *(end - 1);
+        if (!mayStart(*step)) {
+            continue;
+        }
         const double each = dominantShare(step->need, capacity);
         const double room = starvationPart - dominantShare(held, capacity);
         int tasks = step->waitingTasks;
@@ -142,6 +159,42 @@
     return first;
 }
 
+/// Returns true if the limit of the customer and at least one of the workers permit a start of a
+/// task or gang. Their free resources are considered only after another starvation bound: until
+/// then, the step waits for a place without being overtaken.
+bool mayStartPastBound(const fleet_tables &tables, const std::vector<worker_status *> &workers,
+                       const queued_step &step, instant now)
+{
+    const auto &job = *step.where.job;
+    const int tasks = step.gang ? step.waitingTasks : 1;
+    if (!isWithinLimit(tables, job.customer, multiply(step.need, tasks))) {
+        return false;
+    }
+    const step_tickets *tickets = nullptr;
+    if (tables.queues.at(job.queue)->advice) {
+        const auto found = job.tickets.find({step.where.occurrence, step.where.step});
+        if (found == job.tickets.end()) {
+            return false;
+        }
+        tickets = &found->second;
+    }
+    const bool needsPlace = now - step.waitsSince > 2 * starvationBound;
+    int places = 0;
+    for (const auto *worker : workers) {
+        auto free = needsPlace ? worker->entry.capacity - worker->held : worker->entry.capacity;
+        if (!fits(step.need, free) || !isSuitable(*worker, step.where, tickets, now)) {
+            continue;
+        }
+        for (; places < tasks && fits(step.need, free); ++places) {
+            free = free - step.need;
+        }
+        if (places == tasks) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /// Appends the parts of a step that have different positions towards the customer's entitlement.
 /// `used` is what the customer holds and what its steps that go before need.
 void assignPositions(const queued_step &step, resources &used, const resources &capacity,
@@ -235,16 +288,21 @@
     return terms;
 }
 
-/// Returns `waiting` without what the customer's limit does not permit.
+/// Returns the part of `waiting` that the customer's limit permits. All components are reduced in
+/// proportion, because tasks that the limit of one resource keeps waiting use none of the others.
 resources withinLimit(const customer_terms &terms, const resources &waiting)
 {
-    const auto atMost = [](std::int64_t amount, std::int64_t limit, std::int64_t used) {
-        return limit == 0 ? amount : std::clamp<std::int64_t>(limit - used, 0, amount);
-    };
-    const auto &limit = terms.limit;
-    return {atMost(waiting.cpuMillis, limit.cpuMillis, terms.held.cpuMillis),
-            atMost(waiting.memoryMb, limit.memoryMb, terms.held.memoryMb),
-            atMost(waiting.accelerators, limit.accelerators, terms.held.accelerators)};
+    const auto limit = amountsOf(terms.limit);
+    const auto held = amountsOf(terms.held);
+    const auto asked = amountsOf(waiting);
+    double part = 1;
+    for (std::size_t kind = 0; kind < kinds; ++kind) {
+        if (limit[kind] > 0 && asked[kind] > 0) {
+            part = std::min(part, std::max(0.0, limit[kind] - held[kind]) / asked[kind]);
+        }
+    }
+    return {std::llround(asked[0] * part), std::llround(asked[1] * part),
+            std::llround(asked[2] * part)};
 }
 
 /// Returns the shares of the customers that hold resources of the pool or wait for them, and sets
@@ -321,12 +379,7 @@
               [](const auto &a, const auto &b) { return a.met < b.met; });
     amounts left;
     left.fill(1);
-    amounts rates {}; // of all that grow
-    for (const auto &each : growing) {
-        for (std::size_t kind = 0; kind < kinds; ++kind) {
-            rates[kind] += each.rate[kind];
-        }
-    }
+    auto ratesByBegin = ratesFrom(growing);
     double level = 0;
     shares.level = unlimited;
     for (std::size_t i = 0; i < growing.size();) {
@@ -334,11 +387,11 @@
             ++i;
             continue;
         }
+        const auto &rates = ratesByBegin[i];
         double full = unlimited;
         std::size_t scarce = 0;
         for (std::size_t kind = 0; kind < kinds; ++kind) {
-            const double end =
-                rates[kind] > tolerance ? level + left[kind] / rates[kind] : unlimited;
+            const double end = rates[kind] > 0 ? level + left[kind] / rates[kind] : unlimited;
             if (end < full) {
                 full = end;
                 scarce = kind;
@@ -350,14 +403,12 @@
         }
         level = next;
         if (growing[i].met <= full * (1 + tolerance)) {
-            for (std::size_t kind = 0; kind < kinds; ++kind) {
-                rates[kind] -= growing[i].rate[kind];
-            }
             ++i;
             continue;
         }
         shares.level = level;
-        stopGrowth(growing, i, scarce, level, rates);
+        stopGrowth(growing, i, scarce, level);
+        ratesByBegin = ratesFrom(growing);
     }
     for (auto &[name, share] : shares.customers) {
         share.entitlement = share.weight > 0 ? share.weight * shares.level : 0;
@@ -389,11 +440,12 @@
 
 std::vector<waiting_step> orderSteps(std::vector<queued_step> steps, const order_rules &rules,
                                      const resources &capacity, const resources &pastBound,
+                                     const std::function<bool(const queued_step &)> &mayStart,
                                      instant now)
 {
     std::vector<waiting_step> ordered;
     if (rules.any()) {
-        ordered = takeStepsPastBound(steps, capacity, pastBound, now);
+        ordered = takeStepsPastBound(steps, capacity, pastBound, mayStart, now);
     }
     const auto rows = sortedRows(steps);
     ordered.reserve(ordered.size() + steps.size());
@@ -455,8 +507,14 @@
         all = all + capacity;
     }
     const auto terms = ordersAny ? termsByCustomer(tables, all) : terms_by_customer {};
+    auto candidates =
+        ordersAny ? candidatesByPool(tables, now) : std::map<std::string, pool_candidates> {};
     std::map<std::string, std::vector<waiting_step>> ordered;
     for (auto &[pool, ofPool] : steps) {
+        const auto &workers = candidates[pool].usable;
+        const auto mayStart = [&](const queued_step &step) {
+            return mayStartPastBound(tables, workers, step, now);
+        };
         const auto &rulesOfPool = rules.at(pool);
         const auto use = tables.poolUse.find(pool);
         const auto found = capacities.find(pool);
@@ -465,9 +523,9 @@
         if (rulesOfPool.byShare) {
             shares = sharesOfPool(tables, pool, ofPool, capacity, terms);
         }
-        ordered[pool] =
-            orderSteps(std::move(ofPool), rulesOfPool, capacity,
-                       use == tables.poolUse.end() ? resources {} : use->second.pastBound, now);
+        ordered[pool] = orderSteps(
+            std::move(ofPool), rulesOfPool, capacity,
+            use == tables.poolUse.end() ? resources {} : use->second.pastBound, mayStart, now);
         if (rulesOfPool.byShare) {
             tables.shares[pool] = std::move(shares);
         }
--- a/tests/shares_test.cpp
+++ b/tests/shares_test.cpp
@@ -173,6 +173,45 @@
     }
 }
 
+/// A pool of one worker with 10 cores and 10,000 MB, and two waiting jobs of queues of different
+/// priorities: `stuck` of the customer `a`, which waits longest, and `waits` of `b`.
+void fillPool(fleet_tables &tables, instant now, int tasks = 4)
+{
+    configuration config;
+    config.pools["pool"] = {"pool", true, false};
+    for (const int priority : {0, 1}) {
+        queue_config queue;
+        queue.name = "q" + std::to_string(priority);
+        queue.pool = "pool";
+        queue.priority = priority;
+        queue.objectiveFactor = 1.6;
+        config.queues.push_back(queue);
+    }
+    config.customers["a"] = {"a", {}, 2, {}};
+    config.customers["b"] = {"b", {}, 1, {}};
+    setConfiguration(tables, config);
+    auto &worker = tables.workers["w"];
+    worker.registered = worker.verified = worker.onRoster = true;
+    worker.entry.id = "w";
+    worker.entry.pool = "pool";
+    worker.entry.capacity = {10'000, 10'000, 0};
+    worker.entry.state = worker_state::ready;
+    const auto add = [&](const char *id, const char *queue, const char *customer,
+                         milliseconds age) {
+        job_entry job;
+        job.id = id;
+        job.queue = queue;
+        job.customer = customer;
+        job.spec = simpleJob(tasks);
+        job.stored = true;
+        job.submittedAt = now - age;
+        openDueOccurrences(job, 0);
+        tables.jobs.emplace(id, job);
+    };
+    add("stuck", "q0", "a", 30s);
+    add("waits", "q1", "b", 20s);
+}
+
 /// Returns the waiting steps in the order of the releases before shares: class, objective, id.
 std::vector<std::tuple<int, instant, std::string, int>> formerOrder(fleet_tables &tables,
                                                                     instant now)
@@ -210,6 +249,9 @@
     CPPUNIT_TEST(weightZeroGetsWhatOthersLeave);
     CPPUNIT_TEST(stepsAreSplitAtTheEntitlement);
     CPPUNIT_TEST(lowPriorityWaitsUntilTheStarvationBound);
+    CPPUNIT_TEST(stepThatCannotStartDoesNotUseUpTheBound);
+    CPPUNIT_TEST(demandIsLimitedInProportion);
+    CPPUNIT_TEST(weightsOfAnyScaleShare);
     CPPUNIT_TEST(equalWeightsAndPrioritiesKeepTheFormerOrder);
     CPPUNIT_TEST(movedWorkerIsCountedInItsPool);
     CPPUNIT_TEST(invalidFieldsKeepTheirValues);
@@ -355,6 +397,77 @@
         CPPUNIT_ASSERT_EQUAL(3, most); // a tenth of 32 cores
     }
 
+    /// Load: the longest wait is that of a step that nothing in the pool can start. Guards against
+    /// it taking the starvation bound's part of the pool from steps that can start, which would
+    /// then wait for ever.
+    void stepThatCannotStartDoesNotUseUpTheBound()
+    {
+        enum class reason { limit, label, room, gang };
+        for (const auto why : {reason::limit, reason::label, reason::room, reason::gang}) {
+            fleet_tables tables;
+            const auto now = instant {} + 1h;
+            fillPool(tables, now);
+            auto &stuck = tables.jobs.at("stuck");
+            auto &step = stuck.spec.steps.front();
+            tables.workers.at("w").held = {7000, 0, 0};
+            if (why == reason::limit) {
+                tables.config.customers["a"].limit = {500, 0, 0};
+            } else if (why == reason::label) {
+                step.requiredLabel = "none";
+            } else if (why == reason::room) {
+                step.need.cpuMillis = 5000;
+            } else {
+                step.gang = true;
+            }
+            const auto steps = waitingSteps(tables, now)["pool"];
+            CPPUNIT_ASSERT_EQUAL(std::string("waits"), steps.front().job->id);
+            CPPUNIT_ASSERT(!steps.front().key.withinBound);
+            CPPUNIT_ASSERT_EQUAL(1, steps.front().maxTasks);
+        }
+    }
+
+    /// Load: the limit of `a` permits one of its 100 tasks. Guards against the memory of the others
+    /// counting as its demand and leaving less to `b`.
+    void demandIsLimitedInProportion()
+    {
+        fleet_tables tables;
+        const auto now = instant {} + 1h;
+        fillPool(tables, now, 100);
+        tables.config.customers["a"].limit = {1000, 0, 0};
+        static_cast<void>(waitingSteps(tables, now));
+        const auto &shares = tables.shares.at("pool").customers;
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.9, shares.at("b").entitlement, 1e-9);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t {100}, shares.at("a").waiting.memoryMb);
+    }
+
+    /// Guards against shares that are not computed for very small weights, or that rounding errors
+    /// of a very large one distort.
+    void weightsOfAnyScaleShare()
+    {
+        for (const double scale : {1e-300, 1e-12, 1.0, 1e11}) {
+            pool_shares shares;
+            shares.capacity = {9000, 18000, 0};
+            shares.customers["a"].weight = scale;
+            shares.customers["b"].weight = 2 * scale;
+            shares.customers["a"].waiting = {100'000, 100, 0};
+            shares.customers["b"].waiting = {100'000, 100, 0};
+            computeEntitlements(shares);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0 / 3, shares.customers["a"].entitlement, 1e-6);
+        }
+        pool_shares shares;
+        shares.capacity = {10000, 30000, 0};
+        const auto ask = [&shares](const char *name, double weight, std::int64_t cpuMillis) {
+            shares.customers[name].weight = weight;
+            shares.customers[name].waiting = {cpuMillis, 10, 0};
+        };
+        ask("huge", 1e12 / 3, 700);
+        ask("small", 1e-6, 100'000);
+        ask("small too", 2e-6, 100'000);
+        computeEntitlements(shares);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.31, shares.customers["small"].entitlement, 1e-6);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.62, shares.customers["small too"].entitlement, 1e-6);
+    }
+
     /// Guards against any other order where the configuration does not ask for one.
     void equalWeightsAndPrioritiesKeepTheFormerOrder()
     {
