Leave long-running work out of the starvation bound

Cause: long-running tasks that were started past the bound kept its part of the pool for as long as they ran.

Change: only work that ends goes first because of the bound.

Result: longRunningStepsDoNotUseUpTheBound in shares_test.

--- a/src/fleet/queueing/shares.cpp
+++ b/src/fleet/queueing/shares.cpp
@@ -102,7 +102,7 @@
 /// wait first: by priority, a step that the bound is to help could still wait for ever. They stop
 /// at the first that the pool's part for them has no room for, so that small tasks do not keep a
 /// large one waiting. Those that `mayStart` excludes are left, as they would use up the part
-/// without a start.
+/// without a start, and long-running ones, as they would keep it for as long as they run.
 std::vector<waiting_step>
 takeStepsPastBound(std::vector<queued_step> &steps, const resources &capacity,
                    const resources &pastBound,
@@ -110,7 +110,8 @@
 {
     std::vector<queued_step *> waiting;
     for (auto &step : steps) {
-        if (now - step.waitsSince > starvationBound) {
+        if (now - step.waitsSince > starvationBound
+            && step.where.key.stepClass != step_class::long_running) {
             waiting.push_back(&step);
         }
     }
--- a/tests/shares_test.cpp
+++ b/tests/shares_test.cpp
@@ -250,6 +250,7 @@
     CPPUNIT_TEST(stepsAreSplitAtTheEntitlement);
     CPPUNIT_TEST(lowPriorityWaitsUntilTheStarvationBound);
     CPPUNIT_TEST(stepThatCannotStartDoesNotUseUpTheBound);
+    CPPUNIT_TEST(longRunningStepsDoNotUseUpTheBound);
     CPPUNIT_TEST(demandIsLimitedInProportion);
     CPPUNIT_TEST(weightsOfAnyScaleShare);
     CPPUNIT_TEST(equalWeightsAndPrioritiesKeepTheFormerOrder);
@@ -426,6 +427,28 @@
         }
     }
 
+    /// Guards against long-running tasks that take the starvation bound's part of the pool and keep
+    /// it for as long as they run, so that other steps past the bound wait for ever.
+    void longRunningStepsDoNotUseUpTheBound()
+    {
+        const auto now = instant {} + 1h;
+        std::vector<queued_step> steps(2);
+        for (auto &step : steps) {
+            step.where.key.priority = 1;
+            step.waitingTasks = 1;
+            step.need = {1000, 0, 0};
+            step.waitsSince = now - 2 * starvationBound;
+        }
+        steps.front().where.key.stepClass = step_class::long_running;
+        const auto ordered = orderSteps(
+            steps, {false, true}, {10'000, 0, 0}, {}, [](const queued_step &) { return true; },
+            now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, ordered.size());
+        CPPUNIT_ASSERT(ordered.front().key.stepClass == step_class::timely);
+        CPPUNIT_ASSERT(!ordered.front().key.withinBound);
+        CPPUNIT_ASSERT(ordered.back().key.withinBound);
+    }
+
     /// Load: the limit of `a` permits one of its 100 tasks. Guards against the memory of the others
     /// counting as its demand and leaving less to `b`.
     void demandIsLimitedInProportion()
