Start the program of the client test through a launcher

The test set a class attribute of the stand-in to pass further settings, for which the stand-in had been changed. It now writes a script into its own folder that starts the program with the limits of connections and replaces itself, and the stand-in is as it was. The client groups and the bounds are unchanged.

--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -628,8 +628,6 @@
 class Process:
     """One process of the program under test."""
 
-    more_settings = ()  # further words of its command line
-
     def __init__(self, lab, index):
         self.lab, self.name = lab, f"edge-zone-a-{index}"
         self.front, self.ready, self.peers = free_port(), free_port(), free_port()
@@ -644,7 +642,7 @@
                  f"--machines={self.address_of('machines', self.lab.machines)}",
                  f"--advice={self.lab.machines.http.address}", "--data-centre=zone-a",
                  "--processor-share=0.25", "--store-writes=400", "--host-orders=64.0",
-                 f"--stop-ms={STOP_MS}", *self.more_settings]
+                 f"--stop-ms={STOP_MS}"]
         log = open(os.path.join(self.lab.folder, self.name + ".log"), "ab")
         self.child = await asyncio.create_subprocess_exec(
             *words, cwd=ROOT, stdout=log, stderr=log,
--- a/tests/process/fleet_untrusted_clients_test.py
+++ b/tests/process/fleet_untrusted_clients_test.py
@@ -66,6 +66,16 @@
 PORTS = ("callers", "peers")
 
 
+def launcher(program, folder, limit):
+    """Returns a program that starts `program` with a limit of connections for each port. It
+    replaces itself, so that signals reach the process."""
+    path = folder / "ibishinge-fleet"
+    path.write_text(f'#!/bin/sh\nexec "{program}" --callers-connections={limit} '
+                    f'--peers-connections={limit} "$@"\n', encoding="utf-8")
+    path.chmod(0o755)
+    return str(path)
+
+
 class Crowd:
     """Clients that send the same unfinished request and stay connected."""
 
@@ -168,10 +178,9 @@
             shutil.rmtree(self.lab.folder)
             self.lab.folder = str(folder)
             self.figures = []
-            stand.PROGRAM = str((support.BINARIES / "ibishinge-fleet").resolve())
             limit = KINDS[kind][3]
-            stand.Process.more_settings = (f"--callers-connections={limit}",
-                                           f"--peers-connections={limit}")
+            stand.PROGRAM = launcher((support.BINARIES / "ibishinge-fleet").resolve(), folder,
+                                     limit)
             try:
                 self.lab.add_minions(1, lambda task, spec: 0.1)
                 await self.lab.begin(1)
@@ -181,7 +190,6 @@
                 # Python 3.11 reports each cancelled handler of a stand-in as an error.
                 asyncio.get_running_loop().set_exception_handler(lambda *_: None)
                 await self.lab.end()
-                stand.Process.more_settings = ()
                 shutil.rmtree(folder)
 
         asyncio.run(run())
