Keep connections with unread input open near the limit

Near the connection limit, the server closed connections with an unfinished body also if the rest of it had arrived and was only not read yet, as after a suspension of the process. Such a request got no answer. It is now spared like an idle connection with unread input.

--- a/src/outside/async_http_server.cpp
+++ b/src/outside/async_http_server.cpp
@@ -464,9 +464,8 @@
     std::vector<waiting_connection> waiting;
     for (const auto &[connection, place] : connections) {
         const auto *const current = place.current;
-        const bool waits = current != nullptr ? !current->handed && !current->ended
-                                              : !hasUnreadBytes(place.descriptor);
-        if (waits) {
+        const bool waits = current == nullptr || (!current->handed && !current->ended);
+        if (waits && !hasUnreadBytes(place.descriptor)) {
             waiting.push_back(
                 {place.descriptor, current != nullptr ? current->since : place.idleSince});
         }
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(callerThatSendsAndDoesNotReadIsDisconnected);
     CPPUNIT_TEST(bodyThatDoesNotFitIsRefused);
     CPPUNIT_TEST(newCallerIsServedBesideIdleConnections);
+    CPPUNIT_TEST(bodyThatArrivedDuringAStallIsServedNearTheConnectionLimit);
     CPPUNIT_TEST(pathAndQueryAreKeptAsSent);
     CPPUNIT_TEST_SUITE_END();
 
@@ -421,6 +422,53 @@
         checkServes("more idle connections than the limit");
     }
 
+    /// Guards against a request that runs without an answer, because its connection is closed near
+    /// the limit while the rest of its body is being read after a suspension of the process.
+    void bodyThatArrivedDuringAStallIsServedNearTheConnectionLimit()
+    {
+        std::unique_ptr<async_http_server> server;
+        auto large = options();
+        large.maxBodyBytes = 1U << 20U;
+        large.transferTimeout = large.keepAliveTimeout = 30s;
+        onLoop([&] {
+            server = std::move(
+                async_http_server::start(*m_loop, large, [this](const auto &request, auto respond) {
+                    handle(request, respond);
+                }).value());
+        });
+        const endpoint where {"127.0.0.1", server->port()};
+        raw_socket client(where);
+        client.write(post("Content-Length: 200000\r\nConnection: close\r\n", "x"));
+        instant begun;
+        instant now;
+        for (std::size_t open = 0; open == 0 || now <= begun;) { // it has waited longest
+            onLoop([&] {
+                now = m_loop->now();
+                begun = open == 0 ? now : begun;
+                open = server->openRequests();
+            });
+        }
+        std::vector<std::unique_ptr<raw_socket>> idle(maxConnections - 10);
+        for (auto &each : idle) {
+            each = std::make_unique<raw_socket>(where);
+        }
+        raw_socket last(where);
+        last.write("GET /last HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT(last.read(10s).has_value()); // all are accepted
+        std::thread writer;
+        onLoop([&] {
+            writer = std::thread([&client] { client.write(std::string(199'999, 'x')); });
+            const auto end = m_loop->now() + 1500ms;
+            while (m_loop->now() < end) {
+                std::this_thread::yield();
+            }
+        });
+        writer.join();
+        const auto response = client.readToEnd();
+        onLoop([&] { server.reset(); });
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(response.value_or("")));
+    }
+
     void pathAndQueryAreKeptAsSent()
     {
         raw_socket client(m_where);
