Make room for requests without a body

A request without a body (GET, DELETE) was refused with 503 while unfinished bodies filled the budget, also a readiness check, until those bodies were ended for lack of progress after 5 s. It may now end requests that have been open for a second, like a POST; one that brings a body still may not.

--- a/src/outside/async_http_server.cpp
+++ b/src/outside/async_http_server.cpp
@@ -253,17 +253,19 @@
         current.response = *refused;
         return queue(current);
     }
+    if (const auto announced = announcedLength(request)) {
+        current.announcedBytes = static_cast<std::size_t>(*announced);
+    }
     const bool needsBody = request.method != "GET" && request.method != "DELETE";
+    const bool hasBody = current.announcedBytes.value_or(0) > 0
+                         || findHeader(request.headers, "Transfer-Encoding").has_value();
     const int descriptor = connections[current.connection].descriptor;
-    current.charge =
-        budget.open(request.remoteAddress, current.since, needsBody, [&current, descriptor] {
+    current.charge = budget.open(
+        request.remoteAddress, current.since, needsBody || !hasBody, [&current, descriptor] {
             current.request = {};
             current.ended = true;
             shutdown(descriptor, SHUT_RDWR); // the library sees the end and closes it
         });
-    if (const auto announced = announcedLength(request)) {
-        current.announcedBytes = static_cast<std::size_t>(*announced);
-    }
     const auto bytes = memoryOf(request) + current.announcedBytes.value_or(0);
     if (!budget.charge(current.charge, bytes, loop.now())) {
         current.response = overBudgetResponse();
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(requestThatArrivedDuringAStallIsAnswered);
     CPPUNIT_TEST(callerThatSendsAndDoesNotReadIsDisconnected);
     CPPUNIT_TEST(bodyThatDoesNotFitIsRefused);
+    CPPUNIT_TEST(requestWithoutBodyIsServedBesideUnfinishedBodies);
     CPPUNIT_TEST(newCallerIsServedBesideIdleConnections);
     CPPUNIT_TEST(bodyThatArrivedDuringAStallIsServedNearTheConnectionLimit);
     CPPUNIT_TEST(pathAndQueryAreKeptAsSent);
@@ -412,6 +413,33 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {0}, used);
     }
 
+    /// Guards against readiness checks and look-ups that are refused while unfinished bodies fill
+    /// the budget.
+    void requestWithoutBodyIsServedBesideUnfinishedBodies()
+    {
+        receive_budget budget(1000);
+        std::unique_ptr<async_http_server> server;
+        auto limited = options();
+        limited.budget = &budget;
+        bool ended = false;
+        onLoop([&] {
+            server = std::move(async_http_server::start(*m_loop, limited,
+                                                        [this](const auto &request, auto respond) {
+                                                            handle(request, respond);
+                                                        })
+                                   .value());
+            const auto number =
+                budget.open("10.0.0.1", m_loop->now() - 2s, true, [&ended] { ended = true; });
+            CPPUNIT_ASSERT(budget.charge(number, 990, m_loop->now()));
+        });
+        raw_socket client({"127.0.0.1", server->port()});
+        client.write("GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        const auto response = client.readToEnd();
+        onLoop([&] { server.reset(); });
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(response.value_or("")));
+        CPPUNIT_ASSERT(ended);
+    }
+
     /// Guards against a server that accepts no connection any more once its limit was reached.
     void newCallerIsServedBesideIdleConnections()
     {
