Reclaim large bodies before small ones

When the budget was full, the body with the lowest rate was ended first. A body of 1 MB that is sent at once and stops short of its end has a high rate, so that ordinary requests of a few kilobytes on a slow link were ended before it, many for one large body. Large bodies are now ended first. The new test failed before the change.

--- a/include/ibishinge/outside/receive_budget.h
+++ b/include/ibishinge/outside/receive_budget.h
@@ -48,10 +48,10 @@
 /// Returns whether request `number` may take `bytes` more, and which requests to end for it.
 ///
 /// An eighth of the bound is kept for small requests, so that large bodies cannot displace them.
-/// Among requests that have been open for `minReclaimAge`, those with the least progress for that
-/// time are ended first. While another address waits, one address gets at most half of the bound,
-/// and unfinished requests beyond its half are ended at any age. Precondition: the request is in
-/// `state`. Thread-safe.
+/// Among requests that have been open for `minReclaimAge`, large ones are ended before small ones,
+/// and those with the least progress for that time first. While another address waits, one address
+/// gets at most half of the bound, and unfinished requests beyond its half are ended at any age.
+/// Precondition: the request is in `state`. Thread-safe.
 [[nodiscard]] charge_decision decideCharge(const receive_state &state, receive_number number,
                                            std::size_t bytes, instant now);
 
--- a/src/outside/receive_budget.cpp
+++ b/src/outside/receive_budget.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <utility>
 
 namespace ibishinge {
@@ -30,6 +31,7 @@
 {
     receive_number number = 0;
     std::size_t bytes = 0;
+    bool small = false;
     double bytesPerMs = 0;
 };
 
@@ -45,7 +47,9 @@
            && now - *state.refusedAt < refusedWaits;
 }
 
-/// Returns the unfinished requests that may be ended for one of `address`, slowest first.
+/// Returns the unfinished requests that may be ended for one of `address`: large ones before small
+/// ones, each slowest first. On a narrow link, an ordinary request is slower than a large body that
+/// was sent at once and then stopped, and ending it frees little.
 std::vector<candidate> findCandidates(const receive_state &state, receive_number number,
                                       const std::string &address, instant now)
 {
@@ -60,12 +64,13 @@
                                  && usedBy(state, request.address) > state.totalBytes / 2;
         if (age >= minReclaimAge || beyondShare) {
             const auto ageMs = static_cast<double>(std::max<std::int64_t>(1, age.count()));
-            found.push_back(
-                {each, request.chargedBytes, static_cast<double>(request.readBytes) / ageMs});
+            found.push_back({each, request.chargedBytes, request.chargedBytes <= smallRequestBytes,
+                             static_cast<double>(request.readBytes) / ageMs});
         }
     }
     std::sort(found.begin(), found.end(), [](const candidate &a, const candidate &b) {
-        return std::pair(a.bytesPerMs, a.number) < std::pair(b.bytesPerMs, b.number);
+        return std::tuple(a.small, a.bytesPerMs, a.number)
+               < std::tuple(b.small, b.bytesPerMs, b.number);
     });
     return found;
 }
--- a/tests/receive_budget_test.cpp
+++ b/tests/receive_budget_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST_SUITE(receive_budget_test);
     CPPUNIT_TEST(chargesEndWithTheirRequests);
     CPPUNIT_TEST(slowestIsReclaimedFirst);
+    CPPUNIT_TEST(largeBodiesAreReclaimedBeforeSmallOnes);
     CPPUNIT_TEST(youngAndCompleteRequestsAreKept);
     CPPUNIT_TEST(nothingIsReclaimedInVain);
     CPPUNIT_TEST(smallRequestsFitBesideLargeOnes);
@@ -91,6 +92,21 @@
         CPPUNIT_ASSERT_EQUAL(1, m_shed["reclaimed"]);
     }
 
+    /// Guards against ending an ordinary request on a slow link in favour of large bodies: its rate
+    /// is below that of a body that was sent at once and stops short of its end.
+    void largeBodiesAreReclaimedBeforeSmallOnes()
+    {
+        CPPUNIT_ASSERT(add("a", 5000));
+        m_budget.addRead(m_opened, 1500);
+        for (int i = 0; i < 6; ++i) {
+            CPPUNIT_ASSERT(add("a", large));
+            m_budget.addRead(m_opened, large - 10);
+        }
+        m_now += 1s;
+        CPPUNIT_ASSERT(add("a", large));
+        CPPUNIT_ASSERT(m_ended == std::vector<receive_number> {2});
+    }
+
     /// Guards against ending a request that may run, and ordinary ones on their way.
     void youngAndCompleteRequestsAreKept()
     {
