Choose the requests to reclaim without sorting all

A charge that did not fit looked up the share of each open request's address and sorted all candidates, also if they could not free enough. The decisions are unchanged.

--- a/src/outside/receive_budget.cpp
+++ b/src/outside/receive_budget.cpp
@@ -47,34 +47,47 @@
            && now - *state.refusedAt < refusedWaits;
 }
 
-/// Returns the unfinished requests that may be ended for one of `address`: large ones before small
-/// ones, each slowest first. On a narrow link, an ordinary request is slower than a large body that
-/// was sent at once and then stopped, and ending it frees little.
+/// Returns the address that takes more than half of the bound, if any.
+const std::string *findBeyondShare(const receive_state &state)
+{
+    for (const auto &[address, used] : state.usedByAddress) {
+        if (used > state.totalBytes / 2) {
+            return &address;
+        }
+    }
+    return nullptr;
+}
+
+/// Returns the unfinished requests that may be ended for one of `address`, in any order.
 std::vector<candidate> findCandidates(const receive_state &state, receive_number number,
                                       const std::string &address, instant now)
 {
     std::vector<candidate> found;
-    const bool belowShare = usedBy(state, address) < state.totalBytes / 2;
+    const auto *const beyondShare =
+        usedBy(state, address) < state.totalBytes / 2 ? findBeyondShare(state) : nullptr;
     for (const auto &[each, request] : state.requests) {
         if (each == number || request.complete || request.chargedBytes == 0) {
             continue;
         }
         const auto age = now - request.since;
-        const bool beyondShare = belowShare && request.address != address
-                                 && usedBy(state, request.address) > state.totalBytes / 2;
-        if (age >= minReclaimAge || beyondShare) {
+        if (age >= minReclaimAge || (beyondShare != nullptr && request.address == *beyondShare)) {
             const auto ageMs = static_cast<double>(std::max<std::int64_t>(1, age.count()));
             found.push_back({each, request.chargedBytes, request.chargedBytes <= smallRequestBytes,
                              static_cast<double>(request.readBytes) / ageMs});
         }
     }
-    std::sort(found.begin(), found.end(), [](const candidate &a, const candidate &b) {
-        return std::tuple(a.small, a.bytesPerMs, a.number)
-               < std::tuple(b.small, b.bytesPerMs, b.number);
-    });
     return found;
 }
 
+/// Orders a heap of candidates: large ones before small ones, each slowest first. On a narrow link,
+/// an ordinary request is slower than a large body that was sent at once and then stopped, and
+/// ending it frees little.
+bool isEndedLater(const candidate &a, const candidate &b)
+{
+    return std::tuple(a.small, a.bytesPerMs, a.number)
+           > std::tuple(b.small, b.bytesPerMs, b.number);
+}
+
 } // namespace
 
 charge_decision decideCharge(const receive_state &state, receive_number number, std::size_t bytes,
@@ -95,17 +108,23 @@
     if (!request.mayReclaim) {
         return {};
     }
-    charge_decision decision;
-    std::size_t freed = 0;
-    for (const auto &each : findCandidates(state, number, address, now)) {
-        decision.reclaimed.push_back(each.number);
-        freed += each.bytes;
-        if (state.usedBytes - freed + bytes <= bound) {
-            decision.granted = true;
-            return decision;
-        }
+    auto candidates = findCandidates(state, number, address, now);
+    std::size_t reclaimable = 0;
+    for (const auto &each : candidates) {
+        reclaimable += each.bytes;
+    }
+    if (state.usedBytes - reclaimable + bytes > bound) {
+        return {};
+    }
+    // Usually a few of thousands are ended, so that sorting all of them would be a waste.
+    std::make_heap(candidates.begin(), candidates.end(), isEndedLater);
+    charge_decision decision {true, {}};
+    for (std::size_t freed = 0; state.usedBytes - freed + bytes > bound; candidates.pop_back()) {
+        std::pop_heap(candidates.begin(), candidates.end(), isEndedLater);
+        decision.reclaimed.push_back(candidates.back().number);
+        freed += candidates.back().bytes;
     }
-    return {};
+    return decision;
 }
 
 bool isWithoutProgress(std::size_t readBytes, instant since, instant now) noexcept
