Require no progress of small announced bodies

A body of less than 1,280 bytes after 5 s was ended without an answer, although a body has 10 s and callers may wait longer. An ordinary request of 3 kB whose later segments are lost repeatedly, or that arrives at 220 bytes a second, was served before and got none.

--- a/include/ibishinge/outside/receive_budget.h
+++ b/include/ibishinge/outside/receive_budget.h
@@ -56,8 +56,11 @@
                                            std::size_t bytes, instant now);
 
 /// Returns true if an unfinished body has not made the least progress that is required for its age.
-/// Thread-safe.
-[[nodiscard]] bool isWithoutProgress(std::size_t readBytes, instant since, instant now) noexcept;
+/// None is required of a body whose announced length is small: on a path that loses packets, an
+/// ordinary one may stand still for longer, and it takes little memory. Thread-safe.
+[[nodiscard]] bool isWithoutProgress(std::size_t readBytes,
+                                     std::optional<std::size_t> announcedBytes, instant since,
+                                     instant now) noexcept;
 
 /// A connection without a complete request.
 struct waiting_connection
--- a/src/outside/async_http_server.cpp
+++ b/src/outside/async_http_server.cpp
@@ -436,9 +436,10 @@
         }
         const bool late = current != nullptr ? now > current->since + options.transferTimeout
                                              : now > place.idleSince + options.keepAliveTimeout;
-        const bool stuck = current != nullptr && current->headersRead && !current->response
-                           && isWithoutProgress(current->readBytes, current->since, now)
-                           && !hasUnreadBytes(place.descriptor);
+        const bool stuck =
+            current != nullptr && current->headersRead && !current->response
+            && isWithoutProgress(current->readBytes, current->announcedBytes, current->since, now)
+            && !hasUnreadBytes(place.descriptor);
         if (stuck && !late) {
             shed(place, connection, shed_reason::no_progress, now);
         }
--- a/src/outside/receive_budget.cpp
+++ b/src/outside/receive_budget.cpp
@@ -21,7 +21,7 @@
 /// How long an address that was refused counts as waiting.
 constexpr milliseconds refusedWaits {1000};
 
-/// Callers and other processes give up sooner than this, also on a path that was cut.
+/// Other processes give up sooner than this.
 constexpr milliseconds progressGrace {5000};
 constexpr std::size_t minBytesPerSecond = 256;
 
@@ -127,10 +127,12 @@
     return decision;
 }
 
-bool isWithoutProgress(std::size_t readBytes, instant since, instant now) noexcept
+bool isWithoutProgress(std::size_t readBytes, std::optional<std::size_t> announcedBytes,
+                       instant since, instant now) noexcept
 {
     const auto age = now - since;
-    return age >= progressGrace
+    const bool small = announcedBytes && *announcedBytes <= smallRequestBytes;
+    return !small && age >= progressGrace
            && readBytes < minBytesPerSecond * static_cast<std::size_t>(age.count()) / 1000;
 }
 
