Send the refusal of a body that does not fit after the body

The refusal for memory was sent before the body and the connection closed, so that it was reset by what the client still sent. A client that writes headers and body separately saw the reset instead of the 503, and not that its request had not run. The body is now read and dropped first, as it was for chunked bodies. The new test failed before the change.

--- a/src/outside/async_http_server.cpp
+++ b/src/outside/async_http_server.cpp
@@ -268,8 +268,9 @@
         });
     const auto bytes = memoryOf(request) + current.announcedBytes.value_or(0);
     if (!budget.charge(current.charge, bytes, loop.now())) {
-        current.response = overBudgetResponse();
-        return queue(current);
+        // Closed now, the connection would be reset by what the client still sends, and the client
+        // might never read that its request has not run.
+        refuseBody(current, overBudgetResponse());
     }
     return MHD_YES;
 }
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(requestThatArrivedDuringAStallIsAnswered);
     CPPUNIT_TEST(callerThatSendsAndDoesNotReadIsDisconnected);
     CPPUNIT_TEST(bodyThatDoesNotFitIsRefused);
+    CPPUNIT_TEST(refusalIsSentAfterTheBody);
     CPPUNIT_TEST(requestWithoutBodyIsServedBesideUnfinishedBodies);
     CPPUNIT_TEST(newCallerIsServedBesideIdleConnections);
     CPPUNIT_TEST(bodyThatArrivedDuringAStallIsServedNearTheConnectionLimit);
@@ -413,6 +414,38 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {0}, used);
     }
 
+    /// Guards against a refusal that is lost, because the connection is closed and reset while the
+    /// client still sends the body.
+    void refusalIsSentAfterTheBody()
+    {
+        receive_budget budget(1000);
+        std::unique_ptr<async_http_server> server;
+        auto limited = options();
+        limited.budget = &budget;
+        limited.transferTimeout = 30s;
+        std::atomic<int> refused = 0;
+        onLoop([&] {
+            budget.onShed([&](const shed_request &) { ++refused; });
+            server = std::move(async_http_server::start(*m_loop, limited,
+                                                        [this](const auto &request, auto respond) {
+                                                            handle(request, respond);
+                                                        })
+                                   .value());
+        });
+        raw_socket client({"127.0.0.1", server->port()});
+        client.write(post("Content-Length: 900\r\n", ""));
+        std::size_t open = 0;
+        for (int rounds = 0; rounds<100; rounds += refused> 0 ? 1 : 0) {
+            onLoop([&] { open = server->openRequests(); });
+        }
+        client.write(std::string(900, 'x'));
+        const auto response = client.readToEnd();
+        onLoop([&] { server.reset(); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, open);
+        CPPUNIT_ASSERT_EQUAL(503, statusOf(response.value_or("")));
+        CPPUNIT_ASSERT_EQUAL(0, m_calls.load());
+    }
+
     /// Guards against readiness checks and look-ups that are refused while unfinished bodies fill
     /// the budget.
     void requestWithoutBodyIsServedBesideUnfinishedBodies()
