--- a/include/ibishinge/outside/receive_budget.h
+++ b/include/ibishinge/outside/receive_budget.h
@@ -48,16 +48,19 @@
 /// Returns whether request `number` may take `bytes` more, and which requests to end for it.
 ///
 /// An eighth of the bound is kept for small requests, so that large bodies cannot displace them.
-/// Among requests that have been open for `minReclaimAge`, those with the least progress for that
-/// time are ended first. While another address waits, one address gets at most half of the bound,
-/// and unfinished requests beyond its half are ended at any age. Precondition: the request is in
-/// `state`. Thread-safe.
+/// Among requests that have been open for `minReclaimAge`, large ones are ended before small ones,
+/// and those with the least progress for that time first. While another address waits, one address
+/// gets at most half of the bound, and unfinished requests beyond its half are ended at any age.
+/// Precondition: the request is in `state`. Thread-safe.
 [[nodiscard]] charge_decision decideCharge(const receive_state &state, receive_number number,
                                            std::size_t bytes, instant now);
 
 /// Returns true if an unfinished body has not made the least progress that is required for its age.
-/// Thread-safe.
-[[nodiscard]] bool isWithoutProgress(std::size_t readBytes, instant since, instant now) noexcept;
+/// None is required of a body whose announced length is small: on a path that loses packets, an
+/// ordinary one may stand still for longer, and it takes little memory. Thread-safe.
+[[nodiscard]] bool isWithoutProgress(std::size_t readBytes,
+                                     std::optional<std::size_t> announcedBytes, instant since,
+                                     instant now) noexcept;
 
 /// A connection without a complete request.
 struct waiting_connection
--- a/src/outside/async_http_server.cpp
+++ b/src/outside/async_http_server.cpp
@@ -253,21 +253,24 @@
         current.response = *refused;
         return queue(current);
     }
+    if (const auto announced = announcedLength(request)) {
+        current.announcedBytes = static_cast<std::size_t>(*announced);
+    }
     const bool needsBody = request.method != "GET" && request.method != "DELETE";
+    const bool hasBody = current.announcedBytes.value_or(0) > 0
+                         || findHeader(request.headers, "Transfer-Encoding").has_value();
     const int descriptor = connections[current.connection].descriptor;
-    current.charge =
-        budget.open(request.remoteAddress, current.since, needsBody, [&current, descriptor] {
+    current.charge = budget.open(
+        request.remoteAddress, current.since, needsBody || !hasBody, [&current, descriptor] {
             current.request = {};
             current.ended = true;
             shutdown(descriptor, SHUT_RDWR); // the library sees the end and closes it
         });
-    if (const auto announced = announcedLength(request)) {
-        current.announcedBytes = static_cast<std::size_t>(*announced);
-    }
     const auto bytes = memoryOf(request) + current.announcedBytes.value_or(0);
     if (!budget.charge(current.charge, bytes, loop.now())) {
-        current.response = overBudgetResponse();
-        return queue(current);
+        // Closed now, the connection would be reset by what the client still sends, and the client
+        // might never read that its request has not run.
+        refuseBody(current, overBudgetResponse());
     }
     return MHD_YES;
 }
@@ -434,9 +437,10 @@
         }
         const bool late = current != nullptr ? now > current->since + options.transferTimeout
                                              : now > place.idleSince + options.keepAliveTimeout;
-        const bool stuck = current != nullptr && current->headersRead && !current->response
-                           && isWithoutProgress(current->readBytes, current->since, now)
-                           && !hasUnreadBytes(place.descriptor);
+        const bool stuck =
+            current != nullptr && current->headersRead && !current->response
+            && isWithoutProgress(current->readBytes, current->announcedBytes, current->since, now)
+            && !hasUnreadBytes(place.descriptor);
         if (stuck && !late) {
             shed(place, connection, shed_reason::no_progress, now);
         }
@@ -464,9 +468,8 @@
     std::vector<waiting_connection> waiting;
     for (const auto &[connection, place] : connections) {
         const auto *const current = place.current;
-        const bool waits = current != nullptr ? !current->handed && !current->ended
-                                              : !hasUnreadBytes(place.descriptor);
-        if (waits) {
+        const bool waits = current == nullptr || (!current->handed && !current->ended);
+        if (waits && !hasUnreadBytes(place.descriptor)) {
             waiting.push_back(
                 {place.descriptor, current != nullptr ? current->since : place.idleSince});
         }
--- a/tests/async_http_server_test.cpp
+++ b/tests/async_http_server_test.cpp
@@ -40,7 +40,10 @@
     CPPUNIT_TEST(requestThatArrivedDuringAStallIsAnswered);
     CPPUNIT_TEST(callerThatSendsAndDoesNotReadIsDisconnected);
     CPPUNIT_TEST(bodyThatDoesNotFitIsRefused);
+    CPPUNIT_TEST(refusalIsSentAfterTheBody);
+    CPPUNIT_TEST(requestWithoutBodyIsServedBesideUnfinishedBodies);
     CPPUNIT_TEST(newCallerIsServedBesideIdleConnections);
+    CPPUNIT_TEST(bodyThatArrivedDuringAStallIsServedNearTheConnectionLimit);
     CPPUNIT_TEST(pathAndQueryAreKeptAsSent);
     CPPUNIT_TEST_SUITE_END();
 
@@ -411,6 +414,65 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {0}, used);
     }
 
+    /// Guards against a refusal that is lost, because the connection is closed and reset while the
+    /// client still sends the body.
+    void refusalIsSentAfterTheBody()
+    {
+        receive_budget budget(1000);
+        std::unique_ptr<async_http_server> server;
+        auto limited = options();
+        limited.budget = &budget;
+        limited.transferTimeout = 30s;
+        std::atomic<int> refused = 0;
+        onLoop([&] {
+            budget.onShed([&](const shed_request &) { ++refused; });
+            server = std::move(async_http_server::start(*m_loop, limited,
+                                                        [this](const auto &request, auto respond) {
+                                                            handle(request, respond);
+                                                        })
+                                   .value());
+        });
+        raw_socket client({"127.0.0.1", server->port()});
+        client.write(post("Content-Length: 900\r\n", ""));
+        std::size_t open = 0;
+        for (int rounds = 0; rounds<100; rounds += refused> 0 ? 1 : 0) {
+            onLoop([&] { open = server->openRequests(); });
+        }
+        client.write(std::string(900, 'x'));
+        const auto response = client.readToEnd();
+        onLoop([&] { server.reset(); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, open);
+        CPPUNIT_ASSERT_EQUAL(503, statusOf(response.value_or("")));
+        CPPUNIT_ASSERT_EQUAL(0, m_calls.load());
+    }
+
+    /// Guards against readiness checks and look-ups that are refused while unfinished bodies fill
+    /// the budget.
+    void requestWithoutBodyIsServedBesideUnfinishedBodies()
+    {
+        receive_budget budget(1000);
+        std::unique_ptr<async_http_server> server;
+        auto limited = options();
+        limited.budget = &budget;
+        bool ended = false;
+        onLoop([&] {
+            server = std::move(async_http_server::start(*m_loop, limited,
+                                                        [this](const auto &request, auto respond) {
+                                                            handle(request, respond);
+                                                        })
+                                   .value());
+            const auto number =
+                budget.open("10.0.0.1", m_loop->now() - 2s, true, [&ended] { ended = true; });
+            CPPUNIT_ASSERT(budget.charge(number, 990, m_loop->now()));
+        });
+        raw_socket client({"127.0.0.1", server->port()});
+        client.write("GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        const auto response = client.readToEnd();
+        onLoop([&] { server.reset(); });
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(response.value_or("")));
+        CPPUNIT_ASSERT(ended);
+    }
+
     /// Guards against a server that accepts no connection any more once its limit was reached.
     void newCallerIsServedBesideIdleConnections()
     {
@@ -421,6 +483,53 @@
         checkServes("more idle connections than the limit");
     }
 
+    /// Guards against a request that runs without an answer, because its connection is closed near
+    /// the limit while the rest of its body is being read after a suspension of the process.
+    void bodyThatArrivedDuringAStallIsServedNearTheConnectionLimit()
+    {
+        std::unique_ptr<async_http_server> server;
+        auto large = options();
+        large.maxBodyBytes = 1U << 20U;
+        large.transferTimeout = large.keepAliveTimeout = 30s;
+        onLoop([&] {
+            server = std::move(
+                async_http_server::start(*m_loop, large, [this](const auto &request, auto respond) {
+                    handle(request, respond);
+                }).value());
+        });
+        const endpoint where {"127.0.0.1", server->port()};
+        raw_socket client(where);
+        client.write(post("Content-Length: 200000\r\nConnection: close\r\n", "x"));
+        instant begun;
+        instant now;
+        for (std::size_t open = 0; open == 0 || now <= begun;) { // it has waited longest
+            onLoop([&] {
+                now = m_loop->now();
+                begun = open == 0 ? now : begun;
+                open = server->openRequests();
+            });
+        }
+        std::vector<std::unique_ptr<raw_socket>> idle(maxConnections - 10);
+        for (auto &each : idle) {
+            each = std::make_unique<raw_socket>(where);
+        }
+        raw_socket last(where);
+        last.write("GET /last HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT(last.read(10s).has_value()); // all are accepted
+        std::thread writer;
+        onLoop([&] {
+            writer = std::thread([&client] { client.write(std::string(199'999, 'x')); });
+            const auto end = m_loop->now() + 1500ms;
+            while (m_loop->now() < end) {
+                std::this_thread::yield();
+            }
+        });
+        writer.join();
+        const auto response = client.readToEnd();
+        onLoop([&] { server.reset(); });
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(response.value_or("")));
+    }
+
     void pathAndQueryAreKeptAsSent()
     {
         raw_socket client(m_where);
--- a/tests/receive_budget_test.cpp
+++ b/tests/receive_budget_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,7 @@
     CPPUNIT_TEST_SUITE(receive_budget_test);
     CPPUNIT_TEST(chargesEndWithTheirRequests);
     CPPUNIT_TEST(slowestIsReclaimedFirst);
+    CPPUNIT_TEST(largeBodiesAreReclaimedBeforeSmallOnes);
     CPPUNIT_TEST(youngAndCompleteRequestsAreKept);
     CPPUNIT_TEST(nothingIsReclaimedInVain);
     CPPUNIT_TEST(smallRequestsFitBesideLargeOnes);
@@ -30,6 +32,7 @@
     CPPUNIT_TEST(oneAddressYieldsToAnother);
     CPPUNIT_TEST(addressIsFreeWithoutOthers);
     CPPUNIT_TEST(progressIsRequiredAfterItsGrace);
+    CPPUNIT_TEST(noProgressIsRequiredOfSmallBodies);
     CPPUNIT_TEST(longestWaitingConnectionsAreClosed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -91,6 +94,21 @@
         CPPUNIT_ASSERT_EQUAL(1, m_shed["reclaimed"]);
     }
 
+    /// Guards against ending an ordinary request on a slow link in favour of large bodies: its rate
+    /// is below that of a body that was sent at once and stops short of its end.
+    void largeBodiesAreReclaimedBeforeSmallOnes()
+    {
+        CPPUNIT_ASSERT(add("a", 5000));
+        m_budget.addRead(m_opened, 1500);
+        for (int i = 0; i < 6; ++i) {
+            CPPUNIT_ASSERT(add("a", large));
+            m_budget.addRead(m_opened, large - 10);
+        }
+        m_now += 1s;
+        CPPUNIT_ASSERT(add("a", large));
+        CPPUNIT_ASSERT(m_ended == std::vector<receive_number> {2});
+    }
+
     /// Guards against ending a request that may run, and ordinary ones on their way.
     void youngAndCompleteRequestsAreKept()
     {
@@ -174,10 +192,20 @@
     /// was cut for a moment.
     void progressIsRequiredAfterItsGrace()
     {
-        CPPUNIT_ASSERT(!isWithoutProgress(0, start, start + 4999ms));
-        CPPUNIT_ASSERT(isWithoutProgress(1279, start, start + 5s));
-        CPPUNIT_ASSERT(!isWithoutProgress(1280, start, start + 5s));
-        CPPUNIT_ASSERT(isWithoutProgress(1280, start, start + 6s));
+        for (const auto announced : {std::optional<std::size_t>(), std::optional(large)}) {
+            CPPUNIT_ASSERT(!isWithoutProgress(0, announced, start, start + 4999ms));
+            CPPUNIT_ASSERT(isWithoutProgress(1279, announced, start, start + 5s));
+            CPPUNIT_ASSERT(!isWithoutProgress(1280, announced, start, start + 5s));
+            CPPUNIT_ASSERT(isWithoutProgress(1280, announced, start, start + 6s));
+        }
+    }
+
+    /// Guards against ending an ordinary request that stands still on a path that loses packets.
+    void noProgressIsRequiredOfSmallBodies()
+    {
+        CPPUNIT_ASSERT(!isWithoutProgress(1100, 5000, start, start + 9s));
+        CPPUNIT_ASSERT(!isWithoutProgress(0, 16384, start, start + 9s));
+        CPPUNIT_ASSERT(isWithoutProgress(0, 16385, start, start + 9s));
     }
 
     void longestWaitingConnectionsAreClosed()
