Forecast of the end of a job, and rejection by it: decisions

Cause: admission rejects only what no host can ever run. When queues ask for several times what their pool holds, every job is accepted and the last ones end late.

Change: fleet/queueing/ computes the end of a job from the expected use of its pool, as a fluid queue over the free cores: ends of runs, waiting and later work that goes first, hosts that are on their way, then the job's own batches and critical path. Work that a limit holds up (a customer's, a label's) does not hold up others. A job that runs once is rejected if its forecast misses its objective by more than the queue's measured error, in either direction, and half a run time, which is what a fluid forecast may be wrong by. Rejected jobs are told when there is room behind the returns promised before. Work that cannot be in time any more by more than 200 ms and the margin is not ahead of new jobs, because it will be behind them.

--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -179,6 +179,9 @@
     /// Latest completion of a job that runs once, as expected at its submission.
     instant objectiveAt;
     milliseconds criticalPath {0}; ///< estimated length of the critical path
+    std::optional<instant> forecastEnd; ///< as forecast at its submission; unset: not known
+    /// The same if no rejected job returned.
+    std::optional<instant> forecastWithoutReturns;
     double work = 0; ///< estimated work of all tasks, in core-milliseconds
     job_state state = job_state::queued;
     bool stored = false; ///< the job is accepted: its record is in the store
--- a/src/fleet/admission.cpp
+++ b/src/fleet/admission.cpp
@@ -66,7 +66,8 @@
 } // namespace
 
 admission_decision decideAdmission(const fleet_tables &tables, const job_entry &job,
-                                   const queue_config &queue, instant /*now*/)
+                                   const queue_config &queue, instant /*now*/,
+                                   const forecast_judgement *judgement)
 {
     admission_decision decision;
     decision.objective = since(job.submittedAt, job.objectiveAt);
@@ -94,6 +95,11 @@
             return decision;
         }
     }
+    if (judgement != nullptr && judgement->rejected) {
+        decision.verdict = admission_verdict::later;
+        decision.reason = forecastReason;
+        decision.retryAfter = judgement->retryAfter;
+    }
     return decision;
 }
 
