--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -12,6 +12,7 @@
 #include <ibishinge/fleet/placement.h>
 #include <ibishinge/fleet/platform_api.h>
 #include <ibishinge/fleet/pool_sizing.h>
+#include <ibishinge/fleet/queueing/forecast.h>
 #include <ibishinge/fleet/record_writer.h>
 #include <ibishinge/fleet/tables.h>
 #include <ibishinge/fleet/takeover_progress.h>
@@ -49,6 +50,8 @@
     milliseconds maintenanceTime {2000}; ///< for which a host is down for maintenance
     /// Time within which an evacuation takes effect; 0: the platform has none.
     milliseconds evacuationBound {0};
+    /// Submissions are rejected that cannot be in time according to the forecast.
+    bool forecastRejection = false;
     int maxConcurrentWrites = 2; ///< transactions in flight while the store is not slow
     int maxConcurrentMoves = 16; ///< host moves in flight
 };
@@ -206,6 +209,8 @@
     /// Cancels an id that no job has, so that a submission that arrives later is rejected.
     void withdraw(const std::string &id, const answer_handler &done);
     void endJob(job_entry &job, job_state state);
+    /// Compares the end of a completed job with its forecast.
+    void measureForecast(const job_entry &job);
     void markDirty(const std::string &id);
     [[nodiscard]] static write_unit progressUnit(const job_entry &job);
     /// Has `flush` called after `delay`, or soon after the flush in progress.
@@ -374,6 +379,7 @@
     fleet_tables m_tables;
     maintenance_state m_maintenance;
     pool_sizing_state m_sizing;
+    forecast_state m_forecast;
 
     bool m_closed = false;
     bool m_suspended = false;
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -8,6 +8,7 @@
 #include <ibishinge/fleet/record_codec.h>
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <utility>
 
@@ -60,6 +61,18 @@
     return answer;
 }
 
+/// Returns the fields of log lines that tell a forecast, counted from `now`.
+nlohmann::json describeForecast(const forecast_judgement &judgement, instant now)
+{
+    auto fields = nlohmann::json::object();
+    if (judgement.forecast) {
+        fields = {{"forecast_ms", since(now, judgement.forecast->end).count()},
+                  {"ahead_core_ms", std::round(judgement.forecast->aheadCoreMs)},
+                  {"capacity_cores", judgement.forecast->capacityCores}};
+    }
+    return fields;
+}
+
 /// Returns the answer to a submission whose job was not stored, as far as the writer knows.
 caller_answer answerToUnstoredSubmission(error_kind kind)
 {
@@ -192,16 +205,19 @@
         done(answerOf(answer_kind::invalid, *problem));
         return;
     }
-    const auto reject = [&](const caller_answer &answer, const admission_decision &decision) {
-        logEvent(log_level::info, "job_refused",
-                 {{"job", id},
-                  {"queue", queue.name},
-                  {"customer", customer},
-                  {"answer", nameOf(answer.kind)},
-                  {"reason", answer.message},
-                  {"predicted_ms", decision.predicted.count()},
-                  {"objective_ms", decision.objective.count()},
-                  {"config", m_tables.config.version}});
+    const auto reject = [&](const caller_answer &answer, const admission_decision &decision,
+                            const forecast_judgement &judgement = {}) {
+        auto fields = describeForecast(judgement, m_timers.now());
+        fields.update({{"job", id},
+                       {"queue", queue.name},
+                       {"customer", customer},
+                       {"answer", nameOf(answer.kind)},
+                       {"reason", answer.message},
+                       {"predicted_ms", decision.predicted.count()},
+                       {"objective_ms", decision.objective.count()},
+                       {"retry_after_ms", answer.retryAfter.count()},
+                       {"config", m_tables.config.version}});
+        logEvent(log_level::info, "job_refused", fields);
         m_metrics.add("ibishinge_jobs_refused_total", {{"reason", answer.message}});
         done(answer);
     };
@@ -231,21 +247,36 @@
         job.longRunning = job.longRunning || step.longRunning;
     }
     estimateJob(m_tables, job);
-    const auto decision = decideAdmission(m_tables, job, queue, m_timers.now());
+    const auto judgement = judgeForecast(m_forecast, m_tables, m_sizing, job,
+                                         m_settings.forecastRejection, m_timers.now());
+    const auto decision = decideAdmission(m_tables, job, queue, m_timers.now(), &judgement);
     if (decision.verdict != admission_verdict::accept) {
+        if (decision.reason == forecastReason) {
+            recordRejection(m_forecast, m_tables, job, judgement, m_timers.now());
+        }
         reject(answerOf(decision.verdict == admission_verdict::never ? answer_kind::invalid
                                                                      : answer_kind::overloaded,
                         decision.reason, decision.retryAfter),
-               decision);
+               decision, judgement);
         return;
     }
-    logEvent(log_level::info, "job_admitted",
-             {{"job", id},
-              {"queue", queue.name},
-              {"customer", customer},
-              {"predicted_ms", decision.predicted.count()},
-              {"objective_ms", decision.objective.count()},
-              {"config", m_tables.config.version}});
+    if (judgement.objectiveFrom < job.submittedAt) {
+        job.submittedAt = judgement.objectiveFrom;
+        estimateJob(m_tables, job);
+    }
+    if (judgement.forecast) {
+        job.forecastEnd = judgement.forecast->end;
+        job.forecastWithoutReturns = judgement.endWithoutReturns;
+    }
+    recordAcceptance(m_forecast, m_tables, job, m_timers.now());
+    auto fields = describeForecast(judgement, m_timers.now());
+    fields.update({{"job", id},
+                   {"queue", queue.name},
+                   {"customer", customer},
+                   {"predicted_ms", decision.predicted.count()},
+                   {"objective_ms", decision.objective.count()},
+                   {"config", m_tables.config.version}});
+    logEvent(log_level::info, "job_admitted", fields);
     m_submitWaiters[id].push_back(done);
     write_unit unit;
     unit.changes.push_back({std::string(jobPrefix) + id, encodeJob(job)});
@@ -330,6 +361,7 @@
 {
     const auto wallMs = m_timers.wallMs();
     const auto known = m_tables.withdrawn.find(id);
+    m_forecast.returns.erase(id);
     if (known != m_tables.withdrawn.end()) {
         if (!known->second.stored) {
             m_cancelWaiters[id].push_back(done);
@@ -389,9 +421,35 @@
     });
 }
 
+void coordinator::measureForecast(const job_entry &job)
+{
+    const auto now = m_timers.now();
+    if (!job.forecastEnd || job.spec.repetitions > 0) {
+        return;
+    }
+    const auto error = forecastError(job, now);
+    auto &errors = m_forecast.errors[job.queue];
+    logEvent(log_level::info, "job_finished",
+             {{"job", job.id},
+              {"queue", job.queue},
+              {"forecast_ms", since(job.submittedAt, *job.forecastEnd).count()},
+              {"actual_ms", since(job.submittedAt, now).count()},
+              {"objective_ms", since(job.submittedAt, job.objectiveAt).count()},
+              {"error_ms", error.count()},
+              {"margin_ms", errors.margin.count()},
+              {"observed", errors.observed}});
+    m_metrics.observe("ibishinge_forecast_error_seconds",
+                      {{"queue", job.queue}, {"direction", error.count() < 0 ? "early" : "late"}},
+                      std::chrono::abs(error));
+    observeForecastError(errors, error);
+}
+
 void coordinator::endJob(job_entry &job, job_state state)
 {
     job.ending = true;
+    if (state == job_state::completed) {
+        measureForecast(job);
+    }
     write_unit unit;
     unit.changes.push_back(
         {std::string(endedPrefix) + job.id, encodeEnded({state, m_timers.wallMs(), true})});
