--forecast-rejection is off, observe or on; off computes nothing

Cause: with `off`, each submission was forecast, logged and measured all the same. A forecast was also made for jobs with a label that no host has; it remembers the label in one of 256 groups for as long as the coordinator runs, so that callers could use up all groups.

Change: `off` (the default) computes, logs and keeps nothing. `observe` forecasts and measures the error and rejects nothing. `on` rejects as well. Only jobs that some host can run are forecast.

--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -50,8 +50,7 @@
     milliseconds maintenanceTime {2000}; ///< for which a host is down for maintenance
     /// Time within which an evacuation takes effect; 0: the platform has none.
     milliseconds evacuationBound {0};
-    /// Submissions are rejected that cannot be in time according to the forecast.
-    bool forecastRejection = false;
+    forecast_mode forecastRejection = forecast_mode::off;
     int maxConcurrentWrites = 2; ///< transactions in flight while the store is not slow
     int maxConcurrentMoves = 16; ///< host moves in flight
 };
--- a/include/ibishinge/fleet/queueing/forecast.h
+++ b/include/ibishinge/fleet/queueing/forecast.h
@@ -13,6 +13,19 @@
 
 namespace ibishinge::fleet {
 
+/// Use that is made of forecasts.
+enum class forecast_mode : std::uint8_t {
+    off, ///< nothing is computed
+    observe, ///< forecasts and their errors are computed and shown; nothing is rejected
+    on, ///< submissions that cannot be in time are rejected as well
+};
+
+/// Returns the name of a mode, as in settings. Thread-safe.
+[[nodiscard]] std::string_view nameOf(forecast_mode mode) noexcept;
+
+/// Returns the mode with this name; nothing if there is none. Thread-safe.
+[[nodiscard]] std::optional<forecast_mode> findForecastMode(std::string_view name) noexcept;
+
 /// Reason of rejections by forecast, in answers, logs and metrics.
 inline constexpr std::string_view forecastReason = "forecast";
 
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -247,9 +247,16 @@
         job.longRunning = job.longRunning || step.longRunning;
     }
     estimateJob(m_tables, job);
-    const auto judgement = judgeForecast(m_forecast, m_tables, m_sizing, job,
-                                         m_settings.forecastRejection, m_timers.now());
-    const auto decision = decideAdmission(m_tables, job, queue, m_timers.now(), &judgement);
+    auto decision = decideAdmission(m_tables, job, queue, m_timers.now());
+    forecast_judgement judgement;
+    const bool forecasts = m_settings.forecastRejection != forecast_mode::off;
+    // A job that no host can run gets no forecast, which would remember its labels.
+    if (forecasts && decision.verdict == admission_verdict::accept) {
+        judgement =
+            judgeForecast(m_forecast, m_tables, m_sizing, job,
+                          m_settings.forecastRejection == forecast_mode::on, m_timers.now());
+        decision = decideAdmission(m_tables, job, queue, m_timers.now(), &judgement);
+    }
     if (decision.verdict != admission_verdict::accept) {
         if (decision.reason == forecastReason) {
             recordRejection(m_forecast, m_tables, job, judgement, m_timers.now());
@@ -260,15 +267,17 @@
                decision, judgement);
         return;
     }
-    if (judgement.objectiveFrom < job.submittedAt) {
-        job.submittedAt = judgement.objectiveFrom;
-        estimateJob(m_tables, job);
-    }
-    if (judgement.forecast) {
-        job.forecastEnd = judgement.forecast->end;
-        job.forecastWithoutReturns = judgement.endWithoutReturns;
+    if (forecasts) {
+        if (judgement.objectiveFrom < job.submittedAt) {
+            job.submittedAt = judgement.objectiveFrom;
+            estimateJob(m_tables, job);
+        }
+        if (judgement.forecast) {
+            job.forecastEnd = judgement.forecast->end;
+            job.forecastWithoutReturns = judgement.endWithoutReturns;
+        }
+        recordAcceptance(m_forecast, m_tables, job, m_timers.now());
     }
-    recordAcceptance(m_forecast, m_tables, job, m_timers.now());
     auto fields = describeForecast(judgement, m_timers.now());
     fields.update({{"job", id},
                    {"queue", queue.name},
--- a/src/fleet/queueing/forecast.cpp
+++ b/src/fleet/queueing/forecast.cpp
@@ -3,6 +3,7 @@
 #include <ibishinge/fleet/objective.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <functional>
 #include <vector>
@@ -24,6 +25,12 @@
 
 constexpr milliseconds shortestRetryAfter {1000};
 
+constexpr std::array<std::pair<forecast_mode, std::string_view>, 3> modeNames {{
+    {forecast_mode::off, "off"},
+    {forecast_mode::observe, "observe"},
+    {forecast_mode::on, "on"},
+}};
+
 /// Bound of the parts of a forecast, in milliseconds, for the same reason.
 constexpr double longestForecast = 1e10;
 
@@ -183,6 +190,21 @@
 
 } // namespace
 
+std::string_view nameOf(forecast_mode mode) noexcept
+{
+    return modeNames.at(static_cast<std::size_t>(mode)).second;
+}
+
+std::optional<forecast_mode> findForecastMode(std::string_view name) noexcept
+{
+    for (const auto &[mode, each] : modeNames) {
+        if (each == name) {
+            return mode;
+        }
+    }
+    return std::nullopt;
+}
+
 forecast_judgement judgeForecast(forecast_state &state, const fleet_tables &tables,
                                  const pool_sizing_state &sizing, const job_entry &job,
                                  bool mayReject, instant now)
--- a/tests/forecast_burst_test.cpp
+++ b/tests/forecast_burst_test.cpp
@@ -39,9 +39,9 @@
     int next = 0;
     bool returns = true; ///< callers return when they were told to, each fourth one does not
 
-    explicit loaded_pool(bool rejection)
+    explicit loaded_pool(forecast_mode mode)
     {
-        coordination.forecastRejection = rejection;
+        coordination.forecastRejection = mode;
         world.behaviourOf = [this](const task_name &task) {
             auto &job = jobs[task.job];
             virtual_world::behaviour planned;
@@ -115,6 +115,19 @@
         return static_cast<int>(std::count_if(
             jobs.begin(), jobs.end(), [&](const auto &each) { return holds(each.second); }));
     }
+    /// Number of jobs whose end was compared with their forecast.
+    [[nodiscard]] std::uint64_t measuredForecasts()
+    {
+        std::uint64_t sum = 0;
+        for (const auto *const direction : {"early", "late"}) {
+            sum += leader()
+                       ->metrics
+                       ->durations("ibishinge_forecast_error_seconds",
+                                   {{"queue", "queue-pool-a"}, {"direction", direction}})
+                       .total();
+        }
+        return sum;
+    }
     [[nodiscard]] static bool isAccepted(const outcome &job)
     {
         return job.acceptedAt != instant {};
@@ -133,14 +146,16 @@
 {
     CPPUNIT_TEST_SUITE(forecast_burst_test);
     CPPUNIT_TEST(withoutRejectionTheLastJobsEndLate);
+    CPPUNIT_TEST(observedForecastsRejectNothing);
     CPPUNIT_TEST(withRejectionAcceptedJobsEndInTime);
     CPPUNIT_TEST(nothingIsRejectedAfterATakeover);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Also guards against forecasts that deployments pay for which do not ask for them.
     void withoutRejectionTheLastJobsEndLate()
     {
-        loaded_pool pool(false);
+        loaded_pool pool(forecast_mode::off);
         pool.burst();
         const auto late = pool.count(loaded_pool::isLate);
         std::cout << "\n  without rejection: " << pool.jobs.size() << " jobs, " << late << " late"
@@ -148,6 +163,18 @@
         CPPUNIT_ASSERT_EQUAL(static_cast<int>(pool.jobs.size()),
                              pool.count(loaded_pool::isAccepted));
         CPPUNIT_ASSERT(late > 15);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), pool.measuredForecasts());
+    }
+
+    /// Guards against observed forecasts that change what is accepted.
+    void observedForecastsRejectNothing()
+    {
+        loaded_pool pool(forecast_mode::observe);
+        pool.burst();
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(pool.jobs.size()),
+                             pool.count(loaded_pool::isAccepted));
+        CPPUNIT_ASSERT_EQUAL(static_cast<std::uint64_t>(pool.jobs.size()),
+                             pool.measuredForecasts());
     }
 
     /// Also guards against rejections that come late, rejected jobs that start, and callers that
@@ -155,7 +182,7 @@
     void withRejectionAcceptedJobsEndInTime()
     {
         for (const int firstId : {0, 1000, 2000, 3000}) { // other run times
-            loaded_pool pool(true);
+            loaded_pool pool(forecast_mode::on);
             pool.next = firstId;
             pool.burst();
             const auto late = pool.count(loaded_pool::isLate);
@@ -178,7 +205,7 @@
     /// Guards against rejections by a coordinator that has seen no forecast fail or hold.
     void nothingIsRejectedAfterATakeover()
     {
-        loaded_pool pool(true);
+        loaded_pool pool(forecast_mode::on);
         pool.submitEach(500ms, 15s);
         pool.submitEach(50ms, 1500ms);
         CPPUNIT_ASSERT(pool.count([](const auto &job) { return job.rejections > 0; }) > 0);
--- a/tests/forecast_test.cpp
+++ b/tests/forecast_test.cpp
@@ -141,6 +141,7 @@
     CPPUNIT_TEST(errorBeyondTheObjectiveDoesNotCount);
     CPPUNIT_TEST(nothingIsRejectedWithoutObservations);
     CPPUNIT_TEST(onlyJobsThatRunOnceAreRejected);
+    CPPUNIT_TEST(modesHaveNames);
     CPPUNIT_TEST(returnsAreServedBeforeNewcomers);
     CPPUNIT_TEST(laterRejectionIsToldALaterTime);
     CPPUNIT_TEST(earlyReturnKeepsItsTime);
@@ -371,6 +372,15 @@
         CPPUNIT_ASSERT(pool.judge(pool.makeJob(simpleJob(1))).rejected);
     }
 
+    /// Guards against a setting that is taken for another.
+    void modesHaveNames()
+    {
+        for (const auto mode : {forecast_mode::off, forecast_mode::observe, forecast_mode::on}) {
+            CPPUNIT_ASSERT(findForecastMode(nameOf(mode)) == mode);
+        }
+        CPPUNIT_ASSERT(!findForecastMode("other"));
+    }
+
     /// Load: twenty times what a pool can run at once, then its callers return beside new ones.
     /// Guards against newcomers that take the place of callers that were told to return.
     void returnsAreServedBeforeNewcomers()
