Do not reject jobs that an empty pool cannot run in time

Cause: a job with more batches of tasks than its objective allows for was rejected in an empty pool, and again each time it returned as told: no later time helps it.

Change: such a job is rejected only for what it would wait beyond its time in an empty pool.

--- a/src/fleet/queueing/forecast.cpp
+++ b/src/fleet/queueing/forecast.cpp
@@ -257,10 +257,13 @@
         || job.spec.repetitions > 0) {
         return judgement;
     }
+    // A job that is late in an empty pool as well is not helped by returning.
+    const auto from = static_cast<double>(since(outlook.at, now).count());
+    const auto inTime = std::max(latest, now + wholeMs(ownTime(tables, outlook, job, from)));
     // The time that a job was told came from a forecast too, so that both may be wrong.
     const bool onTime = returns && known->second.returnAt <= now;
     const auto allowance = std::max(*margin, batchError(tables, job));
-    if (judgement.forecast->end <= latest + allowance * (onTime ? 2 : 1)) {
+    if (judgement.forecast->end <= inTime + allowance * (onTime ? 2 : 1)) {
         return judgement;
     }
     judgement.rejected = true;
@@ -276,7 +279,7 @@
         }
         last = next;
     }
-    const auto wait = std::min(last->end + *margin - latest, longestRetryAfter);
+    const auto wait = std::min(last->end + *margin - inTime, longestRetryAfter);
     const auto slotMs =
         static_cast<std::int64_t>(std::min(job.work / std::max(1.0, last->capacityCores), 1e9));
     const auto spread = milliseconds(
--- a/tests/forecast_test.cpp
+++ b/tests/forecast_test.cpp
@@ -146,6 +146,7 @@
     CPPUNIT_TEST(laterRejectionIsToldALaterTime);
     CPPUNIT_TEST(earlyReturnKeepsItsTime);
     CPPUNIT_TEST(returnsAreBounded);
+    CPPUNIT_TEST(objectiveThatAnEmptyPoolMisses);
     CPPUNIT_TEST(costOfAForecast);
     CPPUNIT_TEST_SUITE_END();
 
@@ -465,6 +466,19 @@
         CPPUNIT_ASSERT(pool.state.returns.empty());
     }
 
+    /// Guards against a job that is rejected each time it returns, as it has more batches than its
+    /// objective allows for.
+    void objectiveThatAnEmptyPoolMisses()
+    {
+        one_pool pool(1, 0ms);
+        pool.observe(0ms);
+        const auto wide = pool.makeJob(simpleJob(48));
+        CPPUNIT_ASSERT(pool.judge(wide).forecast->end > wide.objectiveAt + 1s);
+        CPPUNIT_ASSERT(!pool.judge(wide).rejected);
+        pool.fill(4);
+        CPPUNIT_ASSERT(pool.judge(pool.makeJob(simpleJob(48))).rejected);
+    }
+
     /// Prints the cost of a forecast beside 1,000 live jobs and 500 promised returns.
     void costOfAForecast()
     {
