Bound the time that rejected jobs are told to wait

Cause: Retry-After could reach one hour, when no caller waits any more; until then the promised room was kept from others.

Change: it is at most four times the objective of the job, or 30 s if that is more, and a spread of a quarter.

--- a/include/ibishinge/fleet/queueing/forecast.h
+++ b/include/ibishinge/fleet/queueing/forecast.h
@@ -86,7 +86,8 @@
     /// Nothing if the pool has no capacity, or never enough of it for the job.
     std::optional<job_forecast> forecast;
     bool rejected = false;
-    /// When a rejected job has room, counted from the judgement; at least 1 s.
+    /// When a rejected job has room, counted from the judgement; at most five times its objective,
+    /// or 38 s if that is more. At least 1 s, except for what is left of a time told before.
     milliseconds retryAfter {0};
     /// The forecast if no rejected job returned. They may fail to; the actual end is expected
     /// between the two.
--- a/src/fleet/queueing/forecast.cpp
+++ b/src/fleet/queueing/forecast.cpp
@@ -20,7 +20,10 @@
 /// more than the margin and this: what a pool may be wrong by in the order of its tasks.
 constexpr milliseconds hopelessDelay {200};
 
-/// Bound of the time that a caller is told to wait; estimates of run times have none.
+/// Bounds of the time that a caller is told to wait. Callers give up after a few times their
+/// objective, and until then the room that they were promised is kept from others.
+constexpr int objectivesToWait = 4;
+constexpr milliseconds longestWaitOfBriefJobs {30'000};
 constexpr milliseconds longestRetryAfter {3'600'000};
 
 constexpr milliseconds shortestRetryAfter {1000};
@@ -282,9 +285,13 @@
     const auto wait = std::min(last->end + *margin - inTime, longestRetryAfter);
     const auto slotMs =
         static_cast<std::int64_t>(std::min(job.work / std::max(1.0, last->capacityCores), 1e9));
-    const auto spread = milliseconds(
-        static_cast<std::int64_t>(std::hash<std::string> {}(job.id) % 1000) * slotMs / 1000);
-    judgement.retryAfter = std::clamp(wait + spread, shortestRetryAfter, longestRetryAfter);
+    const auto perMille = static_cast<std::int64_t>(std::hash<std::string> {}(job.id) % 1000);
+    const auto spread = milliseconds(perMille * slotMs / 1000);
+    const auto longest =
+        std::clamp(allowed * objectivesToWait, longestWaitOfBriefJobs, longestRetryAfter);
+    // Those that reach the bound do not return all at once either.
+    judgement.retryAfter =
+        std::clamp(wait + spread, shortestRetryAfter, longest + longest * perMille / 4000);
     return judgement;
 }
 
--- a/tests/forecast_test.cpp
+++ b/tests/forecast_test.cpp
@@ -147,6 +147,7 @@
     CPPUNIT_TEST(earlyReturnKeepsItsTime);
     CPPUNIT_TEST(returnsAreBounded);
     CPPUNIT_TEST(objectiveThatAnEmptyPoolMisses);
+    CPPUNIT_TEST(toldTimesAreBounded);
     CPPUNIT_TEST(costOfAForecast);
     CPPUNIT_TEST_SUITE_END();
 
@@ -479,6 +480,21 @@
         CPPUNIT_ASSERT(pool.judge(pool.makeJob(simpleJob(48))).rejected);
     }
 
+    /// Guards against times at which no caller waits any more, and room that is kept until then.
+    void toldTimesAreBounded()
+    {
+        one_pool pool(1, 1min);
+        pool.observe(0ms);
+        pool.fill(2000);
+        CPPUNIT_ASSERT(pool.judge(pool.makeJob(simpleJob(1))).retryAfter <= 5 * 61s);
+        one_pool brief(1);
+        brief.observe(0ms);
+        brief.fill(2000);
+        const auto judgement = brief.judge(brief.makeJob(simpleJob(1)));
+        CPPUNIT_ASSERT(judgement.rejected);
+        CPPUNIT_ASSERT(judgement.retryAfter >= 1s && judgement.retryAfter <= 38s);
+    }
+
     /// Prints the cost of a forecast beside 1,000 live jobs and 500 promised returns.
     void costOfAForecast()
     {
