Reject the overtaken copy of a job rejected by forecast

Cause: a copy of a submission that arrives after another copy was rejected was forecast on its own, and was accepted if room had come free meanwhile, although the caller may have been told that the job is rejected and never runs.

Change: within 1 s of its rejection a job is rejected again with what is left of its time; callers are told 1 s at least.

--- a/include/ibishinge/fleet/queueing/forecast.h
+++ b/include/ibishinge/fleet/queueing/forecast.h
@@ -63,6 +63,7 @@
 {
     std::string pool;
     instant arrivedAt; ///< when it was first submitted and rejected
+    instant rejectedAt; ///< when it was told `returnAt`
     instant returnAt; ///< when it may return, by the whole seconds that its caller was told
     std::int64_t number = 0; ///< order of the first rejections
     int group = -1; ///< of its work, see `groupOf`; -1: does not count
--- a/src/fleet/queueing/forecast.cpp
+++ b/src/fleet/queueing/forecast.cpp
@@ -289,7 +289,10 @@
     // The time that a job was told came from a forecast too, so that both may be wrong.
     const bool onTime = returns && known->second.returnAt <= now;
     const auto allowance = std::max(*margin, batchError(tables, job));
-    if (judgement.forecast->end <= inTime + allowance * (onTime ? 2 : 1)) {
+    // No caller is told to return as soon as this, so that it is a copy that was overtaken. The
+    // caller may have been told that the job is rejected.
+    const bool isCopy = returns && now < known->second.rejectedAt + shortestRetryAfter;
+    if (!isCopy && judgement.forecast->end <= inTime + allowance * (onTime ? 2 : 1)) {
         return judgement;
     }
     judgement.rejected = true;
@@ -329,6 +332,7 @@
             if (!std::exchange(known->second.missed, false)) {
                 observeReturn(state, job.pool, true);
             }
+            known->second.rejectedAt = now;
             known->second.returnAt = returnAt;
         }
         return;
@@ -339,6 +343,7 @@
     promised_return entry;
     entry.pool = job.pool;
     entry.arrivedAt = now;
+    entry.rejectedAt = now;
     entry.returnAt = returnAt;
     entry.number = ++state.lastReturn;
     entry.group =
--- a/tests/forecast_test.cpp
+++ b/tests/forecast_test.cpp
@@ -145,6 +145,7 @@
     CPPUNIT_TEST(returnsAreServedBeforeNewcomers);
     CPPUNIT_TEST(laterRejectionIsToldALaterTime);
     CPPUNIT_TEST(earlyReturnKeepsItsTime);
+    CPPUNIT_TEST(delayedCopyOfARejectedJobIsRejected);
     CPPUNIT_TEST(returnsAreBounded);
     CPPUNIT_TEST(objectiveThatAnEmptyPoolMisses);
     CPPUNIT_TEST(toldTimesAreBounded);
@@ -447,6 +448,26 @@
         CPPUNIT_ASSERT(pool.state.returns.at(job.id).returnAt == returnAt);
     }
 
+    /// Guards against a rejected job that runs, as another copy of its submission arrives later.
+    void delayedCopyOfARejectedJobIsRejected()
+    {
+        one_pool pool(1);
+        pool.observe(0ms);
+        pool.fill(4);
+        auto copy = pool.makeJob(simpleJob(8));
+        const auto returnAt = pool.reject(simpleJob(8));
+        pool.tables.jobs.clear();
+        pool.state.outlooks.clear();
+        const auto isRejectedAt = [&](instant now) {
+            copy.submittedAt = now;
+            estimateJob(pool.tables, copy);
+            return pool.judge(copy, now).rejected;
+        };
+        CPPUNIT_ASSERT(isRejectedAt(start + 900ms));
+        CPPUNIT_ASSERT(!isRejectedAt(start + 1s));
+        CPPUNIT_ASSERT(!isRejectedAt(returnAt));
+    }
+
     /// Guards against memory that grows with the number of rejections.
     void returnsAreBounded()
     {
