--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -12,6 +12,7 @@
 #include <ibishinge/fleet/placement.h>
 #include <ibishinge/fleet/platform_api.h>
 #include <ibishinge/fleet/pool_sizing.h>
+#include <ibishinge/fleet/queueing/forecast.h>
 #include <ibishinge/fleet/queueing/locality.h>
 #include <ibishinge/fleet/record_writer.h>
 #include <ibishinge/fleet/tables.h>
@@ -53,6 +54,7 @@
     /// Factor by which a task takes longer outside the rack of its data or its group, until it has
     /// been measured; 0: no task waits for a place in its rack.
     double farFactor = 0;
+    forecast_mode forecastRejection = forecast_mode::off;
     int maxConcurrentWrites = 2; ///< transactions in flight while the store is not slow
     int maxConcurrentMoves = 16; ///< host moves in flight
 };
@@ -210,6 +212,8 @@
     /// Cancels an id that no job has, so that a submission that arrives later is rejected.
     void withdraw(const std::string &id, const answer_handler &done);
     void endJob(job_entry &job, job_state state);
+    /// Compares the end of a completed job with its forecast.
+    void measureForecast(const job_entry &job);
     void markDirty(const std::string &id);
     [[nodiscard]] static write_unit progressUnit(const job_entry &job);
     /// Has `flush` called after `delay`, or soon after the flush in progress.
@@ -421,6 +425,7 @@
     fleet_tables m_tables;
     maintenance_state m_maintenance;
     pool_sizing_state m_sizing;
+    forecast_state m_forecast;
 
     bool m_closed = false;
     bool m_suspended = false;
