--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -55,6 +55,8 @@
     /// been measured; 0: no task waits for a place in its rack.
     double farFactor = 0;
     forecast_mode forecastRejection = forecast_mode::off;
+    /// Customers' weights and queues' priorities order waiting work.
+    bool shareOrder = false;
     int maxConcurrentWrites = 2; ///< transactions in flight while the store is not slow
     int maxConcurrentMoves = 16; ///< host moves in flight
 };
--- a/include/ibishinge/fleet/queueing/shares.h
+++ b/include/ibishinge/fleet/queueing/shares.h
@@ -76,7 +76,7 @@
 };
 
 /// Returns the criteria for each pool that has queues. Thread-safe.
-[[nodiscard]] std::map<std::string, order_rules> orderRulesByPool(const configuration &config);
+[[nodiscard]] std::map<std::string, order_rules> orderRulesByPool(const fleet_tables &tables);
 
 /// Classes of waiting work, the first one going first.
 enum class step_class : std::uint8_t {
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -350,6 +350,7 @@
     std::map<std::string, resources> customerHeld; ///< resources of all runs, by customer
     std::map<std::string, pool_use> poolUse; ///< resources of all runs, by pool of the worker
     std::map<std::string, pool_shares> shares; ///< at the last scheduling pass, by pool
+    bool ordersByShare = true; ///< customers' weights and queues' priorities order waiting work
     std::map<std::string, queue_statistics> statistics; ///< by queue
     std::vector<worker_crash> recentCrashes; ///< without old ones
     std::map<std::string, host_entry> hosts;
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -81,6 +81,7 @@
 {
     setConfiguration(m_tables, std::move(config));
     m_tables.evacuation.bound = settings.evacuationBound;
+    m_tables.ordersByShare = settings.shareOrder;
 }
 
 void coordinator::start()
--- a/src/fleet/coordinator_logs.cpp
+++ b/src/fleet/coordinator_logs.cpp
@@ -201,7 +201,7 @@
         const auto found = shares->second.customers.find(job.customer);
         share = found == shares->second.customers.end() ? nullptr : &found->second;
     }
-    const bool byPriority = orderRulesByPool(m_tables.config).at(queue.pool).byPriority;
+    const bool byPriority = orderRulesByPool(m_tables).at(queue.pool).byPriority;
     if (poolIsFull && !byPriority && (share == nullptr || !isAboveShare(*share))) {
         return;
     }
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -189,7 +189,7 @@
 
 std::map<std::string, std::vector<waiting_step>> waitingSteps(fleet_tables &tables, instant now)
 {
-    const auto rules = orderRulesByPool(tables.config);
+    const auto rules = orderRulesByPool(tables);
     std::map<std::string, std::vector<queued_step>> stepsByPool;
     // Found by address: the names of pools would be compared for each job.
     std::unordered_map<const queue_config *, std::pair<order_rules, std::vector<queued_step> *>>
--- a/src/fleet/queueing/shares.cpp
+++ b/src/fleet/queueing/shares.cpp
@@ -421,20 +421,22 @@
     }
 }
 
-std::map<std::string, order_rules> orderRulesByPool(const configuration &config)
+std::map<std::string, order_rules> orderRulesByPool(const fleet_tables &tables)
 {
+    const auto &config = tables.config;
     const auto &customers = config.customers;
     const bool byShare =
-        std::any_of(customers.begin(), customers.end(), [&customers](const auto &each) {
-            return each.second.weight != customers.begin()->second.weight;
-        });
+        tables.ordersByShare
+        && std::any_of(customers.begin(), customers.end(), [&customers](const auto &each) {
+               return each.second.weight != customers.begin()->second.weight;
+           });
     std::map<std::string, order_rules> rules;
     std::map<std::string, int> priorities;
     for (const auto &queue : config.queues) {
         auto &ofPool = rules[queue.pool];
         ofPool.byShare = byShare;
         const int first = priorities.try_emplace(queue.pool, queue.priority).first->second;
-        ofPool.byPriority = ofPool.byPriority || queue.priority != first;
+        ofPool.byPriority = ofPool.byPriority || (tables.ordersByShare && queue.priority != first);
     }
     return rules;
 }
--- a/tests/shares_test.cpp
+++ b/tests/shares_test.cpp
@@ -24,6 +24,7 @@
     explicit shared_pool(std::map<std::string, double> weights, std::int64_t cpuOfWorker = 8000)
         : fleet_world(4)
     {
+        coordination.shareOrder = true;
         std::erase_if(world.workers, [](const auto &each) { return each.first[5] == 'b'; });
         std::erase_if(world.hosts, [](const auto &each) { return each.second.pool == "pool-b"; });
         std::erase_if(world.items,
