Compile the forecast for the thread sanitizer

Cause: the second check stopped in compile-tsan: g++ 12 takes the value of an optional in judgeForecast for uninitialized at -O1 (-Wmaybe-uninitialized, an error there). The release and address sanitizer builds do not.

Change: a flag and a plain value in place of the optional.

Result: the file compiles for the thread sanitizer; forecast_test and forecast_burst_test pass.

--- a/src/fleet/queueing/forecast.cpp
+++ b/src/fleet/queueing/forecast.cpp
@@ -254,8 +254,11 @@
         return forecastJob(tables, outlook, promised, job, place, need, now);
     };
     const auto errors = state.errors.find(job.queue);
-    const auto margin =
-        errors == state.errors.end() ? std::nullopt : forecastMargin(errors->second);
+    // Not an optional: g++ 12 takes its value for uninitialized when it builds for the thread
+    // sanitizer.
+    const bool hasMargin =
+        errors != state.errors.end() && forecastMargin(errors->second).has_value();
+    const auto margin = hasMargin ? errors->second.margin : milliseconds(0);
     const auto latest = now + allowed;
     if (returns) {
         judgement.arrivedAt = known->second.arrivedAt;
@@ -265,7 +268,7 @@
     auto objectiveAt = judgement.arrivedAt + allowed;
     judgement.forecast = forecastAt({objectiveAt});
     for (int i = 0; i < maxForecasts && judgement.forecast && objectiveAt < latest; ++i) {
-        const auto needed = judgement.forecast->end + margin.value_or(milliseconds(0));
+        const auto needed = judgement.forecast->end + margin;
         if (needed <= objectiveAt) {
             break;
         }
@@ -279,7 +282,7 @@
                                  : forecastJob(tables, outlook, {}, job, {objectiveAt}, need, now);
         judgement.endWithoutReturns = without.value_or(*judgement.forecast).end;
     }
-    if (!mayReject || !judgement.forecast || !margin || job.longRunning
+    if (!mayReject || !judgement.forecast || !hasMargin || job.longRunning
         || job.spec.repetitions > 0) {
         return judgement;
     }
@@ -288,7 +291,7 @@
     const auto inTime = std::max(latest, now + wholeMs(ownTime(tables, outlook, job, from)));
     // The time that a job was told came from a forecast too, so that both may be wrong.
     const bool onTime = returns && known->second.returnAt <= now;
-    const auto allowance = std::max(*margin, batchError(tables, job));
+    const auto allowance = std::max(margin, batchError(tables, job));
     // No caller is told to return as soon as this, so that it is a copy that was overtaken. The
     // caller may have been told that the job is rejected.
     const bool isCopy = returns && now < known->second.rejectedAt + shortestRetryAfter;
@@ -308,7 +311,7 @@
         }
         last = next;
     }
-    const auto wait = std::min(last->end + *margin - inTime, longestRetryAfter);
+    const auto wait = std::min(last->end + margin - inTime, longestRetryAfter);
     const auto slotMs =
         static_cast<std::int64_t>(std::min(job.work / std::max(1.0, last->capacityCores), 1e9));
     const auto perMille = static_cast<std::int64_t>(std::hash<std::string> {}(job.id) % 1000);
