Review case 13: a late copy of a start runs a task again after its end

The first copy of a start has no answer, the second is carried out, and the end of the task is acknowledged. The worker, now idle and not polled, restarts under its id, and its new process carries out the first copy before its next registration.

--- a/review/standins-3/stand.py
+++ b/review/standins-3/stand.py
@@ -286,6 +286,7 @@
         self.hold_max_ms = hold_max_ms
         self.up = True
         self.cut = False
+        self.silent_until = 0  # it writes its entry from then on
         self.catch = None  # a function that may take a start, which then has no answer
         self.runs = []  # [task, run, begin, end, how]; end None: it runs
         self._begin()
@@ -306,8 +307,13 @@
         self.numbers = itertools.count(1)
         self.sequence = itertools.count(1)
 
-    async def crash(self, down_s):
-        """The minion crashes and is back under its id after `down_s`."""
+    def says(self):
+        """Whether it writes its entry, and which life it names there."""
+        return self.up and not self.cut and time.monotonic() >= self.silent_until, self.born
+
+    async def crash(self, down_s, entry_after_s=0.0):
+        """The minion crashes and is back under its id after `down_s`. It writes its entry
+        `entry_after_s` later, as it does so once in each heartbeat-ms."""
         self.record.add("minion", self.id, "crashes with", sorted(self.running))
         self.up = False
         self.shut()
@@ -315,6 +321,7 @@
         await asyncio.sleep(down_s)
         self._begin()
         await self.open()
+        self.silent_until = time.monotonic() + entry_after_s
         self.up = True
         self.record.add("minion", self.id, "is back")
 
@@ -583,6 +590,8 @@
 class Lab:
     """A small deployment: store, machines, workers of one service and entry processes."""
 
+    make_store = Store
+
     def __init__(self, folder, logs, run_ms, workers=8, processes=3, values=None):
         self.record = Record(Path(folder) / "record.txt")
         self.logs, self.run_ms = logs, run_ms
@@ -597,7 +606,7 @@
             raise
 
     async def open(self):
-        self.store = await Store(self.record).open()
+        self.store = await self.make_store(self.record).open()
         self.workers = [await Worker(self.record, number + 1, "svc-a", self.run_ms).open()
                         for number in range(self.worker_count)]
         self.machines = await Machines(self.workers).open()
@@ -620,7 +629,7 @@
     async def report(self, worker):
         heartbeat_s, silent = 1.5, 0
         while True:
-            if worker.up and not worker.cut:
+            if worker.up and not worker.cut and time.monotonic() >= worker.silent_until:
                 self.store.put("servers/" + worker.id, json.dumps(worker.entry()).encode())
                 silent = 0
             else:
@@ -628,9 +637,9 @@
                 if silent == 3:
                     self.store.delete(["servers/" + worker.id])
             for _ in range(30):  # sooner after a cut or a crash: what it says has changed
-                before = worker.cut, worker.up, worker.born
+                before = worker.says()
                 await asyncio.sleep(heartbeat_s / 30)
-                if not worker.cut and worker.up and before != (worker.cut, worker.up, worker.born):
+                if before != worker.says() and worker.says()[0]:
                     break
 
     async def ready(self, limit=20):
