--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 # Python and need no build: this only checks that the interpreter reads them.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - standins-3/stand.py 1[1-5]/case.py <<'END'
+python3 - standins-3/stand.py 1[1-5]/case.py more-3/*/case.py <<'END'
 import ast
 import sys
 
--- a/review/more-3/takeover/case.py
+++ b/review/more-3/takeover/case.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "standins-3"))
+sys.path.insert(0, str(HERE.parent.parent / "standins-3"))
 
 import stand  # noqa: E402
 
