--- a/review/11/case.py
+++ b/review/11/case.py
@@ -36,7 +36,7 @@
 
 
 async def play(logs):
-    lab = stand.Lab(HERE, logs, lambda _task, spec: RUN_MS[spec])
+    lab = stand.Lab(HERE / "record.txt", logs, lambda _task, spec: RUN_MS[spec])
     lab.memory_mb = MEMORY_MB
     async with lab:
         if not await lab.ready():
--- a/review/more-3/route/case.py
+++ b/review/more-3/route/case.py
@@ -33,7 +33,7 @@
     def run_ms(task, _spec):
         return FIRST_MS if task.split(".")[2] == "0" else SECOND_MS
 
-    lab = stand.Lab(HERE, logs, run_ms)
+    lab = stand.Lab(HERE / "record.txt", logs, run_ms)
     async with lab:
         record = lab.record
         lab.store.put("op/config", routes(2, True))
--- a/review/more-3/takeover/case.py
+++ b/review/more-3/takeover/case.py
@@ -21,7 +21,7 @@
 
 
 async def play(logs):
-    lab = stand.Lab(HERE, logs, lambda _task, _spec: WORK_MS)
+    lab = stand.Lab(HERE / "record.txt", logs, lambda _task, _spec: WORK_MS)
     async with lab:
         if not await lab.ready():
             return 2, "the processes were not ready in time"
--- a/review/standins-3/stand.py
+++ b/review/standins-3/stand.py
@@ -592,8 +592,8 @@
 
     make_store = Store
 
-    def __init__(self, folder, logs, run_ms, workers=8, processes=3, values=None):
-        self.record = Record(Path(folder) / "record.txt")
+    def __init__(self, record, logs, run_ms, workers=8, processes=3, values=None):
+        self.record = Record(record)
         self.logs, self.run_ms = logs, run_ms
         self.worker_count, self.process_count, self.values = workers, processes, values
         self.tasks, self.memory_mb, self.fleet = [], 260, None
