Keep state for a window of occurrences and for started tasks only

Cause: each due occurrence had its full state, some 300 bytes a task, from the moment it was due. Nothing bounded repetitions times tasks, the sum over jobs or the rate at which occurrences become due; the next coordinator read the same job and ended in the same way. Ordinary jobs of thousands of tasks did it too.

Change: a step's tasks are a number, with entries for those that have been started and are not done. A window of occurrences is open, bounded for a job and over all jobs, and moves as they start and end. The progress record names the first occurrence not opened and the open ones instead of all complete ones. Tickets of an occurrence go with it.

Why it works: what is held is bounded by the windows and by what runs, whatever the number of repetitions, and a successor restores no more than that from the record.

--- a/bench/fleet_main.cpp
+++ b/bench/fleet_main.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/fleet_world.h"
 
+#include <ibishinge/fleet/backlog/occurrence_window.h>
 #include <ibishinge/fleet/placement.h>
 
 #include <glog/logging.h>
@@ -88,7 +89,7 @@
         const auto &stored = tables.jobs.emplace(job.id, std::move(job)).first->second;
         for (int index = 0; index < runsOfWorker; ++index) {
             const task_name name {stored.id, 0, 0, index};
-            findTask(tables, name)->phase = task_phase::placed;
+            changeTask(tables, name)->phase = task_phase::placed;
             addRun(tables, makeRun(stored, {name, 1}, worker.entry.id));
         }
     }
--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -373,6 +373,12 @@
     void observeRack(const job_entry &job, const task_name &name, const worker_status &worker,
                      milliseconds duration);
 
+    // backlog/coordinator_backlog.cpp
+    /// Opens due occurrences and has the store learn of it.
+    void openOccurrences();
+    /// Logs the jobs whose occurrences wait behind their window.
+    void logBacklog();
+
     // coordinator_logs.cpp
     void logSummary();
     /// Logs the pools in which a customer holds more than its share while work waits.
@@ -453,6 +459,7 @@
     std::int64_t m_flushNumber = 0; ///< number of the last flush
     bool m_flushRequested = false; ///< there are changes that the flush in progress does not cover
     nlohmann::json m_endsToLog = nlohmann::json::array(); ///< ends in the report being applied
+    bool m_windowMoved = false; ///< further occurrences of a job may be opened
     bool m_schedulingPassPending = false;
     instant m_lastSchedulingPassAt;
     std::size_t m_waitingSteps = 0; ///< steps with waiting tasks at the last scheduling pass
--- a/include/ibishinge/fleet/record_codec.h
+++ b/include/ibishinge/fleet/record_codec.h
@@ -56,7 +56,7 @@
 /// Progress of a job: complete occurrences, finished tasks, and the failed runs of open
 /// occurrences.
 [[nodiscard]] std::string encodeProgress(const job_entry &job);
-/// Applies a progress record to a job. Precondition: its due occurrences are open. Errors:
+/// Applies a progress record to a job, and opens the occurrences that it lists. Errors:
 /// `invalid_request`.
 [[nodiscard]] result<void> applyProgress(job_entry &job, const std::string &text);
 
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <ibishinge/fleet/backlog/task_list.h>
 #include <ibishinge/fleet/evacuation/evacuation.h>
 #include <ibishinge/fleet/queueing/locality.h>
 #include <ibishinge/fleet/queueing/shares.h>
@@ -91,40 +92,6 @@
     return run.phase == run_phase::starting && run.orders == 0;
 }
 
-/// Phase of a task.
-enum class task_phase : std::uint8_t { waiting, placed, done };
-
-/// Where a suspected task was started. Stored before the start, so that a later coordinator learns
-/// whether the worker crashed.
-struct suspect_run
-{
-    std::string worker;
-    std::int64_t incarnation = 0; ///< of the worker
-    std::int64_t run = 0;
-};
-
-/// State of one task.
-struct task_entry
-{
-    task_phase phase = task_phase::waiting;
-    /// Numbers of the runs that ended `failed`. A set, because a new coordinator receives ends in
-    /// any order and more than once, and because the members of a gang share a run number.
-    std::set<std::int64_t> failedRuns;
-    std::int64_t startsInTerm = 0; ///< runs requested by this coordinator
-    std::int64_t currentRun = 0; ///< number of the current run; 0: none
-    std::string checkpoint;
-    instant notBefore; ///< earliest start: end of a back-off
-    instant waitsSince; ///< when its last run ended; epoch: it had none under this coordinator
-    std::string avoidWorker; ///< worker on which the last run failed or made no progress
-    int crashes = 0; ///< workers that crashed while they may have had a run of the task
-    int lateCrashes = 0; ///< those under runs that had survived their observation
-    /// That the task crashes the workers that start it: sum over its last starts in a row that were
-    /// observed and ended with a crash, see `crash_isolation.h`.
-    int crashEvidence = 0;
-    int storedCrashes = 0; ///< value of `crashes` in the store
-    std::optional<suspect_run> suspectRun; ///< current run, if the task is suspected
-};
-
 /// Run times of the tasks of one step that have ended `done`.
 struct step_run_times
 {
@@ -147,7 +114,7 @@
     std::optional<instant> objectiveAt;
     std::vector<step_run_times> runTimes; ///< by step; empty until the first run has ended
     std::vector<step_wait> waits; ///< by step; empty unless `order_rules` ask for any
-    std::vector<std::vector<task_entry>> steps; ///< tasks by step and index
+    std::vector<task_list> steps;
     std::vector<int> unfinished; ///< number of unfinished tasks by step
     int unfinishedTasks = 0;
 };
@@ -206,10 +173,12 @@
     bool ending = false; ///< the final state is being stored; no more tasks are started
     bool longRunning = false;
     bool hasCrashes = false; ///< crashes are or were counted for a task
-    /// Occurrences by number that are due and not complete.
+    /// Open occurrences by number: those that may run now, of which a window is open, see
+    /// `occurrence_window.h`. Those before `nextOccurrence` that are not open are complete.
     std::map<int, occurrence_entry> occurrences;
-    std::set<int> completeOccurrences;
-    int nextOccurrence = 0; ///< first occurrence that is not open yet
+    int nextOccurrence = 0; ///< first occurrence that has not been open yet
+    int storedNextOccurrence = 0; ///< value of `nextOccurrence` in the store
+    int dueOccurrences = 0; ///< occurrences that were due when last looked at, from number 0
     std::map<std::pair<int, int>, step_tickets> tickets; ///< by occurrence and step
     std::string failureReason;
 };
@@ -392,24 +361,17 @@
     return longest;
 }
 
-/// Creates the tasks of occurrences that are due at `wallMs`, in milliseconds since 1970. Returns
-/// true if any occurrence was opened. Not thread-safe.
-bool openDueOccurrences(job_entry &job, std::int64_t wallMs);
-
-/// Creates the tasks of the occurrences up to `number`, whether they are due or not: a coordinator
-/// whose clock was ahead has begun it. Not thread-safe.
-void openOccurrencesUpTo(job_entry &job, int number);
-
-/// Returns the wall time at which the next occurrence is due, in milliseconds since 1970; 0 for a
-/// job that runs once, nothing if all occurrences are open.
-[[nodiscard]] std::optional<std::int64_t> nextDueMs(const job_entry &job);
-
 /// Returns true if all steps that `step` depends on are complete. Thread-safe for constant
 /// arguments.
 [[nodiscard]] bool isStepReady(const job_spec &spec, const occurrence_entry &occurrence, int step);
 
-/// Returns the task, or null if the job has ended or the task does not exist. Not thread-safe.
-[[nodiscard]] task_entry *findTask(fleet_tables &tables, const task_name &name);
+/// Returns the task, or null if the job has ended or the task does not exist. Thread-safe for
+/// constant tables.
+[[nodiscard]] const task_entry *findTask(const fleet_tables &tables, const task_name &name);
+
+/// Returns the task for a change, or null if the job has ended, or the task is done or does not
+/// exist. Not thread-safe.
+[[nodiscard]] task_entry *changeTask(fleet_tables &tables, const task_name &name);
 
 /// Marks a task as done. Returns true if that completed the job. Preconditions: the task exists and
 /// is not done. Not thread-safe.
--- a/src/fleet/advice.cpp
+++ b/src/fleet/advice.cpp
@@ -41,10 +41,9 @@
 {
     const auto &tasks =
         where.job->occurrences.at(where.occurrence).steps[static_cast<std::size_t>(where.step)];
-    const auto first = std::find_if(tasks.begin(), tasks.end(), [](const task_entry &task) {
-        return task.phase == task_phase::waiting;
-    });
-    return first == tasks.end() ? 0 : static_cast<int>(first - tasks.begin());
+    const auto first =
+        findFirst(tasks, [](const task_entry &task) { return task.phase == task_phase::waiting; });
+    return static_cast<int>(first.value_or(0));
 }
 
 } // namespace
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -239,12 +239,7 @@
     }
     adjustThrottling();
     checkRackWaits();
-    const auto wall = m_timers.wallMs();
-    for (auto &[id, job] : m_tables.jobs) {
-        if (job.stored && openDueOccurrences(job, wall)) {
-            requestSchedulingPass();
-        }
-    }
+    openOccurrences();
     releaseInheritedTasks(); // the leases of silent workers may have ended
     if (now >= m_checkBudget.notBefore) {
         const auto begin = m_timers.now();
@@ -299,6 +294,9 @@
         return;
     }
     const processor_time_scope used(m_metrics, work_kind::scheduling);
+    if (m_windowMoved) {
+        openOccurrences();
+    }
     const auto now = m_timers.now();
     const auto waiting = waitingSteps(m_tables, now);
     m_waitingSteps = 0;
@@ -317,6 +315,9 @@
             scheduleWaitingSteps(steps, candidatesOfPools[name]);
         }
     }
+    if (m_windowMoved) {
+        requestSchedulingPass();
+    }
 }
 
 void coordinator::scheduleWaitingSteps(const std::vector<waiting_step> &steps,
@@ -348,8 +349,8 @@
                           .steps[static_cast<std::size_t>(waitingStep.step)];
         auto placed = nlohmann::json::array();
         int startsOfStep = 0;
-        for (std::size_t index = 0; index < tasks.size(); ++index) {
-            auto &task = tasks[index];
+        for (std::size_t index = 0; index < tasks.count; ++index) {
+            const auto &task = taskAt(tasks, index);
             const task_name name {job.id, waitingStep.occurrence, waitingStep.step,
                                   static_cast<int>(index)};
             if (task.phase != task_phase::waiting || task.notBefore > now
@@ -376,7 +377,8 @@
             }
             const auto proof =
                 tickets != nullptr ? *findTicket(*tickets, *worker, now) : std::string();
-            const auto run = (m_leadership.term - 1) * runsPerTerm + ++task.startsInTerm;
+            const auto run =
+                (m_leadership.term - 1) * runsPerTerm + ++changeTask(tasks, index).startsInTerm;
             placed.push_back({index, worker->entry.id, run});
             startTask(waitingStep, name, *worker, proof, run);
             ++startsOfStep;
@@ -404,7 +406,7 @@
                             const std::string &proof, std::int64_t run)
 {
     auto &job = *where.job;
-    auto &task = *findTask(m_tables, name);
+    auto &task = *changeTask(m_tables, name);
     const auto now = m_timers.now();
     auto &waits = job.occurrences.at(where.occurrence).waits;
     if (!waits.empty()) { // the configuration asks for shares or priorities
@@ -426,6 +428,7 @@
     task.currentRun = run;
     job.begun = true;
     job.state = job_state::running;
+    m_windowMoved = m_windowMoved || job.spec.repetitions > 1;
     if (suspected) {
         task.suspectRun = {worker.entry.id, worker.incarnation, run};
         startWhenStored({name, run});
@@ -468,8 +471,9 @@
     }
     std::int64_t starts = 0;
     auto member = first;
-    for (const auto &task : tasks) {
-        if (task.phase != task_phase::waiting || task.notBefore > now || hasRun(m_tables, member)) {
+    for (std::size_t index = 0; index < tasks.count; ++index) {
+        const auto &task = taskAt(tasks, index);
+        if (!isPlaceable(task, now) || hasRun(m_tables, member)) {
             return;
         }
         ++member.index;
@@ -489,7 +493,7 @@
     // member counts the resources of the members before it.
     std::vector<run_key> placed;
     const auto freeResourcesBefore = candidates.maxFreeResources;
-    for (std::size_t index = 0; index < tasks.size(); ++index) {
+    for (std::size_t index = 0; index < tasks.count; ++index) {
         auto *worker =
             chooseWorker(m_tables, candidates, waitingStep, static_cast<int>(index), tickets, now);
         if (worker == nullptr) {
@@ -521,7 +525,7 @@
         auto &worker = m_tables.workers.at(m_tables.runs.at(key).worker);
         const auto proof = tickets != nullptr ? *findTicket(*tickets, worker, now) : std::string();
         removeRun(m_tables, key);
-        tasks[static_cast<std::size_t>(key.task.index)].startsInTerm = starts + 1;
+        changeTask(tasks, static_cast<std::size_t>(key.task.index)).startsInTerm = starts + 1;
         startTask(waitingStep, key.task, worker, proof, run);
     }
 }
@@ -579,7 +583,11 @@
     if (job == m_tables.jobs.end()) {
         return;
     }
-    auto &tickets = job->second.tickets.at({first.occurrence, first.step});
+    const auto found = job->second.tickets.find({first.occurrence, first.step});
+    if (found == job->second.tickets.end()) {
+        return; // the occurrence is complete
+    }
+    auto &tickets = found->second;
     const auto now = m_timers.now();
     nlohmann::json line = {{"job", first.job},
                            {"occurrence", first.occurrence},
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -1,8 +1,9 @@
-#include <ibishinge/fleet/admission.h>
 #include <ibishinge/fleet/coordinator.h>
 
 #include <ibishinge/base/logging.h>
 #include <ibishinge/base/processor_time.h>
+#include <ibishinge/fleet/admission.h>
+#include <ibishinge/fleet/backlog/occurrence_window.h>
 #include <ibishinge/fleet/crash_isolation.h>
 #include <ibishinge/fleet/objective.h>
 #include <ibishinge/fleet/record_codec.h>
@@ -305,7 +306,8 @@
         m_metrics.observe("ibishinge_store_job_seconds", {}, m_timers.now() - since);
         logEvent(log_level::info, "job_accepted", {{"job", id}});
         answerWaiters(m_submitWaiters, id, answerOf(answer_kind::accepted));
-        openDueOccurrences(found->second, m_timers.wallMs());
+        openDueOccurrences(found->second, m_timers.wallMs(), 0);
+        m_windowMoved = m_windowMoved || found->second.spec.repetitions > 1;
         requestSchedulingPass();
     };
     m_tables.jobs.emplace(id, std::move(job));
@@ -568,12 +570,14 @@
             continue;
         }
         auto unit = progressUnit(found->second);
-        if (found->second.hasCrashes) {
-            unit.done = [this, id,
-                         counts = crashCounts(found->second)](const result<void> &stored) {
+        if (found->second.hasCrashes || found->second.spec.repetitions > 1) {
+            unit.done = [this, id, counts = crashCounts(found->second),
+                         next = found->second.nextOccurrence](const result<void> &stored) {
                 const auto job = m_tables.jobs.find(id);
                 if (!m_closed && stored && job != m_tables.jobs.end()) {
                     markCrashesStored(job->second, counts);
+                    auto &storedNext = job->second.storedNextOccurrence;
+                    storedNext = std::max(storedNext, next);
                     requestSchedulingPass();
                 }
             };
--- a/src/fleet/coordinator_logs.cpp
+++ b/src/fleet/coordinator_logs.cpp
@@ -61,6 +61,7 @@
     logShares();
     logCoordinatorLoad();
     logLearnedRunTimes();
+    logBacklog();
     logWaitingTasks();
     logUnprovenRuns();
 }
@@ -155,21 +156,17 @@
         for (const auto &[number, occurrence] : job.occurrences) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto &tasks = occurrence.steps[step];
-                const auto first =
-                    std::find_if(tasks.begin(), tasks.end(), [&](const task_entry &task) {
-                        const auto since =
-                            std::max({task.waitsSince, m_startedAt, job.submittedAt});
-                        return task.phase == task_phase::waiting && now - since > longWait;
-                    });
-                if (first == tasks.end()
-                    || !isStepReady(job.spec, occurrence, static_cast<int>(step))) {
+                const auto first = findFirst(tasks, [&](const task_entry &task) {
+                    const auto since = std::max({task.waitsSince, m_startedAt, job.submittedAt});
+                    return task.phase == task_phase::waiting && now - since > longWait;
+                });
+                if (!first || !isStepReady(job.spec, occurrence, static_cast<int>(step))) {
                     continue;
                 }
                 if (++examined > maxWaitsExamined) {
                     return;
                 }
-                logWaitingTask({&job, number, static_cast<int>(step)},
-                               static_cast<int>(first - tasks.begin()));
+                logWaitingTask({&job, number, static_cast<int>(step)}, static_cast<int>(*first));
             }
         }
     }
--- a/src/fleet/coordinator_orders.cpp
+++ b/src/fleet/coordinator_orders.cpp
@@ -451,13 +451,14 @@
     const auto worker = m_tables.runs.at(key).worker;
     removeRun(m_tables, key);
     releaseTask(key);
-    auto *task = findTask(m_tables, key.task);
-    if (task == nullptr) {
+    if (findTask(m_tables, key.task) == nullptr) {
         return;
     }
-    task->notBefore = m_timers.now() + rejectedStartRetryDelay;
-    if (avoid) {
-        task->avoidWorker = worker;
+    if (auto *task = changeTask(m_tables, key.task)) {
+        task->notBefore = m_timers.now() + rejectedStartRetryDelay;
+        if (avoid) {
+            task->avoidWorker = worker;
+        }
     }
     const auto &job = m_tables.jobs.at(key.task.job);
     if (job.spec.steps[static_cast<std::size_t>(key.task.step)].gang) {
@@ -566,7 +567,7 @@
     }
     for (const auto &key : toStop) {
         const auto &run = m_tables.runs.at(key);
-        if (auto *task = findTask(m_tables, key.task)) {
+        if (auto *task = changeTask(m_tables, key.task)) {
             task->avoidWorker = run.worker;
         }
         recordRunFailure(m_tables, m_tables.workers.at(run.worker), now);
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -98,7 +98,6 @@
         job->fromRecord = true;
         job->inherited = true;
         estimateJob(m_tables, *job);
-        openDueOccurrences(*job, m_timers.wallMs());
         m_tables.jobs.emplace(job->id, std::move(*job));
     };
     const auto applyProgressItem = [this](const store_item &item) {
@@ -147,6 +146,7 @@
             readRecords(std::string(progressPrefix), "", applyProgressItem, [=, this] {
                 enterStage(m_takeover, takeover_stage::ended, m_timers.now());
                 readRecords(std::string(endedPrefix), "", applyEnded, [this] {
+                    openOccurrences();
                     addStoredSuspectRuns();
                     m_recordsRead = true;
                     enterStage(m_takeover, takeover_stage::registry, m_timers.now());
@@ -309,9 +309,7 @@
     for (auto &[id, job] : m_tables.jobs) {
         for (auto &[number, occurrence] : job.occurrences) {
             for (std::size_t step = 0; step < occurrence.steps.size() && job.hasCrashes; ++step) {
-                auto &tasks = occurrence.steps[step];
-                for (std::size_t index = 0; index < tasks.size(); ++index) {
-                    auto &task = tasks[index];
+                for (auto &[index, task] : occurrence.steps[step].changed) {
                     if (!task.suspectRun || task.phase != task_phase::waiting) {
                         continue;
                     }
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -2,6 +2,7 @@
 
 #include <ibishinge/base/logging.h>
 #include <ibishinge/base/processor_time.h>
+#include <ibishinge/fleet/backlog/occurrence_window.h>
 #include <ibishinge/fleet/crash_isolation.h>
 #include <ibishinge/fleet/late_orders.h>
 #include <ibishinge/fleet/objective.h>
@@ -355,8 +356,8 @@
             markDirty(end.task.job);
         }
     }
-    auto *task = findTask(m_tables, end.task);
-    if (task == nullptr || task->phase == task_phase::done) {
+    auto *task = changeTask(m_tables, end.task);
+    if (task == nullptr) {
         return;
     }
     auto &job = m_tables.jobs.at(end.task.job);
@@ -403,7 +404,7 @@
         if (!gang && index != name.index) {
             continue;
         }
-        auto *task = findTask(m_tables, member);
+        const auto *task = findTask(m_tables, member);
         if (task == nullptr || task->phase == task_phase::done) {
             continue;
         }
@@ -419,6 +420,7 @@
         endJob(job, job_state::completed);
         return;
     }
+    m_windowMoved = m_windowMoved || job.spec.repetitions > 1;
     markDirty(id);
 }
 
@@ -435,7 +437,7 @@
     if (step.gang) {
         counted.index = 0; // all members of a gang share one count of failures
     }
-    auto *counter = findTask(m_tables, counted);
+    auto *counter = changeTask(m_tables, counted);
     if (counter == nullptr || !counter->failedRuns.insert(end.run).second) {
         return;
     }
@@ -471,15 +473,15 @@
         run.missingFromReport = false;
         run.usage = seen.usage;
         run.checkpoint = seen.checkpoint;
-        if (auto *task = findTask(m_tables, seen.task);
+        if (const auto *task = findTask(m_tables, seen.task);
             task != nullptr && task->currentRun == seen.run && !seen.checkpoint.empty()) {
-            task->checkpoint = seen.checkpoint;
+            changeTask(m_tables, seen.task)->checkpoint = seen.checkpoint;
         }
         return;
     }
     // The run was started by an earlier coordinator.
     openListedOccurrence(seen.task);
-    auto *task = findTask(m_tables, seen.task);
+    const auto *task = findTask(m_tables, seen.task);
     const bool live = task != nullptr && !m_tables.jobs.at(seen.task.job).ending;
     run_entry run;
     run.key = key;
@@ -506,10 +508,13 @@
     if (live) {
         abandonUnsentStart(seen.task);
     }
+    // Only the entry of a task that has been changed tells its present phase.
+    task = findTask(m_tables, seen.task);
     if (live && task->phase == task_phase::waiting) {
-        task->phase = task_phase::placed;
-        task->currentRun = seen.run;
-        task->checkpoint = seen.checkpoint;
+        auto &adopted = *changeTask(m_tables, seen.task);
+        adopted.phase = task_phase::placed;
+        adopted.currentRun = seen.run;
+        adopted.checkpoint = seen.checkpoint;
         logEvent(log_level::info, "run_adopted", line);
         return;
     }
@@ -560,12 +565,13 @@
 
 void coordinator::releaseTask(const run_key &key)
 {
-    auto *task = findTask(m_tables, key.task);
-    if (task != nullptr && task->phase == task_phase::placed && task->currentRun == key.run) {
-        task->phase = task_phase::waiting;
-        task->waitsSince = m_timers.now();
-        task->currentRun = 0;
-        task->suspectRun.reset();
+    const auto *found = findTask(m_tables, key.task);
+    if (found != nullptr && found->phase == task_phase::placed && found->currentRun == key.run) {
+        auto &task = *changeTask(m_tables, key.task);
+        task.phase = task_phase::waiting;
+        task.waitsSince = m_timers.now();
+        task.currentRun = 0;
+        task.suspectRun.reset();
     }
 }
 
--- a/src/fleet/crash_isolation.cpp
+++ b/src/fleet/crash_isolation.cpp
@@ -44,8 +44,8 @@
 
 const task_entry &taskAt(const job_entry &job, const task_name &name)
 {
-    return job.occurrences.at(name.occurrence)
-        .steps[static_cast<std::size_t>(name.step)][static_cast<std::size_t>(name.index)];
+    const auto &steps = job.occurrences.at(name.occurrence).steps;
+    return taskAt(steps[static_cast<std::size_t>(name.step)], static_cast<std::size_t>(name.index));
 }
 
 /// Returns true if both names count crashes together.
@@ -123,12 +123,11 @@
     std::vector<std::pair<task_name, int>> counts;
     for (const auto &[number, occurrence] : job.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            const auto &tasks = occurrence.steps[step];
-            for (std::size_t index = 0; index < tasks.size(); ++index) {
-                if (tasks[index].crashes != tasks[index].storedCrashes) {
+            for (const auto &[index, task] : occurrence.steps[step].changed) {
+                if (task.crashes != task.storedCrashes) {
                     counts.push_back(
                         {{job.id, number, static_cast<int>(step), static_cast<int>(index)},
-                         tasks[index].crashes});
+                         task.crashes});
                 }
             }
         }
@@ -140,10 +139,13 @@
 {
     for (const auto &[name, crashes] : counts) {
         const auto occurrence = job.occurrences.find(name.occurrence);
-        if (occurrence != job.occurrences.end()) {
-            occurrence->second
-                .steps[static_cast<std::size_t>(name.step)][static_cast<std::size_t>(name.index)]
-                .storedCrashes = crashes;
+        if (occurrence == job.occurrences.end()) {
+            continue;
+        }
+        auto &changed = occurrence->second.steps[static_cast<std::size_t>(name.step)].changed;
+        const auto task = changed.find(static_cast<std::size_t>(name.index));
+        if (task != changed.end()) {
+            task->second.storedCrashes = crashes;
         }
     }
 }
@@ -185,7 +187,7 @@
             && std::all_of(lost.begin(), lost.end(), [&, &counted = name](const auto &key) {
                    return shareCounter(tables, key.task, counted) || !tables.runs.at(key).observed;
                });
-        auto &counter = *findTask(tables, name);
+        auto &counter = *changeTask(tables, name);
         counter.lateCrashes += counter.crashes > 0 && !each.observed ? 1 : 0;
         ++counter.crashes;
         tables.jobs.at(name.job).hasCrashes = true;
@@ -280,9 +282,9 @@
         if (job == tables.jobs.end() || !job->second.hasCrashes) {
             continue;
         }
-        auto *const found = findTask(tables, crashCounterOf(job->second, key.task));
+        auto *const found = changeTask(tables, crashCounterOf(job->second, key.task));
         if (found == nullptr) {
-            continue; // the occurrence is complete
+            continue; // the task is done
         }
         auto &counter = *found;
         // Only a report shows that the worker still runs.
@@ -297,7 +299,7 @@
             counter.crashes = 0;
             counter.lateCrashes = 0;
             counter.crashEvidence = 0;
-            if (auto *const task = findTask(tables, key.task)) {
+            if (auto *const task = changeTask(tables, key.task)) {
                 task->suspectRun.reset();
             }
             changed.insert(key.task.job);
@@ -318,7 +320,7 @@
             return false; // the worker of another member of the gang may still crash
         }
     }
-    auto *const counter = findTask(tables, crashCounterOf(job->second, name));
+    auto *const counter = changeTask(tables, crashCounterOf(job->second, name));
     return counter != nullptr && std::exchange(counter->crashEvidence, 0) > 0;
 }
 
--- a/src/fleet/host_maintenance.cpp
+++ b/src/fleet/host_maintenance.cpp
@@ -124,8 +124,8 @@
     }
     int away = 0;
     const auto &tasks = found->second.steps[static_cast<std::size_t>(step)];
-    for (std::size_t index = 0; index < tasks.size(); ++index) {
-        const auto &task = tasks[index];
+    for (std::size_t index = 0; index < tasks.count; ++index) {
+        const auto &task = taskAt(tasks, index);
         const auto run = tables.runs.find(
             {{job.id, occurrence, step, static_cast<int>(index)}, task.currentRun});
         bool working = task.phase == task_phase::placed && run != tables.runs.end()
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -93,23 +93,6 @@
     {start_obstacle::late_acknowledgement, "late_acknowledgement"},
 }};
 
-/// Returns true if the task can be placed now.
-bool waits(const task_entry &task, instant now) noexcept
-{
-    return task.phase == task_phase::waiting && task.notBefore <= now;
-}
-
-/// Returns the number of tasks that can be placed now. All those of a job that has not begun can,
-/// which saves the look at each; whether an inherited one has, only its tasks tell.
-int countWaitingTasks(const job_entry &job, const std::vector<task_entry> &tasks, instant now)
-{
-    if (!job.begun && !job.fromRecord) {
-        return static_cast<int>(tasks.size());
-    }
-    return static_cast<int>(std::count_if(
-        tasks.begin(), tasks.end(), [now](const task_entry &task) { return waits(task, now); }));
-}
-
 /// Returns how long the step has had tasks that wait. Precondition: it has any now.
 step_wait &waitOf(const job_entry &job, occurrence_entry &occurrence, std::size_t step, instant now)
 {
@@ -217,8 +200,7 @@
                     continue;
                 }
                 const auto &tasks = occurrence.steps[step];
-                if (std::none_of(tasks.begin(), tasks.end(),
-                                 [now](const task_entry &task) { return waits(task, now); })) {
+                if (!hasPlaceable(tasks, now)) {
                     if (step < occurrence.waits.size()) {
                         occurrence.waits[step] = {};
                     }
@@ -234,7 +216,7 @@
                 if (rulesOfPool.any()) {
                     const auto &spec = job.spec.steps[step];
                     const auto &wait = waitOf(job, occurrence, step, now);
-                    queued.waitingTasks = countWaitingTasks(job, tasks, now);
+                    queued.waitingTasks = static_cast<int>(countPlaceable(tasks, now));
                     queued.need = heldBy(spec);
                     queued.gang = spec.gang;
                     queued.waitsSince = std::max(wait.readySince, wait.lastStartAt);
@@ -347,9 +329,9 @@
                             instant now)
 {
     const task_name name {where.job->id, where.occurrence, where.step, index};
-    const auto &task =
-        where.job->occurrences.at(where.occurrence)
-            .steps[static_cast<std::size_t>(where.step)][static_cast<std::size_t>(index)];
+    const auto &task = taskAt(
+        where.job->occurrences.at(where.occurrence).steps[static_cast<std::size_t>(where.step)],
+        static_cast<std::size_t>(index));
     const auto &step = where.job->spec.steps[static_cast<std::size_t>(where.step)];
     const auto held = heldBy(step);
     if (!fits(held, candidates.maxFreeResources)) {
--- a/src/fleet/pool_load.cpp
+++ b/src/fleet/pool_load.cpp
@@ -1,5 +1,6 @@
 #include <ibishinge/fleet/pool_load.h>
 
+#include <ibishinge/fleet/backlog/occurrence_window.h>
 #include <ibishinge/fleet/placement.h>
 
 #include <algorithm>
@@ -8,6 +9,19 @@
 
 namespace {
 
+/// Adds the tasks of the occurrences that wait behind the window of a job.
+void addDelayedWork(pool_load &load, const fleet_tables &tables, const job_entry &job)
+{
+    const int delayed = countDelayedOccurrences(job);
+    for (const auto &spec : job.spec.steps) {
+        if (delayed > 0 && !spec.longRunning) {
+            (spec.after.empty() ? load.waitingWork : load.laterWork) +=
+                expectedRunMs(tables, job.queue, spec) * static_cast<double>(spec.need.cpuMillis)
+                / 1000 * spec.count * delayed;
+        }
+    }
+}
+
 /// Adds the waiting tasks of a job, except long-running ones, to `load`.
 void addWaitingWork(pool_load &load, const fleet_tables &tables, const job_entry &job)
 {
@@ -18,9 +32,7 @@
                 continue;
             }
             const bool ready = isStepReady(job.spec, occurrence, static_cast<int>(step));
-            const auto waiting =
-                std::count_if(occurrence.steps[step].begin(), occurrence.steps[step].end(),
-                              [](const auto &task) { return task.phase == task_phase::waiting; });
+            const auto waiting = countWaiting(occurrence.steps[step]);
             const double each = expectedRunMs(tables, job.queue, spec)
                                 * static_cast<double>(spec.need.cpuMillis) / 1000;
             (ready ? load.waitingWork : load.laterWork) += each * static_cast<double>(waiting);
@@ -62,6 +74,7 @@
         if (load != loads.end()) {
             ++load->second.liveJobs;
             addWaitingWork(load->second, tables, job);
+            addDelayedWork(load->second, tables, job);
         }
     }
     return loads;
--- a/src/fleet/queueing/coordinator_locality.cpp
+++ b/src/fleet/queueing/coordinator_locality.cpp
@@ -30,18 +30,11 @@
     return where.job->spec.steps[static_cast<std::size_t>(where.step)];
 }
 
-const std::vector<task_entry> &tasksOf(const waiting_step &where)
+const task_list &tasksOf(const waiting_step &where)
 {
     return where.job->occurrences.at(where.occurrence).steps[static_cast<std::size_t>(where.step)];
 }
 
-/// Returns true if a task of the step waits, whether it may start yet or not.
-bool hasWaitingTask(const std::vector<task_entry> &tasks)
-{
-    return std::any_of(tasks.begin(), tasks.end(),
-                       [](const task_entry &task) { return task.phase == task_phase::waiting; });
-}
-
 place_filter suitablePlaces(const waiting_step &where, const step_tickets *tickets, instant now)
 {
     return [&where, tickets, now](const worker_status &worker) {
@@ -173,12 +166,8 @@
         return wait.rack;
     }
     const auto &step = specOf(where);
-    const auto &tasks = tasksOf(where);
-    task_group group {heldBy(step), 0, step.maxPerWorker};
-    group.count =
-        static_cast<int>(std::count_if(tasks.begin(), tasks.end(), [](const task_entry &task) {
-            return task.phase == task_phase::waiting;
-        }));
+    const task_group group {heldBy(step), static_cast<int>(countWaiting(tasksOf(where))),
+                            step.maxPerWorker};
     std::set<std::string> racks;
     for (const auto *const worker : candidates.usable) {
         if (!worker->entry.labels.empty()) {
@@ -239,15 +228,12 @@
     const task_group group {heldBy(step), step.gang ? step.count : 1, step.maxPerWorker};
     if (step.gang) {
         const auto &tasks = tasksOf(where);
-        const bool ready = std::all_of(tasks.begin(), tasks.end(), [now](const task_entry &task) {
-            return task.phase == task_phase::waiting && task.notBefore <= now;
-        });
-        if (!ready) {
+        if (countPlaceable(tasks, now) < tasks.count) {
             return false;
         }
     }
     // The worker on which the last run failed is no reason to wait.
-    const auto &avoided = tasksOf(where)[static_cast<std::size_t>(index)].avoidWorker;
+    const auto &avoided = taskAt(tasksOf(where), static_cast<std::size_t>(index)).avoidWorker;
     std::int64_t room = 0;
     for (const auto &place : forecast.places) {
         if (room < group.count && place.worker->entry.id != avoided
@@ -392,8 +378,9 @@
             const auto queue =
                 live ? m_tables.queues.find(job->second.queue) : m_tables.queues.end();
             if (queue == m_tables.queues.end()
-                || !hasWaitingTask(job->second.occurrences.at(name.occurrence)
-                                       .steps[static_cast<std::size_t>(name.step)])) {
+                || countWaiting(job->second.occurrences.at(name.occurrence)
+                                    .steps[static_cast<std::size_t>(name.step)])
+                       == 0) {
                 endRackWait(name, wait, "abandoned", no_wait_reason::none);
             } else if (labels[queue->second->pool].count(wait.rack) == 0) {
                 endRackWait(name, wait, "elsewhere", no_wait_reason::no_worker);
--- a/src/fleet/queueing/pool_outlook.cpp
+++ b/src/fleet/queueing/pool_outlook.cpp
@@ -255,9 +255,7 @@
             }
             const auto running = runsEnd.find({number, static_cast<int>(step)});
             ends[step] = running == runsEnd.end() ? begin : std::max(begin, running->second);
-            const auto waiting =
-                std::count_if(occurrence.steps[step].begin(), occurrence.steps[step].end(),
-                              [](const auto &task) { return task.phase == task_phase::waiting; });
+            const auto waiting = countWaiting(occurrence.steps[step]);
             if (waiting == 0) {
                 continue;
             }
--- a/src/fleet/record_codec.cpp
+++ b/src/fleet/record_codec.cpp
@@ -1,7 +1,9 @@
 #include <ibishinge/fleet/record_codec.h>
 
 #include <ibishinge/base/json.h>
+#include <ibishinge/fleet/backlog/occurrence_window.h>
 
+#include <algorithm>
 #include <functional>
 
 namespace ibishinge::fleet {
@@ -97,15 +99,45 @@
 }
 
 /// Returns one character for each task: '1' if it is done, else '0'.
-std::string encodeDone(const std::vector<task_entry> &tasks)
+std::string encodeDone(const task_list &tasks)
 {
-    std::string text;
-    for (const auto &task : tasks) {
-        text += task.phase == task_phase::done ? '1' : '0';
+    std::string text(tasks.count, '0');
+    for (std::size_t index = 0; index < tasks.done.size(); ++index) {
+        text[index] = tasks.done[index] ? '1' : '0';
     }
     return text;
 }
 
+/// Returns the first occurrence that has not been opened. Records of earlier versions list the
+/// complete occurrences instead, and all others that were due are open.
+int nextOccurrenceFrom(const json &in)
+{
+    int next = static_cast<int>(integerFrom(in, "next", 0, countRange));
+    for (const auto &number : in.value("complete", std::vector<int> {})) {
+        next = std::max(next, number + 1);
+    }
+    for (const auto &[name, open] : in.at("open").items()) {
+        next = std::max(next, std::stoi(name) + 1);
+    }
+    return next;
+}
+
+/// Returns the task that a row of a progress record is about, or nothing if it is done.
+std::optional<std::pair<task_list *, std::size_t>> listedTask(job_entry &job, int occurrence,
+                                                              const json &row)
+{
+    const auto found = job.occurrences.find(occurrence);
+    if (found == job.occurrences.end()) {
+        return std::nullopt;
+    }
+    auto &tasks = found->second.steps.at(row.at(0).get<std::size_t>());
+    const auto index = row.at(1).get<std::size_t>();
+    if (index >= tasks.count || phaseOf(tasks, index) == task_phase::done) {
+        return std::nullopt;
+    }
+    return std::pair(&tasks, index);
+}
+
 } // namespace
 
 std::string encodeLeader(const leader_record &record)
@@ -178,7 +210,11 @@
 std::string encodeProgress(const job_entry &job)
 {
     json out = json::object();
-    out["complete"] = job.completeOccurrences;
+    if (job.spec.repetitions > 1) {
+        out["next"] = job.nextOccurrence;
+    } else {
+        out["complete"] = json::array(); // required by earlier versions
+    }
     out["open"] = json::object();
     for (const auto &[number, occurrence] : job.occurrences) {
         json steps = json::array();
@@ -186,8 +222,7 @@
         json crashes = json::array();
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             steps.push_back(encodeDone(occurrence.steps[step]));
-            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
-                const auto &task = occurrence.steps[step][index];
+            for (const auto &[index, task] : occurrence.steps[step].changed) {
                 if (!task.failedRuns.empty()) {
                     failures.push_back({step, index, task.failedRuns});
                 }
@@ -202,8 +237,11 @@
             }
         }
         auto &open = out["open"][std::to_string(number)];
-        open = {{"done", steps}, {"failures", failures}};
-        put(open, "crashes", crashes, json::array());
+        open = json::object();
+        if (job.spec.repetitions <= 1 || isStarted(occurrence)) {
+            open = {{"done", steps}, {"failures", failures}};
+            put(open, "crashes", crashes, json::array());
+        }
     }
     json pools = json::array();
     for (const auto &[pool, stored] : job.otherPools) {
@@ -217,36 +255,33 @@
 {
     try {
         const json in = parseJson(text);
-        job.completeOccurrences = in.at("complete").get<std::set<int>>();
-        for (const int number : job.completeOccurrences) {
-            job.occurrences.erase(number);
-        }
+        job.occurrences.clear();
+        job.nextOccurrence = nextOccurrenceFrom(in);
+        job.storedNextOccurrence = job.nextOccurrence;
         for (const auto &[name, open] : in.at("open").items()) {
             const int number = std::stoi(name);
-            // The clock of the process that wrote the record may have been ahead of this one's.
-            openOccurrencesUpTo(job, number);
-            const auto &steps = open.at("done");
+            openOccurrence(job, number);
+            const auto steps = open.value("done", json::array());
             for (std::size_t step = 0; step < steps.size(); ++step) {
                 const auto done = steps[step].get<std::string>();
                 for (std::size_t index = 0; index < done.size(); ++index) {
                     const auto occurrence = job.occurrences.find(number);
                     if (done[index] == '1' && occurrence != job.occurrences.end()
-                        && occurrence->second.steps.at(step).at(index).phase != task_phase::done) {
+                        && index < occurrence->second.steps.at(step).count) {
                         finishTask(
                             job, {job.id, number, static_cast<int>(step), static_cast<int>(index)});
                     }
                 }
             }
-            const auto occurrence = job.occurrences.find(number);
-            for (const auto &row : open.at("failures")) {
-                if (occurrence != job.occurrences.end()) {
-                    auto &task = occurrence->second.steps.at(row.at(0)).at(row.at(1));
-                    task.failedRuns = row.at(2).get<std::set<std::int64_t>>();
+            for (const auto &row : open.value("failures", json::array())) {
+                if (const auto task = listedTask(job, number, row)) {
+                    changeTask(*task->first, task->second).failedRuns =
+                        row.at(2).get<std::set<std::int64_t>>();
                 }
             }
             for (const auto &row : open.value("crashes", json::array())) {
-                if (occurrence != job.occurrences.end()) {
-                    auto &task = occurrence->second.steps.at(row.at(0)).at(row.at(1));
+                if (const auto place = listedTask(job, number, row)) {
+                    auto &task = changeTask(*place->first, place->second);
                     task.crashes = row.at(2).get<int>();
                     task.crashEvidence = row.at(3).get<int>();
                     task.storedCrashes = task.crashes;
--- a/src/fleet/tables.cpp
+++ b/src/fleet/tables.cpp
@@ -149,52 +149,6 @@
     return std::nullopt;
 }
 
-bool openDueOccurrences(job_entry &job, std::int64_t wallMs)
-{
-    bool opened = false;
-    const int last = std::max(job.spec.repetitions, 1);
-    while (job.nextOccurrence < last) {
-        const auto due = nextDueMs(job);
-        if (due && *due > wallMs) {
-            break;
-        }
-        const int number = job.nextOccurrence++;
-        if (job.completeOccurrences.count(number) > 0) {
-            continue;
-        }
-        auto &occurrence = job.occurrences[number];
-        for (const auto &step : job.spec.steps) {
-            occurrence.steps.emplace_back(static_cast<std::size_t>(step.count));
-            occurrence.unfinished.push_back(step.count);
-            occurrence.unfinishedTasks += step.count;
-        }
-        opened = true;
-    }
-    return opened;
-}
-
-void openOccurrencesUpTo(job_entry &job, int number)
-{
-    while (job.nextOccurrence <= number) {
-        const auto due = nextDueMs(job);
-        if (!due) {
-            return;
-        }
-        openDueOccurrences(job, *due);
-    }
-}
-
-std::optional<std::int64_t> nextDueMs(const job_entry &job)
-{
-    if (job.nextOccurrence >= std::max(job.spec.repetitions, 1)) {
-        return std::nullopt;
-    }
-    if (job.spec.repetitions == 0) {
-        return 0;
-    }
-    return job.spec.firstDueMs + job.nextOccurrence * job.spec.intervalMs;
-}
-
 bool isStepReady(const job_spec &spec, const occurrence_entry &occurrence, int step)
 {
     const auto &after = spec.steps[static_cast<std::size_t>(step)].after;
@@ -203,7 +157,10 @@
     });
 }
 
-task_entry *findTask(fleet_tables &tables, const task_name &name)
+namespace {
+
+/// Returns the list that holds the task, or null if the job has ended or the task does not exist.
+const task_list *findList(const fleet_tables &tables, const task_name &name)
 {
     const auto job = tables.jobs.find(name.job);
     if (job == tables.jobs.end()) {
@@ -213,30 +170,47 @@
     if (occurrence == job->second.occurrences.end() || name.step < 0 || name.index < 0) {
         return nullptr;
     }
-    auto &steps = occurrence->second.steps;
+    const auto &steps = occurrence->second.steps;
     if (static_cast<std::size_t>(name.step) >= steps.size()) {
         return nullptr;
     }
-    auto &tasks = steps[static_cast<std::size_t>(name.step)];
-    if (static_cast<std::size_t>(name.index) >= tasks.size()) {
+    const auto &tasks = steps[static_cast<std::size_t>(name.step)];
+    return static_cast<std::size_t>(name.index) < tasks.count ? &tasks : nullptr;
+}
+
+} // namespace
+
+const task_entry *findTask(const fleet_tables &tables, const task_name &name)
+{
+    const auto *const tasks = findList(tables, name);
+    return tasks == nullptr ? nullptr : &taskAt(*tasks, static_cast<std::size_t>(name.index));
+}
+
+task_entry *changeTask(fleet_tables &tables, const task_name &name)
+{
+    const auto *const task = findTask(tables, name);
+    if (task == nullptr || task->phase == task_phase::done) {
         return nullptr;
     }
-    return &tasks[static_cast<std::size_t>(name.index)];
+    return &changeTask(tables.jobs.at(name.job)
+                           .occurrences.at(name.occurrence)
+                           .steps[static_cast<std::size_t>(name.step)],
+                       static_cast<std::size_t>(name.index));
 }
 
 bool finishTask(job_entry &job, const task_name &name)
 {
     auto &occurrence = job.occurrences.at(name.occurrence);
-    auto &task =
-        occurrence.steps[static_cast<std::size_t>(name.step)][static_cast<std::size_t>(name.index)];
-    task.phase = task_phase::done;
-    --occurrence.unfinished[static_cast<std::size_t>(name.step)];
+    const auto step = static_cast<std::size_t>(name.step);
+    markDone(occurrence.steps[step], static_cast<std::size_t>(name.index));
+    --occurrence.unfinished[step];
     if (--occurrence.unfinishedTasks > 0) {
         return false;
     }
-    job.completeOccurrences.insert(name.occurrence);
     job.occurrences.erase(name.occurrence);
-    return static_cast<int>(job.completeOccurrences.size()) >= std::max(job.spec.repetitions, 1);
+    std::erase_if(job.tickets,
+                  [&name](const auto &each) { return each.first.first == name.occurrence; });
+    return job.occurrences.empty() && job.nextOccurrence >= std::max(job.spec.repetitions, 1);
 }
 
 run_entry makeRun(const job_entry &job, const run_key &key, const std::string &worker)
--- a/tests/crash_evidence_test.cpp
+++ b/tests/crash_evidence_test.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/fleet_world.h"
 
+#include <ibishinge/fleet/backlog/occurrence_window.h>
 #include <ibishinge/fleet/crash_isolation.h>
 #include <ibishinge/fleet/record_codec.h>
 
@@ -44,7 +45,7 @@
     job.hasCrashes = true;
     openDueOccurrences(job, 0);
     tables.jobs.emplace(job.id, job);
-    findTask(tables, taskName)->crashes = 1;
+    changeTask(tables, taskName)->crashes = 1;
     return tables;
 }
 
--- a/tests/deadly_task_test.cpp
+++ b/tests/deadly_task_test.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/fleet_world.h"
 
+#include <ibishinge/fleet/backlog/occurrence_window.h>
 #include <ibishinge/fleet/crash_isolation.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -335,7 +336,7 @@
             job.hasCrashes = true;
             openDueOccurrences(job, 0);
             tables.jobs.emplace(job.id, job);
-            findTask(tables, {"job", 0, 0, 0})->crashes = 1;
+            changeTask(tables, {"job", 0, 0, 0})->crashes = 1;
             crash_outcome outcome;
             for (int number = 1; number <= 2; ++number) {
                 const auto crashedAt = now + number * 20s;
--- a/tests/encoding_compatibility_test.cpp
+++ b/tests/encoding_compatibility_test.cpp
@@ -147,6 +147,7 @@
 {
     CPPUNIT_TEST_SUITE(encoding_compatibility_test);
     CPPUNIT_TEST(storedRecords);
+    CPPUNIT_TEST(progressOfEarlierVersions);
     CPPUNIT_TEST(messagesOfThePlatform);
     CPPUNIT_TEST(answersBetweenProcesses);
     CPPUNIT_TEST(callsThroughARelay);
@@ -221,6 +222,21 @@
         }
     }
 
+    /// Records that list the complete occurrences, and records of jobs that run once, which are
+    /// written as before.
+    void progressOfEarlierVersions()
+    {
+        CPPUNIT_ASSERT_EQUAL(readSample("fleet-progress.json"),
+                             reencodeProgress(readSample("fleet-progress-complete.json")));
+        fleet::job_entry once;
+        once.spec = fleet::decodeJob("j", readSample("fleet-job.json"))->spec;
+        once.spec.repetitions = 0;
+        const std::string stored =
+            R"({"complete":[],"open":{"0":{"done":["1010","00"],"failures":[[0,1,[70001,70002]]]}}})";
+        CPPUNIT_ASSERT(fleet::applyProgress(once, stored));
+        CPPUNIT_ASSERT_EQUAL(stored, fleet::encodeProgress(once));
+    }
+
     void messagesOfThePlatform()
     {
         const auto order = sampleOrder();
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/fleet_world.h"
 
+#include <ibishinge/fleet/backlog/occurrence_window.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
@@ -803,7 +805,7 @@
             auto &worker = tables.workers.at(run.worker);
             worker.verified = true;
             worker.reportAt = now - 100ms;
-            auto &task = *findTask(tables, run.key.task);
+            auto &task = *changeTask(tables, run.key.task);
             task.phase = task_phase::placed;
             task.currentRun = 1;
         }
--- a/tests/forecast_test.cpp
+++ b/tests/forecast_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/support/fleet_world.h"
 
 #include <ibishinge/fleet/admission.h>
+#include <ibishinge/fleet/backlog/occurrence_window.h>
 #include <ibishinge/fleet/objective.h>
 #include <ibishinge/fleet/queueing/forecast.h>
 
@@ -561,7 +562,7 @@
                 auto run = makeRun(job, key, "w" + std::to_string(i / 2));
                 run.beganAt = start - 200ms;
                 addRun(pool.tables, std::move(run));
-                findTask(pool.tables, key.task)->phase = task_phase::placed;
+                changeTask(pool.tables, key.task)->phase = task_phase::placed;
             }
         }
         for (int i = 0; i < 500; ++i) {
--- a/tests/objective_test.cpp
+++ b/tests/objective_test.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/fleet_world.h"
 
+#include <ibishinge/fleet/backlog/occurrence_window.h>
 #include <ibishinge/fleet/objective.h>
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/shares_test.cpp
+++ b/tests/shares_test.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/fleet_world.h"
 
+#include <ibishinge/fleet/backlog/occurrence_window.h>
 #include <ibishinge/fleet/objective.h>
 #include <ibishinge/fleet/placement.h>
 
@@ -164,7 +165,8 @@
         openDueOccurrences(job, 0);
         if (job.begun) {
             for (auto &step : job.occurrences.at(0).steps) {
-                for (auto &task : step) {
+                for (std::size_t index = 0; index < step.count; ++index) {
+                    auto &task = changeTask(step, index);
                     task.phase = number(2) == 0 ? task_phase::waiting : task_phase::placed;
                     task.notBefore = now + milliseconds(number(3) - 1);
                 }
@@ -224,7 +226,7 @@
         for (std::size_t step = 0; job.stored && step < 2; ++step) {
             const auto &tasks = occurrence.steps[step];
             if (isStepReady(job.spec, occurrence, static_cast<int>(step))
-                && std::any_of(tasks.begin(), tasks.end(), [now](const auto &task) {
+                && findFirst(tasks, [now](const auto &task) {
                        return task.phase == task_phase::waiting && task.notBefore <= now;
                    })) {
                 const bool late =
