Count refusals by cause, not by the message to the caller

Cause: the message to the caller, which names the label, was the value of a label of ibishinge_jobs_refused_total, and each value is kept. Of all labels of metrics it was the only one that a caller's text reached: the others are names of the configuration or of closed sets.

Change: refusal_cause with a table of names; the cause goes into the metric and, as a new field, into job_refused. Descriptions that are not valid are counted and logged too.

Evidence: labelsOfCallersAreNoNamesOfMetrics fails when the message is put back (trial).

--- a/src/fleet/admission.cpp
+++ b/src/fleet/admission.cpp
@@ -1,6 +1,8 @@
 #include <ibishinge/fleet/admission.h>
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace ibishinge::fleet {
 
@@ -10,6 +12,18 @@
 /// seconds.
 constexpr milliseconds missingLabelRetry {5000};
 
+constexpr std::array<std::pair<refusal_cause, std::string_view>, 9> causeNames {{
+    {refusal_cause::none, "none"},
+    {refusal_cause::invalid, "invalid"},
+    {refusal_cause::past_deadline, "past_deadline"},
+    {refusal_cause::store_away, "store_away"},
+    {refusal_cause::coordinator_behind, "coordinator_behind"},
+    {refusal_cause::too_large, "too_large"},
+    {refusal_cause::no_label, "no_label"},
+    {refusal_cause::evacuated, "evacuated"},
+    {refusal_cause::forecast, "forecast"},
+}};
+
 bool hasLabel(const std::vector<std::string> &labels, const std::string &label)
 {
     return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
@@ -65,6 +79,13 @@
 
 } // namespace
 
+std::string_view nameOf(refusal_cause cause) noexcept
+{
+    return std::find_if(causeNames.begin(), causeNames.end(),
+                        [cause](const auto &row) { return row.first == cause; })
+        ->second;
+}
+
 admission_decision decideAdmission(const fleet_tables &tables, const job_entry &job,
                                    const queue_config &queue, instant /*now*/,
                                    const forecast_judgement *judgement)
@@ -79,17 +100,20 @@
         }
         if (fit.hostsKnown && !fit.anyFits) {
             decision.verdict = admission_verdict::never;
+            decision.cause = refusal_cause::too_large;
             decision.reason = "a task needs more than any host has";
             return decision;
         }
         if (fit.hostsKnown && !fit.anyLabelled) {
             decision.verdict = admission_verdict::later;
+            decision.cause = refusal_cause::no_label;
             decision.reason = "no host has the label " + step.requiredLabel;
             decision.retryAfter = missingLabelRetry;
             return decision;
         }
         if (fit.hostsKnown && !fit.anyOpen) {
             decision.verdict = admission_verdict::later;
+            decision.cause = refusal_cause::evacuated;
             decision.reason = "the hosts that can run a task are evacuated";
             decision.retryAfter = missingLabelRetry;
             return decision;
@@ -97,6 +121,7 @@
     }
     if (judgement != nullptr && judgement->rejected) {
         decision.verdict = admission_verdict::later;
+        decision.cause = refusal_cause::forecast;
         decision.reason = forecastReason;
         decision.retryAfter = judgement->retryAfter;
     }
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -74,6 +74,13 @@
     return fields;
 }
 
+admission_decision refusalFor(refusal_cause cause)
+{
+    admission_decision decision;
+    decision.cause = cause;
+    return decision;
+}
+
 /// Returns the answer to a submission whose job was not stored, as far as the writer knows.
 caller_answer answerToUnstoredSubmission(error_kind kind)
 {
@@ -191,21 +198,6 @@
         }
         return;
     }
-    if (request.validUntil && m_timers.now() >= *request.validUntil) {
-        // Nobody waits for the answer any more, and the caller has been told that the outcome is
-        // unknown.
-        m_metrics.add("ibishinge_jobs_refused_total", {{"reason", std::string(tooLateMessage)}});
-        done(answerOf(answer_kind::not_ready, std::string(tooLateMessage), retryAfterUnavailable));
-        return;
-    }
-    if (!request.spec) {
-        done(answerOf(answer_kind::invalid, "a submission needs a description of the job"));
-        return;
-    }
-    if (const auto problem = findProblem(*request.spec)) {
-        done(answerOf(answer_kind::invalid, *problem));
-        return;
-    }
     const auto reject = [&](const caller_answer &answer, const admission_decision &decision,
                             const forecast_judgement &judgement = {}) {
         auto fields = describeForecast(judgement, m_timers.now());
@@ -214,16 +206,35 @@
                        {"customer", customer},
                        {"answer", nameOf(answer.kind)},
                        {"reason", answer.message},
+                       {"cause", nameOf(decision.cause)},
                        {"predicted_ms", decision.predicted.count()},
                        {"objective_ms", decision.objective.count()},
                        {"retry_after_ms", answer.retryAfter.count()},
                        {"config", m_tables.config.version}});
         logEvent(log_level::info, "job_refused", fields);
-        m_metrics.add("ibishinge_jobs_refused_total", {{"reason", answer.message}});
+        m_metrics.add("ibishinge_jobs_refused_total",
+                      {{"reason", std::string(nameOf(decision.cause))}});
         done(answer);
     };
+    if (request.validUntil && m_timers.now() >= *request.validUntil) {
+        // Nobody waits for the answer any more, and the caller has been told that the outcome is
+        // unknown.
+        reject(answerOf(answer_kind::not_ready, std::string(tooLateMessage), retryAfterUnavailable),
+               refusalFor(refusal_cause::past_deadline));
+        return;
+    }
+    if (!request.spec) {
+        reject(answerOf(answer_kind::invalid, "a submission needs a description of the job"),
+               refusalFor(refusal_cause::invalid));
+        return;
+    }
+    if (const auto problem = findProblem(*request.spec)) {
+        reject(answerOf(answer_kind::invalid, *problem), refusalFor(refusal_cause::invalid));
+        return;
+    }
     if (!acceptsSubmissions()) {
-        reject(answerOf(answer_kind::not_ready, "the store is away", retryAfterUnavailable), {});
+        reject(answerOf(answer_kind::not_ready, "the store is away", retryAfterUnavailable),
+               refusalFor(refusal_cause::store_away));
         return;
     }
     const auto tasks =
@@ -233,7 +244,7 @@
         ++m_rejectedForLag;
         auto answer = answerOf(answer_kind::overloaded, "the coordinator is behind", *retryAfter);
         answer.coordinatorOverloaded = true;
-        reject(answer, {});
+        reject(answer, refusalFor(refusal_cause::coordinator_behind));
         return;
     }
     job_entry job;
@@ -259,7 +270,7 @@
         decision = decideAdmission(m_tables, job, queue, m_timers.now(), &judgement);
     }
     if (decision.verdict != admission_verdict::accept) {
-        if (decision.reason == forecastReason) {
+        if (decision.cause == refusal_cause::forecast) {
             recordRejection(m_forecast, m_tables, job, judgement, m_timers.now());
         }
         reject(answerOf(decision.verdict == admission_verdict::never ? answer_kind::invalid
--- a/tests/rejected_submission_test.cpp
+++ b/tests/rejected_submission_test.cpp
@@ -18,12 +18,14 @@
 
 } // namespace
 
-/// Guards against a submission that is answered as rejected, while its job is stored and runs.
+/// Guards against a submission that is answered as rejected, while its job is stored and runs, and
+/// against rejections that take memory for good.
 class rejected_submission_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(rejected_submission_test);
     CPPUNIT_TEST(lostAnswerBeforeATakeOver);
     CPPUNIT_TEST(lostAnswerBeforeAnOutage);
+    CPPUNIT_TEST(labelsOfCallersAreNoNamesOfMetrics);
     CPPUNIT_TEST_SUITE_END();
 
     fleet_world m_fleet;
@@ -83,6 +85,21 @@
         CPPUNIT_ASSERT(m_fleet.loop.runUntil([&] { return m_fleet.world.starts > 0; }, 8s));
         CPPUNIT_ASSERT(!isRejection((*answer)->kind));
     }
+
+    void labelsOfCallersAreNoNamesOfMetrics()
+    {
+        for (int i = 0; i < 5; ++i) {
+            auto spec = simpleJob(1);
+            spec.steps.front().requiredLabel = "label-of-a-caller-" + std::to_string(i);
+            const auto path = "/pool-a/000000000000000" + std::to_string(i);
+            const auto answer = m_fleet.ask(*m_leader, caller_operation::submit, path, spec);
+            CPPUNIT_ASSERT(answer.kind == answer_kind::overloaded);
+        }
+        const auto &metrics = *m_leader->metrics;
+        CPPUNIT_ASSERT(metrics.text().find("label-of-a-caller") == std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {5}, metrics.counter("ibishinge_jobs_refused_total",
+                                                                {{"reason", "no_label"}}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(rejected_submission_test);
