Bound the memory of accepted jobs

What callers saw: accepted jobs with large descriptions ended each process that coordinated, in turn.

Each description was bounded, their sum was not, and the store gives all of them to the next coordinator.

Change: the memory of a job is estimated at its submission and counted by customer. A customer may take as much as is then left for the others, so that there is room for a further one however much the others wait. A submission beyond that is answered 429 at once, with the time in which ended jobs freed what is missing. A record above the limit of the store, which would be refused and written again for good, is rejected.

Why it works: the estimate is an upper bound of the heap that jobs of any shape take (measured in the test), depends on the description only, so that a successor counts the same, and stays far below the memory of the smallest host.

--- a/include/ibishinge/fleet/admission.h
+++ b/include/ibishinge/fleet/admission.h
@@ -11,7 +11,7 @@
 /// Decision about a submitted job.
 enum class admission_verdict : std::uint8_t {
     accept,
-    later, ///< rejected for now: no host has a required label, or it cannot be in time
+    later, ///< rejected for now
     never, ///< rejected for good: a task needs more than any host has
 };
 
@@ -26,6 +26,7 @@
     no_label, ///< no host has a required label
     evacuated, ///< the hosts that can run a task are evacuated
     forecast, ///< it cannot be in time
+    job_memory, ///< the accepted jobs take too much memory
 };
 
 /// Returns the name of `cause` in logs and metrics. Thread-safe.
@@ -42,9 +43,10 @@
     milliseconds retryAfter {0}; ///< when a rejected job may be submitted again; 0: not set
 };
 
-/// Decides whether a job is accepted, by whether the hosts can run each of its steps and, if
-/// `judgement` is not null, by the forecast of its end; accepts if no host is known yet, or not the
-/// capacity of each. Precondition: the job's estimates are set. Thread-safe for constant tables.
+/// Decides whether a job is accepted, by whether the hosts can run each of its steps, by the memory
+/// of the accepted jobs and, if `judgement` is not null, by the forecast of its end; accepts if no
+/// host is known yet, or not the capacity of each. Precondition: the job's estimates are set.
+/// Thread-safe for constant tables.
 [[nodiscard]] admission_decision decideAdmission(const fleet_tables &tables, const job_entry &job,
                                                  const queue_config &queue, instant now,
                                                  const forecast_judgement *judgement = nullptr);
--- a/include/ibishinge/fleet/tables.h
+++ b/include/ibishinge/fleet/tables.h
@@ -2,6 +2,7 @@
 
 #include <ibishinge/fleet/backlog/task_list.h>
 #include <ibishinge/fleet/evacuation/evacuation.h>
+#include <ibishinge/fleet/load_control.h>
 #include <ibishinge/fleet/queueing/locality.h>
 #include <ibishinge/fleet/queueing/shares.h>
 #include <ibishinge/fleet/types.h>
@@ -181,6 +182,7 @@
     int dueOccurrences = 0; ///< occurrences that were due when last looked at, from number 0
     std::map<std::pair<int, int>, step_tickets> tickets; ///< by occurrence and step
     std::string failureReason;
+    std::size_t memory = 0; ///< estimated, in bytes, set by `addJob`
 };
 
 /// A worker that reported longer ago may have ended or restarted unnoticed.
@@ -302,13 +304,23 @@
     bool stored = false;
 };
 
+/// Estimated memory of the jobs that have not ended, in bytes.
+struct job_memory
+{
+    std::size_t all = 0;
+    std::map<std::string, std::size_t> byCustomer;
+    event_rate freed; ///< bytes of jobs that have ended
+};
+
 /// State of the coordinator. Plain data, changed by free functions and by the coordinator. Not
 /// thread-safe.
 struct fleet_tables
 {
     configuration config;
     std::map<std::string, const queue_config *> queues; ///< queues by name; point into `config`
-    std::map<std::string, job_entry> jobs; ///< jobs that have not ended, by id
+    /// Jobs that have not ended, by id. Changed by `addJob` and `removeJob`.
+    std::map<std::string, job_entry> jobs;
+    job_memory jobMemory;
     /// Final state, and wall time of the end in milliseconds since 1970, by job.
     std::map<std::string, std::pair<job_state, std::int64_t>> ended;
     /// Ids that were cancelled while no job had them. A submission that was under way is rejected
--- a/src/fleet/admission.cpp
+++ b/src/fleet/admission.cpp
@@ -1,5 +1,7 @@
 #include <ibishinge/fleet/admission.h>
 
+#include <ibishinge/fleet/backlog/job_memory.h>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -12,7 +14,7 @@
 /// seconds.
 constexpr milliseconds missingLabelRetry {5000};
 
-constexpr std::array<std::pair<refusal_cause, std::string_view>, 9> causeNames {{
+constexpr std::array<std::pair<refusal_cause, std::string_view>, 10> causeNames {{
     {refusal_cause::none, "none"},
     {refusal_cause::invalid, "invalid"},
     {refusal_cause::past_deadline, "past_deadline"},
@@ -22,6 +24,7 @@
     {refusal_cause::no_label, "no_label"},
     {refusal_cause::evacuated, "evacuated"},
     {refusal_cause::forecast, "forecast"},
+    {refusal_cause::job_memory, "job_memory"},
 }};
 
 bool hasLabel(const std::vector<std::string> &labels, const std::string &label)
@@ -87,7 +90,7 @@
 }
 
 admission_decision decideAdmission(const fleet_tables &tables, const job_entry &job,
-                                   const queue_config &queue, instant /*now*/,
+                                   const queue_config &queue, instant now,
                                    const forecast_judgement *judgement)
 {
     admission_decision decision;
@@ -119,6 +122,13 @@
             return decision;
         }
     }
+    if (const auto retryAfter = limitJobMemory(tables, job.customer, memoryOf(job), now)) {
+        decision.verdict = admission_verdict::later;
+        decision.cause = refusal_cause::job_memory;
+        decision.reason = "the jobs accepted before take too much memory";
+        decision.retryAfter = *retryAfter;
+        return decision;
+    }
     if (judgement != nullptr && judgement->rejected) {
         decision.verdict = admission_verdict::later;
         decision.cause = refusal_cause::forecast;
--- a/src/fleet/backlog/coordinator_backlog.cpp
+++ b/src/fleet/backlog/coordinator_backlog.cpp
@@ -1,7 +1,11 @@
 #include <ibishinge/base/logging.h>
+#include <ibishinge/fleet/backlog/job_memory.h>
 #include <ibishinge/fleet/backlog/occurrence_window.h>
 #include <ibishinge/fleet/coordinator.h>
 
+#include <algorithm>
+#include <string>
+
 namespace ibishinge::fleet {
 
 namespace {
@@ -41,6 +45,21 @@
                       {"stored", job.storedNextOccurrence}});
         }
     }
+    const auto memory = usedJobMemory(m_tables);
+    m_metrics.set("ibishinge_job_memory_bytes", {}, static_cast<double>(memory));
+    if (memory > maxJobMemory / 2) {
+        const auto &byCustomer = m_tables.jobMemory.byCustomer;
+        const auto largest =
+            std::max_element(byCustomer.begin(), byCustomer.end(),
+                             [](const auto &a, const auto &b) { return a.second < b.second; });
+        logEvent(log_level::warning, "job_memory",
+                 {{"bytes", memory},
+                  {"bound", maxJobMemory},
+                  {"jobs", m_tables.jobs.size()},
+                  {"ended", m_tables.ended.size()},
+                  {"largest", largest == byCustomer.end() ? std::string() : largest->first},
+                  {"largest_bytes", largest == byCustomer.end() ? 0 : largest->second}});
+    }
     m_metrics.set("ibishinge_occurrences_delayed", {}, static_cast<double>(delayed));
     m_metrics.set("ibishinge_occurrence_cells", {}, countExtraCells(m_tables).all);
 }
--- a/src/fleet/coordinator_callers.cpp
+++ b/src/fleet/coordinator_callers.cpp
@@ -3,6 +3,7 @@
 #include <ibishinge/base/logging.h>
 #include <ibishinge/base/processor_time.h>
 #include <ibishinge/fleet/admission.h>
+#include <ibishinge/fleet/backlog/job_memory.h>
 #include <ibishinge/fleet/backlog/occurrence_window.h>
 #include <ibishinge/fleet/crash_isolation.h>
 #include <ibishinge/fleet/objective.h>
@@ -259,6 +260,14 @@
         job.longRunning = job.longRunning || step.longRunning;
     }
     estimateJob(m_tables, job);
+    auto record = encodeJob(job);
+    if (record.size() > maxJobRecordBytes) {
+        reject(answerOf(answer_kind::invalid,
+                        "the description takes " + std::to_string(record.size())
+                            + " bytes in the store, at most " + std::to_string(maxJobRecordBytes)),
+               refusalFor(refusal_cause::invalid));
+        return;
+    }
     auto decision = decideAdmission(m_tables, job, queue, m_timers.now());
     forecast_judgement judgement;
     const bool forecasts = m_settings.forecastRejection != forecast_mode::off;
@@ -300,7 +309,7 @@
     logEvent(log_level::info, "job_admitted", fields);
     m_submitWaiters[id].push_back(done);
     write_unit unit;
-    unit.changes.push_back({std::string(jobPrefix) + id, encodeJob(job)});
+    unit.changes.push_back({std::string(jobPrefix) + id, std::move(record)});
     unit.guards.push_back(std::string(endedPrefix) + id);
     unit.droppable = true;
     unit.done = [this, id, since = m_timers.now()](const result<void> &stored) {
@@ -309,7 +318,7 @@
             return;
         }
         if (!stored) {
-            m_tables.jobs.erase(found);
+            removeJob(m_tables, id, m_timers.now());
             answerWaiters(m_submitWaiters, id, answerToUnstoredSubmission(stored.error().kind));
             return;
         }
@@ -321,7 +330,7 @@
         m_windowMoved = m_windowMoved || found->second.spec.repetitions > 1;
         requestSchedulingPass();
     };
-    m_tables.jobs.emplace(id, std::move(job));
+    addJob(m_tables, std::move(job));
     m_writer->add(id, std::move(unit));
     // If the store is slow, the caller is told early that the outcome is unknown, while it still
     // has time to repeat the request.
@@ -502,7 +511,7 @@
                    since(found->second.submittedAt, found->second.objectiveAt).count()}});
         m_tables.ended[id] = {state, m_timers.wallMs()};
         m_dirtyJobs.erase(id);
-        m_tables.jobs.erase(found);
+        removeJob(m_tables, id, m_timers.now());
         stopRunsOf(id, "job_ended");
         answerWaiters(m_cancelWaiters, id, answerOf(answer_kind::cancelled));
         requestSchedulingPass();
--- a/src/fleet/coordinator_takeover.cpp
+++ b/src/fleet/coordinator_takeover.cpp
@@ -1,6 +1,7 @@
 #include <ibishinge/fleet/coordinator.h>
 
 #include <ibishinge/base/logging.h>
+#include <ibishinge/fleet/backlog/job_memory.h>
 #include <ibishinge/fleet/objective.h>
 #include <ibishinge/fleet/record_codec.h>
 
@@ -98,7 +99,7 @@
         job->fromRecord = true;
         job->inherited = true;
         estimateJob(m_tables, *job);
-        m_tables.jobs.emplace(job->id, std::move(*job));
+        addJob(m_tables, std::move(*job));
     };
     const auto applyProgressItem = [this](const store_item &item) {
         const auto job = m_tables.jobs.find(item.key.substr(progressPrefix.size()));
@@ -124,7 +125,7 @@
         } else {
             m_tables.withdrawn[id] = {ended->wallMs, true};
         }
-        if (m_tables.jobs.erase(id) > 0) {
+        if (removeJob(m_tables, id, m_timers.now())) {
             deleteRecordsOfEndedJob(id);
         }
     };
--- a/tests/occurrence_window_test.cpp
+++ b/tests/occurrence_window_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/support/counted_heap.h"
 #include "tests/support/fleet_world.h"
 
 #include <ibishinge/fleet/backlog/occurrence_window.h>
@@ -6,11 +7,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
-#include <malloc.h>
-
 #include <algorithm>
-#include <cstdlib>
-#include <new>
 #include <string>
 
 using namespace ibishinge;
@@ -19,44 +16,6 @@
 
 namespace {
 
-std::size_t heldBytes = 0;
-std::size_t peakBytes = 0;
-
-void *allocate(std::size_t size)
-{
-    void *const memory = std::malloc(size == 0 ? 1 : size); // NOLINT
-    if (memory == nullptr) {
-        throw std::bad_alloc();
-    }
-    heldBytes += malloc_usable_size(memory);
-    peakBytes = std::max(peakBytes, heldBytes);
-    return memory;
-}
-
-void release(void *memory) noexcept
-{
-    heldBytes -= memory == nullptr ? 0 : malloc_usable_size(memory);
-    std::free(memory); // NOLINT
-}
-
-} // namespace
-
-// The test has one thread.
-void *operator new(std::size_t size)
-{
-    return allocate(size);
-}
-void operator delete(void *memory) noexcept
-{
-    release(memory);
-}
-void operator delete(void *memory, std::size_t) noexcept
-{
-    release(memory);
-}
-
-namespace {
-
 const std::string timedId = "00000000000000aa";
 const std::string timedPath = "/pool-a/" + timedId;
 
