--- a/include/ibishinge/fleet/coordinator.h
+++ b/include/ibishinge/fleet/coordinator.h
@@ -216,6 +216,10 @@
     void endJob(job_entry &job, job_state state);
     /// Compares the end of a completed job with its forecast.
     void measureForecast(const job_entry &job);
+    void pruneEnded();
+
+    // coordinator_progress.cpp
+    /// Has the progress of a job written soon.
     void markDirty(const std::string &id);
     [[nodiscard]] static write_unit progressUnit(const job_entry &job);
     /// Has `flush` called after `delay`, or soon after the flush in progress.
@@ -225,7 +229,6 @@
     void flush();
     /// Lets the next flush begin, unless a later one than `number` has begun.
     void finishFlush(std::int64_t number);
-    void pruneEnded();
 
     // coordinator_workers.cpp
     void pollIfDue(worker_status &worker);
