--- a/tests/process/fleet_soak.py
+++ b/tests/process/fleet_soak.py
@@ -1,7 +1,7 @@
 """A seeded fault soak of `ibishinge-fleet`: real processes on loopback, beside stand-ins.
 
     fleet_soak.py --binaries FOLDER [--seeds 1,2,3 | --count 50] [--processes 3] [--seconds 40]
-                  [--faults NAME,...] [--weak] [--logs FOLDER]
+                  [--faults NAME,...] [--weak | --timed] [--logs FOLDER]
 
 Callers hand jobs in through all processes and try again as the platform's callers do; meanwhile
 faults come in series and overlap. What callers are answered and what workers start and end is
@@ -9,7 +9,8 @@
 between the processes fail too if the seed is even, and data centres are evacuated if it is a
 multiple of five. With `--weak`, all hosts or all but one have
 narrow links to the store or a share of a processor, large records are stored before the faults,
-and the strong lose elections. `--logs` keeps the record and the logs of the processes of each seed.
+and the strong lose elections. With `--timed`, jobs of hundreds of occurrences that are late, or become
+due faster than they run, are handed in before the faults. `--logs` keeps the record and the logs of the processes of each seed.
 """
 
 import argparse
@@ -424,6 +425,24 @@
         self.lab.violate(f"LOST: accepted job {job} is answered {status} {body.decode()}")
 
 
+class TimedSoak(Soak):
+    """A run with repeated jobs that are behind during the faults and complete after them."""
+
+    async def prepare(self):
+        now_ms = int(time.time() * 1000)
+        for late_s, interval_ms in ((3600, 1000), (0, 20)):
+            job = self.lab.new_id()
+            self.lab.jobs[job] = {
+                "spec": "timed", "repetitions": self.rng.randint(300, 600),
+                "first-ms": now_ms - late_s * 1000, "interval-ms": interval_ms,
+                "steps": [{"count": 2, "cpu": 200, "mem-mb": 20, "estimate-ms": 100}]}
+            self.callers[job] = Caller(self, job)
+            await self.callers[job].run()
+
+    def run_time(self, task, spec):
+        return self.rng.uniform(0.05, 0.2) if spec == "timed" else super().run_time(task, spec)
+
+
 class WeakSoak(Soak):
     """A run on weak hosts."""
 
@@ -518,7 +537,7 @@
 WEAK_WEIGHT = 3  # such a fault is drawn so many times as often as another
 
 
-async def play(seed, processes, seconds, faults, logs, weak):
+async def play(seed, processes, seconds, faults, logs, kind):
     """Plays a seed and ends this process with the exit status: tasks of connections may be left."""
     folder = Path(logs or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
     folder.mkdir(parents=True, exist_ok=True)
@@ -527,9 +546,10 @@
         faults = FAULTS + FAULTS_OF_LINKS if seed % 2 == 0 else FAULTS
         if seed % 5 == 0:
             faults = faults + FAULTS_OF_EVACUATION
-        if weak:
+        if kind is WeakSoak:
             faults = faults + WEAK_WEIGHT * FAULTS_OF_WEAK
     with_links = bool(set(faults) & set(FAULTS_OF_LINKS))
+    weak = kind is WeakSoak
     if weak:
         stand.Process = WeakLinkedProcess if with_links else WeakProcess
     elif with_links:
@@ -544,7 +564,7 @@
     if weak:
         lab.hosts = draw_hosts(random.Random(seed + 2), processes)
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
-    soak = (WeakSoak if weak else Soak)(lab, seed, processes, seconds, faults)
+    soak = kind(lab, seed, processes, seconds, faults)
     try:
         await soak.run()
     finally:
@@ -566,7 +586,9 @@
     parser.add_argument("--processes", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=40)
     parser.add_argument("--faults", help="by default all that the seed allows")
-    parser.add_argument("--weak", action="store_true")
+    kind = parser.add_mutually_exclusive_group()
+    kind.add_argument("--weak", dest="kind", action="store_const", const=WeakSoak, default=Soak)
+    kind.add_argument("--timed", dest="kind", action="store_const", const=TimedSoak)
     parser.add_argument("--logs")
     arguments = parser.parse_args()
     stand.PROGRAM = str(arguments.binaries.resolve() / "ibishinge-fleet")
@@ -575,7 +597,7 @@
     if len(seeds) == 1:
         asyncio.run(play(seeds[0], arguments.processes, arguments.seconds,
                          arguments.faults.split(",") if arguments.faults else None,
-                         arguments.logs, arguments.weak))
+                         arguments.logs, arguments.kind))
     statuses = [subprocess.run([sys.executable, *sys.argv, "--seeds", str(seed)],
                                check=False).returncode for seed in seeds]
     return max(statuses)
--- a/tests/process/fleet_soak_test.py
+++ b/tests/process/fleet_soak_test.py
@@ -14,14 +14,14 @@
 class FleetSoakTest(unittest.TestCase):
     """Guards against broken promises to callers when faults of several kinds overlap."""
 
-    def soak(self, seeds, seconds, faults=None, weak=False):
+    def soak(self, seeds, seconds, faults=None, kind=None):
         """Plays the seeds side by side."""
         plays = []
         for seed in seeds:
             words = [sys.executable, str(SOAK), "--binaries", str(support.BINARIES), "--seeds",
                      str(seed), "--seconds", str(seconds)]
             words += ["--faults", ",".join(faults)] if faults else []
-            words += ["--weak"] if weak else []
+            words += [f"--{kind}"] if kind else []
             plays.append(subprocess.Popen(words, stdout=subprocess.PIPE, text=True))
         for play in plays:
             output, _ = play.communicate(timeout=LIMIT_S)
@@ -52,7 +52,14 @@
     def test_promises_hold_on_weak_hosts(self):
         """Guards against a coordinator that never serves since its link or its processor is weak."""
         self.soak([10], 15, ["weak_elected", "leader_killed", "link_narrowed", "processor_shared"],
-                  weak=True)
+                  kind="weak")
+
+    def test_repeated_jobs_that_are_behind_are_completed(self):
+        """Guards against occurrences that run twice or never when coordinators change while most
+        of a job's occurrences are late."""
+        self.soak([21, 22], 20, ["leader_killed", "all_processes_killed", "store_busy",
+                                 "store_answers_lost", "leader_frozen", "worker_crashes"],
+                  kind="timed")
 
 
 if __name__ == "__main__":
