Search only changed tasks for a property that unchanged ones lack

The second that logs waiting tasks looked at each task of young jobs. Also names the sentinel of the window, and says why a task is looked up again.

--- a/src/fleet/backlog/occurrence_window.cpp
+++ b/src/fleet/backlog/occurrence_window.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 
 namespace ibishinge::fleet {
 
@@ -85,13 +86,13 @@
 {
     job.dueOccurrences = std::max(job.nextOccurrence, countDue(job, wallMs));
     const int cells = cellsOf(job.spec);
-    int unstarted = -1; // counted if it matters
+    std::optional<int> unstarted; // counted only if a further occurrence may be opened
     bool opened = false;
     while (job.nextOccurrence < job.dueOccurrences) {
         if (!job.occurrences.empty()) {
-            unstarted = unstarted < 0 ? countUnstartedTasks(job) : unstarted;
+            unstarted = unstarted ? *unstarted : countUnstartedTasks(job);
             const int unstored = job.nextOccurrence - job.storedNextOccurrence;
-            if (unstarted >= maxUnstartedTasks || cells > room
+            if (*unstarted >= maxUnstartedTasks || cells > room
                 || cellsOf(job, static_cast<int>(job.occurrences.size()) + 1) > maxOpenCells
                 || cellsOf(job, unstored + 1) > maxUnstoredCells) {
                 break;
@@ -99,7 +100,9 @@
             room -= cells;
         }
         openOccurrence(job, job.nextOccurrence);
-        unstarted += unstarted < 0 ? 0 : job.occurrences.rbegin()->second.unfinishedTasks;
+        if (unstarted) {
+            *unstarted += job.occurrences.rbegin()->second.unfinishedTasks;
+        }
         opened = true;
     }
     return opened;
--- a/src/fleet/backlog/task_list.cpp
+++ b/src/fleet/backlog/task_list.cpp
@@ -6,6 +6,22 @@
 
 namespace {
 
+const task_entry &unchangedTask()
+{
+    static const task_entry unchanged;
+    return unchanged;
+}
+
+const task_entry &doneTask()
+{
+    static const task_entry done = [] {
+        task_entry entry;
+        entry.phase = task_phase::done;
+        return entry;
+    }();
+    return done;
+}
+
 std::size_t countUnchanged(const task_list &tasks) noexcept
 {
     return tasks.count - tasks.doneCount - tasks.changed.size();
@@ -25,17 +41,11 @@
 
 const task_entry &taskAt(const task_list &tasks, std::size_t index)
 {
-    static const task_entry unchanged;
-    static const task_entry done = [] {
-        task_entry entry;
-        entry.phase = task_phase::done;
-        return entry;
-    }();
     if (isDone(tasks, index)) {
-        return done;
+        return doneTask();
     }
     const auto found = tasks.changed.find(index);
-    return found == tasks.changed.end() ? unchanged : found->second;
+    return found == tasks.changed.end() ? unchangedTask() : found->second;
 }
 
 task_entry &changeTask(task_list &tasks, std::size_t index)
@@ -88,6 +98,11 @@
 std::optional<std::size_t> findFirst(const task_list &tasks,
                                      const std::function<bool(const task_entry &)> &matches)
 {
+    if (!matches(unchangedTask()) && !matches(doneTask())) {
+        const auto found = std::find_if(tasks.changed.begin(), tasks.changed.end(),
+                                        [&](const auto &each) { return matches(each.second); });
+        return found == tasks.changed.end() ? std::nullopt : std::optional(found->first);
+    }
     for (std::size_t index = 0; index < tasks.count; ++index) {
         if (matches(taskAt(tasks, index))) {
             return index;
--- a/src/fleet/coordinator_workers.cpp
+++ b/src/fleet/coordinator_workers.cpp
@@ -508,8 +508,7 @@
     if (live) {
         abandonUnsentStart(seen.task);
     }
-    // Only the entry of a task that has been changed tells its present phase.
-    task = findTask(m_tables, seen.task);
+    task = findTask(m_tables, seen.task); // its start may just have been abandoned
     if (live && task->phase == task_phase::waiting) {
         auto &adopted = *changeTask(m_tables, seen.task);
         adopted.phase = task_phase::placed;
